--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,354 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/admission"
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/settings"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+	"github.com/waxwinghaven/waxwinghaven/worker"
+	"golang.org/x/sync/errgroup"
+)
+
+// part prefixes this part's log lines and labels its counters.
+const part = "agent"
+
+const (
+	localBody     = 1 << 20 // bytes
+	workerTimeout = time.Second
+)
+
+// Agent is the process beside one upstream and one worker.
+type Agent struct {
+	set    *settings.Settings
+	rpc    *transport.Client
+	plain  *transport.Client // to the upstream and the worker, on the same instance
+	ctl    *control.Client
+	server *fasthttp.Server
+	meter  *meter
+
+	mu        sync.Mutex
+	announce  *Announcement
+	heard     time.Time // of the last heartbeat
+	withdrawn bool
+	gate      *admission.Gate
+	upstream  *fasthttp.HostClient
+	upAddr    string
+	markets   map[string]*market.View
+	revision  uint64
+
+	leaseEnd atomic.Int64 // nanoseconds on the process's monotonic clock
+	started  time.Time
+	lastErr  string
+
+	ledger *Ledger // used by the renewal loop only
+}
+
+// New returns an agent that is not yet running.
+func New(set *settings.Settings, keys *transport.Keys) (*Agent, error) {
+	tlsConfig, err := transport.LoadTLS(keys)
+	if err != nil {
+		return nil, err
+	}
+	g := &Agent{set: set, rpc: transport.NewClient(tlsConfig, set.Instance.IP), plain: transport.NewClient(nil, set.Instance.IP),
+		meter: newMeter(), gate: admission.NewGate(), markets: make(map[string]*market.View), started: time.Now(), ledger: NewLedger()}
+	g.ctl = control.NewClient(part, g.rpc, set.Peers.Control, spreadStart(set.Instance.Name))
+	g.server = transport.NewHTTPServer(part, g.serveEntry, set.Agent.MaxBody)
+	return g, nil
+}
+
+// spreadStart makes agents ask different replicas first.
+func spreadStart(name string) int {
+	n := 0
+	for _, b := range []byte(name) {
+		n += int(b)
+	}
+	return n
+}
+
+// Run serves until the context ends, then refuses what comes, finishes what is
+// in progress, and tells the control that it leaves.
+func (g *Agent) Run(ctx context.Context) error {
+	tlsConfig, err := transport.LoadTLS(KeysOf(g.set))
+	if err != nil {
+		return err
+	}
+	ln, err := transport.Listen(g.set.Address(g.set.Agent.Port))
+	if err != nil {
+		return err
+	}
+	local, err := transport.Listen(g.set.Address(g.set.Agent.LocalPort))
+	if err != nil {
+		return errors.Join(err, ln.Close())
+	}
+	logrus.WithFields(logrus.Fields{"address": ln.Addr(), "local": local.Addr()}).Info("agent: Started.")
+	serveCtx, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	eg, ctx := errgroup.WithContext(ctx)
+	eg.Go(func() error { return transport.ServeHTTP(serveCtx, g.server, transport.Secure(part, ln, tlsConfig)) })
+	eg.Go(func() error {
+		return transport.ServeHTTP(serveCtx, transport.NewHTTPServer("announce", g.serveLocal, localBody), local)
+	})
+	eg.Go(func() error { return g.renewLoop(serveCtx) })
+	eg.Go(func() error {
+		<-ctx.Done()
+		g.drain()
+		stopServing()
+		return nil
+	})
+	return eg.Wait()
+}
+
+// KeysOf returns the key files that the settings name, or nil.
+func KeysOf(set *settings.Settings) *transport.Keys {
+	if set.TLS == nil {
+		return nil
+	}
+	return &transport.Keys{Authority: set.TLS.Authority, Certificate: set.TLS.Certificate, Key: set.TLS.Key}
+}
+
+// drain closes the gate, so that entries turn elsewhere at once, and waits for
+// the requests in progress and for one renewal that carries the news.
+func (g *Agent) drain() {
+	g.withdraw()
+	deadline := time.Now().Add(g.set.Instance.Drain.Duration)
+	leave := time.Now().Add(3 * g.set.Agent.Renew.Duration)
+	for time.Now().Before(deadline) && (g.inProgress() > 0 || time.Now().Before(leave)) {
+		time.Sleep(drainPoll)
+	}
+	logrus.WithField("in_progress", g.inProgress()).Info("agent: Drained.")
+}
+
+const drainPoll = 20 * time.Millisecond
+
+func (g *Agent) inProgress() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Used()
+}
+
+// announced takes in an upstream's heartbeat.
+func (g *Agent) announced(a Announcement, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.announce == nil || g.announce.Address != a.Address {
+		logrus.WithFields(logrus.Fields{"market": a.Market, "service": a.Service, "upstream": a.Address}).Info("agent: An upstream announced itself.")
+	}
+	g.announce, g.heard = &a, now
+	if a.Leaving || g.withdrawn {
+		release(g.gate.Close(refusal.Leaving))
+		return
+	}
+	g.dialUpstream(a)
+	release(g.gate.Open(a.Slots, a.running()))
+}
+
+// dialUpstream keeps one pool of connections to the upstream, bounded as the
+// upstream asked.
+func (g *Agent) dialUpstream(a Announcement) {
+	if g.upstream != nil && g.upAddr == a.Address && g.upstream.MaxConns == a.Connections {
+		return
+	}
+	g.upAddr = a.Address
+	g.upstream = &fasthttp.HostClient{
+		Addr: a.Address, Dial: g.plain.Dialer(), MaxConns: a.Connections, MaxIdleConnDuration: upstreamIdle,
+		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize: g.set.Agent.MaxBody, NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
+	}
+}
+
+// upstreamIdle is shorter than the idle time of usual servers: a request sent
+// on a connection that the upstream is just closing would end as unknown.
+const upstreamIdle = 4 * time.Second
+
+// withdraw refuses all new requests from now on, whatever the entries know.
+func (g *Agent) withdraw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.withdrawn = true
+	release(g.gate.Close(refusal.Leaving))
+}
+
+func release(tickets []*admission.Ticket) {
+	for _, t := range tickets {
+		close(t.Ready)
+	}
+}
+
+// expireUpstream takes an upstream that stopped its heartbeats for gone.
+func (g *Agent) expireUpstream(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.announce == nil || now.Sub(g.heard) < g.set.Agent.AnnounceTimeout.Duration {
+		return
+	}
+	logrus.WithField("upstream", g.announce.Address).Warn("agent: The upstream stopped its heartbeats.")
+	g.announce = nil
+	release(g.gate.Close(refusal.NoUpstream))
+}
+
+// renewLoop reads the worker, renews the lease, and tells the worker.
+func (g *Agent) renewLoop(ctx context.Context) error {
+	tick := time.NewTicker(g.set.Agent.Renew.Duration)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			g.renew() // carries the withdrawal if drain was too short for it
+			return nil
+		case <-tick.C:
+			g.expireUpstream(time.Now())
+			g.renew()
+		}
+	}
+}
+
+// renew does one round. The worker's clock is read before the renewal is sent
+// and the lease counts from there: whatever is delayed or frozen in between
+// only makes the worker's lease shorter than what the control believes.
+func (g *Agent) renew() {
+	workerAddr := g.workerAddress()
+	report, ok := g.readWorker(workerAddr)
+	if !ok && workerAddr != "" {
+		return // without the worker's clock no lease can be given to it
+	}
+	sent := time.Now()
+	req := g.renewal(report)
+	var a control.RenewAnswer
+	if err := g.ctl.Call(control.PathRenew, renewTimeout, &req, &a); err != nil {
+		g.logRenewError(err)
+		return
+	}
+	g.lastErr = ""
+	g.leaseEnd.Store(int64(sent.Add(time.Duration(a.LeaseMS) * time.Millisecond).Sub(g.started)))
+	g.takeConfig(a)
+	if a.Changed {
+		g.ledger.Replace(req.Member.Boot, a.Orders)
+	}
+	g.ledger.Throttle(a.Throttle)
+	if workerAddr != "" {
+		g.tellWorker(workerAddr, report.ClockMS+a.LeaseMS)
+	}
+}
+
+const renewTimeout = 3 * time.Second
+
+func (g *Agent) logRenewError(err error) {
+	e, ok := refusal.Of(err)
+	if !ok {
+		return
+	}
+	refusal.Count("renewal", e.Code)
+	if g.lastErr != string(e.Code) {
+		g.lastErr = string(e.Code)
+		logrus.Warnf("agent: Could not renew: %v.", err)
+	}
+}
+
+func (g *Agent) leaseValid(now time.Time) bool { return int64(now.Sub(g.started)) < g.leaseEnd.Load() }
+
+func (g *Agent) workerAddress() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.announce == nil {
+		return ""
+	}
+	return g.announce.Worker
+}
+
+func (g *Agent) readWorker(addr string) (worker.Report, bool) {
+	var r worker.Report
+	if addr == "" {
+		return r, false
+	}
+	if err := g.callWorker(addr, fasthttp.MethodGet, worker.PathReport, nil, &r); err != nil {
+		logrus.Warnf("agent: The worker does not answer: %v.", err)
+		return r, false
+	}
+	g.ledger.Observe(r)
+	return r, true
+}
+
+func (g *Agent) tellWorker(addr string, untilMS int64) {
+	var r worker.Report
+	cmd := g.ledger.Commands(untilMS)
+	if err := g.callWorker(addr, fasthttp.MethodPost, worker.PathSync, &cmd, &r); err != nil {
+		logrus.Warnf("agent: The worker does not answer: %v.", err)
+		return
+	}
+	g.ledger.Observe(r)
+}
+
+func (g *Agent) callWorker(addr, method, path string, body, out any) error {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(p)
+	q.Header.SetMethod(method)
+	q.SetRequestURI(path)
+	q.Header.SetHost(addr)
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		q.SetBodyRaw(b)
+	}
+	if err := g.plain.Host(addr).DoTimeout(q, p, workerTimeout); err != nil {
+		return err
+	}
+	if p.StatusCode() != fasthttp.StatusOK {
+		return errors.New("status " + fasthttp.StatusMessage(p.StatusCode()))
+	}
+	return json.Unmarshal(p.Body(), out)
+}
+
+func (g *Agent) renewal(report worker.Report) control.Renew {
+	ends := g.ledger.Ends()
+	g.meter.tasks(ends)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load := 0.0
+	if g.gate.Slots() > 0 {
+		load = float64(g.gate.Used()) / float64(g.gate.Slots())
+	}
+	return control.Renew{Member: g.member(report), Digest: g.ledger.Digest(), Ends: ends,
+		Usage: g.meter.read(time.Now(), load, g.ledger.Jobs()), Revision: g.revision}
+}
+
+// member is the announcement that this agent makes of the instance.
+func (g *Agent) member(report worker.Report) membership.Member {
+	m := membership.Member{Agent: g.set.Instance.Name, Address: g.set.Address(g.set.Agent.Port),
+		DataCentre: g.set.Instance.DataCentre, Boot: report.Boot, Withdrawn: g.withdrawn}
+	if m.Boot == "" {
+		m.Boot = "none"
+	}
+	if a := g.announce; a != nil {
+		m.Rack, m.Market, m.Service, m.Slots, m.Conns = a.Rack, a.Market, a.Service, a.Slots, a.Connections
+		m.Capacity = report.Capacity
+		m.Withdrawn = m.Withdrawn || a.Leaving
+	}
+	return m
+}
+
+// takeConfig takes in news of markets; an older one never replaces a newer.
+func (g *Agent) takeConfig(a control.RenewAnswer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, v := range a.Markets {
+		if old := g.markets[v.Market.Name]; old == nil || old.Revision < v.Revision {
+			g.markets[v.Market.Name] = v
+		}
+	}
+	g.revision = max(g.revision, a.Revision)
+}
--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,123 @@
+package agent
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/admission"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+// Announcement is what an upstream posts to its agent's local port, again and
+// again as a heartbeat.
+type Announcement struct {
+	Market  string `json:"market"`
+	Service string `json:"service"`
+	// Address is the upstream's IP number and port.
+	Address string `json:"address"`
+	Rack    string `json:"rack"`
+	// Worker is the address of the worker's interface, empty without one.
+	Worker      string          `json:"worker,omitempty"`
+	Capacity    resource.Vector `json:"capacity"`
+	Slots       int             `json:"slots"`
+	Connections int             `json:"connections"`
+	// Running is the upstream's own count of requests in progress. With it
+	// the agent frees the slots of requests it gave up on.
+	Running *int `json:"running,omitempty"`
+	// Leaving asks for no more work; requests in progress are finished.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+const (
+	maxSlots       = 100_000
+	maxConnections = 100_000
+)
+
+func (a *Announcement) validate() error {
+	bad := func(remedy, format string, args ...any) error {
+		return refusal.New(refusal.Invalid, remedy, format, args...)
+	}
+	if err := market.CheckName("market", a.Market); err != nil {
+		return err
+	}
+	if err := market.CheckName("service", a.Service); err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return bad("give an IP number and port", "address %q cannot be dialled", a.Address)
+	}
+	if _, err := netip.ParseAddrPort(a.Worker); a.Worker != "" && err != nil {
+		return bad("give an IP number and port, or leave it out", "worker %q cannot be dialled", a.Worker)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots || a.Connections < 1 || a.Connections > maxConnections {
+		return bad("give 1 to 100000 of each", "slots %d or connections %d are out of range", a.Slots, a.Connections)
+	}
+	if a.Running != nil && *a.Running < 0 {
+		return bad("count the requests in progress", "running %d is less than nothing", *a.Running)
+	}
+	if a.Capacity.MilliCPU < 0 || a.Capacity.MemoryMB < 0 || a.Capacity.Accelerators < 0 {
+		return bad("give amounts of 0 or more", "the capacity is less than nothing")
+	}
+	return nil
+}
+
+func (a *Announcement) running() int {
+	if a.Running == nil {
+		return admission.UnknownRunning
+	}
+	return *a.Running
+}
+
+// serveLocal answers the instance itself: the upstream, and health and metrics.
+func (g *Agent) serveLocal(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Method()) + " " + string(ctx.Path()) {
+	case "POST /announce":
+		g.postAnnounce(ctx)
+	case "POST /withdraw":
+		g.withdraw()
+	case "GET /healthz":
+		ctx.SetBodyString("ok\n")
+	case "GET /readyz":
+		if !g.leaseValid(time.Now()) {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	case "GET /metrics":
+		metrics.WritePrometheus(ctx, true)
+	default:
+		localError(ctx, fasthttp.StatusNotFound, refusal.New(refusal.NotFound, "see docs/API.md for the paths", "no %s %s", ctx.Method(), ctx.Path()))
+	}
+}
+
+func localError(ctx *fasthttp.RequestCtx, status int, e *refusal.Error) {
+	refusal.Count("announce", e.Code)
+	b, _ := json.Marshal(e)
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(b, '\n'))
+}
+
+func (g *Agent) postAnnounce(ctx *fasthttp.RequestCtx) {
+	var a Announcement
+	d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	d.DisallowUnknownFields()
+	err := d.Decode(&a)
+	if err == nil {
+		err = a.validate()
+	}
+	if err != nil {
+		e, ok := refusal.Of(err)
+		if !ok {
+			e = refusal.New(refusal.Invalid, "see docs/API.md for the fields", "the announcement cannot be read: %v", err)
+		}
+		localError(ctx, fasthttp.StatusBadRequest, e)
+		return
+	}
+	g.announced(a, time.Now())
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
--- /dev/null
+++ b/agent/measure.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/worker"
+)
+
+// Bounds of one measurement.
+const (
+	windowSamples = 512
+	minSamples    = 20 // below this a 99th percentile says nothing
+	windowTime    = 5 * time.Second
+)
+
+// meter measures the upstream's latency in windows. Each window carries the
+// jobs that ran during it; a window in which they changed is thrown away, since
+// its latency could not be attributed.
+type meter struct {
+	mu      sync.Mutex
+	started time.Time
+	samples []float64 // milliseconds
+	jobs    map[string]int
+	mixed   bool
+	usage   control.Usage
+	ended   map[worker.Ref]bool
+}
+
+func newMeter() *meter { return &meter{started: time.Now(), ended: make(map[worker.Ref]bool)} }
+
+// request notes one request's time at the upstream.
+func (m *meter) request(took time.Duration, failed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if failed {
+		m.usage.Failed++
+		return
+	}
+	m.usage.Done++
+	if len(m.samples) < windowSamples {
+		m.samples = append(m.samples, float64(took)/float64(time.Millisecond))
+	}
+}
+
+// tasks notes how attempts ended, each once.
+func (m *meter) tasks(ends []lease.End) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range ends {
+		ref := worker.Ref{Task: e.Task, Attempt: e.Attempt}
+		if m.ended[ref] {
+			continue
+		}
+		m.ended[ref] = true
+		switch e.Outcome {
+		case lease.OutcomeDone:
+			m.usage.TaskEnd++
+		case lease.OutcomeFailed, lease.OutcomeRejected:
+			m.usage.TaskBad++
+		}
+	}
+	if len(ends) == 0 {
+		clear(m.ended)
+	}
+}
+
+// read closes the window if it is full and returns the newest measurement.
+func (m *meter) read(now time.Time, load float64, jobs map[string]int) control.Usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !sameJobs(m.jobs, jobs) {
+		m.mixed = true
+	}
+	if len(m.samples) >= windowSamples || now.Sub(m.started) >= windowTime {
+		m.closeWindow(now, load, jobs)
+	}
+	u := m.usage
+	if u.Seq == 0 {
+		u.Load = load
+	}
+	return u
+}
+
+func (m *meter) closeWindow(now time.Time, load float64, jobs map[string]int) {
+	if !m.mixed && len(m.samples) >= minSamples {
+		sort.Float64s(m.samples)
+		m.usage.Seq++
+		m.usage.P99 = m.samples[len(m.samples)*99/100]
+		m.usage.Load = load
+		m.usage.Jobs = jobs
+	}
+	m.samples, m.jobs, m.mixed, m.started = m.samples[:0], jobs, false, now
+}
+
+func sameJobs(a, b map[string]int) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if b[k] != v {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,202 @@
+// Package claim holds the records that make a request with an Idempotency-Key
+// run at most once: a key is claimed in the quorum's log before the request
+// is sent, and its answer is kept for whoever asks again.
+package claim
+
+import (
+	"crypto/sha256"
+
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+// Bounds of the records.
+const (
+	MaxAnswerBytes = 4 << 10   // a larger answer is not kept
+	AnswerMS       = 3600_000  // milliseconds an answer is kept
+	TombstoneMS    = 86400_000 // milliseconds a key is known afterwards
+	MaxRecords     = 200_000   // keys with or without an answer
+	MaxAnswerTotal = 64 << 20  // bytes of kept answers
+)
+
+// Key is a digest of market, service and the caller's key.
+type Key [16]byte
+
+// MakeKey returns the record key of a caller's Idempotency-Key.
+func MakeKey(market, service, key string) Key {
+	d := digest(market, service, key)
+	return Key(d[:16])
+}
+
+// digest separates its parts by their lengths, so that two lists of parts
+// never run together into the same bytes.
+func digest(parts ...string) [32]byte {
+	h := sha256.New()
+	for _, p := range parts {
+		n := len(p)
+		h.Write([]byte{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)})
+		h.Write([]byte(p))
+	}
+	return [32]byte(h.Sum(nil))
+}
+
+// BodyDigest tells a request sent again from another one under the same key.
+func BodyDigest(method, uri string, body []byte) uint64 {
+	d := digest(method, uri, string(body))
+	var n uint64
+	for _, b := range d[:8] {
+		n = n<<8 | uint64(b)
+	}
+	return n
+}
+
+// Answer is a caller's answer.
+type Answer struct {
+	Status      int    `msgpack:"s"`
+	ContentType string `msgpack:"c"`
+	Body        []byte `msgpack:"b"`
+}
+
+// Phase is where a key stands.
+type Phase uint8
+
+// The phases of keys.
+const (
+	Running Phase = iota // sent, or about to be
+	Finished
+	Lost // the outcome will never be known
+)
+
+// Record is what is known of one key.
+type Record struct {
+	Body   uint64  `msgpack:"b"`
+	Token  string  `msgpack:"t"` // of the entry's request that holds the claim
+	Phase  Phase   `msgpack:"p"`
+	At     int64   `msgpack:"a"` // log clock, milliseconds
+	Answer *Answer `msgpack:"r,omitempty"`
+}
+
+// Claim asks for the right to run a request.
+type Claim struct {
+	Key   Key    `msgpack:"k"`
+	Body  uint64 `msgpack:"b"`
+	Token string `msgpack:"t"`
+}
+
+// Result tells what a claim found: Granted, or the record that stands.
+type Result struct {
+	Granted bool    `msgpack:"g"`
+	Phase   Phase   `msgpack:"p"`
+	Answer  *Answer `msgpack:"a,omitempty"`
+}
+
+// Settle ends a claim: with an answer, as lost, or, with Release, as certainly
+// not run, so that the key may be claimed again.
+type Settle struct {
+	Key     Key     `msgpack:"k"`
+	Token   string  `msgpack:"t"`
+	Release bool    `msgpack:"r,omitempty"`
+	Answer  *Answer `msgpack:"a,omitempty"`
+}
+
+// State is all records.
+type State struct {
+	Records map[Key]*Record `msgpack:"r"`
+	Order   []aged          `msgpack:"o"` // oldest first
+	Bytes   int             `msgpack:"b"` // of kept answers
+	Dropped int             `msgpack:"d"` // leading part of Order without answers
+}
+
+type aged struct {
+	Key Key   `msgpack:"k"`
+	At  int64 `msgpack:"a"`
+}
+
+// NewState returns the empty state.
+func NewState() *State { return &State{Records: make(map[Key]*Record)} }
+
+// ApplyClaim grants a key to the first that asks.
+//
+// The same token asking again is the same entry resending a claim whose answer
+// it lost; nobody else holds that token, so it is granted again.
+func (s *State) ApplyClaim(c Claim, now int64) (Result, error) {
+	s.expire(now)
+	r := s.Records[c.Key]
+	switch {
+	case r == nil:
+		return s.grant(c, now)
+	case r.Body != c.Body:
+		return Result{}, refusal.New(refusal.KeyMismatch, "give every new request a key of its own", "this Idempotency-Key was used for another request")
+	case r.Phase == Running && r.Token == c.Token:
+		return Result{Granted: true}, nil
+	case r.Phase == Finished && r.Answer == nil:
+		return Result{}, refusal.New(refusal.KeyExpired, "look the result up in the service", "the request was run, but its answer is no longer kept")
+	}
+	return Result{Phase: r.Phase, Answer: r.Answer}, nil
+}
+
+func (s *State) grant(c Claim, now int64) (Result, error) {
+	if len(s.Records) >= MaxRecords {
+		// Dropping a young record would let its request run twice, so a new
+		// one is refused instead.
+		return Result{}, refusal.New(refusal.KeyStoreFull, "wait, or send requests that need no key without one", "%d keys are being kept", MaxRecords)
+	}
+	s.Records[c.Key] = &Record{Body: c.Body, Token: c.Token, At: now}
+	s.Order = append(s.Order, aged{c.Key, now})
+	return Result{Granted: true}, nil
+}
+
+// ApplySettle ends a claim. Only the token that holds it can.
+func (s *State) ApplySettle(c Settle) bool {
+	r := s.Records[c.Key]
+	if r == nil || r.Token != c.Token || r.Phase != Running {
+		return false
+	}
+	switch {
+	case c.Release:
+		delete(s.Records, c.Key)
+	case c.Answer == nil:
+		r.Phase = Lost
+	default:
+		r.Phase = Finished
+		s.keep(r, c.Answer)
+	}
+	return true
+}
+
+func (s *State) keep(r *Record, a *Answer) {
+	if len(a.Body) > MaxAnswerBytes || s.Bytes+len(a.Body) > MaxAnswerTotal {
+		return
+	}
+	r.Answer = a
+	s.Bytes += len(a.Body)
+}
+
+func (s *State) drop(r *Record) {
+	if r.Answer != nil {
+		s.Bytes -= len(r.Answer.Body)
+		r.Answer = nil
+	}
+}
+
+// expire drops answers, then keys, that are past their time.
+func (s *State) expire(now int64) {
+	for len(s.Order) > 0 && s.Order[0].At <= now-TombstoneMS {
+		s.forget(s.Order[0])
+		s.Order = s.Order[1:]
+		s.Dropped = max(s.Dropped-1, 0)
+	}
+	for s.Dropped < len(s.Order) && s.Order[s.Dropped].At <= now-AnswerMS {
+		o := s.Order[s.Dropped]
+		if r := s.Records[o.Key]; r != nil && r.At == o.At {
+			s.drop(r)
+		}
+		s.Dropped++
+	}
+}
+
+func (s *State) forget(o aged) {
+	if r := s.Records[o.Key]; r != nil && r.At == o.At {
+		s.drop(r)
+		delete(s.Records, o.Key)
+	}
+}
--- /dev/null
+++ b/cmd/waxwinghaven/cluster.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/operator"
+	"github.com/waxwinghaven/waxwinghaven/rollout"
+)
+
+func (c *cli) clusterCommands() {
+	c.app.Command("init", "Makes a new cluster at the first address of --to. Once in its life.").Action(func(*kingpin.ParseContext) error {
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		if err := client.Init(); err != nil {
+			return err
+		}
+		fmt.Println("made a new cluster; the other replicas join by themselves")
+		return nil
+	})
+	c.app.Command("status", "Shows the replicas and what every instance has in force.").Action(func(*kingpin.ParseContext) error { return c.status() })
+	c.app.Command("members", "Lists the agents, their upstreams and workers.").Action(func(*kingpin.ParseContext) error { return c.members() })
+	c.app.Command("hand-over", "Hands the leadership to another replica.").Action(func(*kingpin.ParseContext) error {
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		leader, err := client.HandOver()
+		if err != nil {
+			return err
+		}
+		fmt.Printf("the leader is now %s\n", leader)
+		return nil
+	})
+}
+
+// silentAfter is when an instance counts as gone for the table.
+const silentAfter = 10 * time.Second
+
+// newest merges the replicas' acknowledgements: each replica knows only of the
+// instances that asked it.
+func newest(statuses []control.StatusAnswer) (uint64, map[string]rollout.Instance) {
+	var revision uint64
+	rows := make(map[string]rollout.Instance)
+	for _, s := range statuses {
+		revision = max(revision, s.Revision)
+		for _, i := range s.Instances {
+			key := i.Role + "/" + i.Name
+			old, ok := rows[key]
+			if !ok || i.Silent < old.Silent {
+				i.Revision = max(i.Revision, old.Revision)
+				rows[key] = i
+			}
+		}
+	}
+	return revision, rows
+}
+
+// instancesBehind returns the live instances without the newest revision.
+func instancesBehind(client *operator.Client) []string {
+	statuses, _ := client.Statuses()
+	revision, rows := newest(statuses)
+	var behind []string
+	if len(rows) == 0 {
+		behind = append(behind, "every instance: none was heard of yet")
+	}
+	for key, i := range rows {
+		if i.Revision < revision && i.Silent < silentAfter {
+			behind = append(behind, key)
+		}
+	}
+	return behind
+}
+
+func (c *cli) status() error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	statuses, failed := client.Statuses()
+	for addr, err := range failed {
+		fmt.Printf("%s does not answer: %v\n", addr, err)
+	}
+	if len(statuses) == 0 {
+		return fmt.Errorf("no replica answers; check --to")
+	}
+	return c.show(statuses, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "REPLICA\tROLE\tTERM\tLEADER\tCOMMIT\tREVISION\tIN CONTACT\tWAITING")
+		for _, s := range statuses {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%v\t%d\n", s.Replica, s.Role, s.Term, s.Leader, s.Commit, s.Revision, s.InContact, s.Waiting)
+		}
+		revision, rows := newest(statuses)
+		fmt.Fprintln(w, "\nINSTANCE\tREVISION\tSTATE\tLAST HEARD")
+		for key, i := range rows {
+			state := "in force"
+			switch {
+			case i.Silent > silentAfter:
+				state = "silent"
+			case i.Revision < revision:
+				state = "behind"
+			}
+			fmt.Fprintf(w, "%s\t%d\t%s\t%v\n", key, i.Revision, state, i.Silent.Round(time.Millisecond))
+		}
+	})
+}
+
+func (c *cli) members() error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	list, err := client.Members()
+	if err != nil {
+		return err
+	}
+	return c.show(list, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "AGENT\tSTATE\tSERVICE\tDATA CENTRE\tRACK\tSLOTS\tMILLI-CPU\tMEMORY MB\tREASON")
+		for _, m := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s/%s\t%s\t%s\t%d\t%d\t%d\t%s\n", m.Agent, m.Phase, m.Market, m.Service, m.DataCentre, m.Rack, m.Slots, m.Capacity.MilliCPU, m.Capacity.MemoryMB, m.Reason)
+		}
+	})
+}
--- /dev/null
+++ b/control/client.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+)
+
+// Client calls the control replicas. It remembers the one that answered last
+// and follows a replica's word of who leads.
+type Client struct {
+	part  string
+	rpc   *transport.Client
+	peers []string
+	mu    sync.Mutex
+	at    string
+	next  int
+}
+
+// NewClient returns a client for a process's part, which labels its counters.
+func NewClient(part string, rpc *transport.Client, peers []string, start int) *Client {
+	return &Client{part: part, rpc: rpc, peers: peers, at: peers[start%len(peers)], next: start + 1}
+}
+
+// Call sends a message until a replica answers it or the time is up. It sends
+// again only what asks to be sent elsewhere or was certainly not taken; what
+// may have been taken twice is up to the message to be idempotent, and all of
+// this package's are.
+func (c *Client) Call(path string, timeout time.Duration, req, resp any) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		addr := c.current()
+		err := c.rpc.Call(addr, path, min(time.Until(deadline), callTimeout), req, resp)
+		if err == nil {
+			return nil
+		}
+		e, ok := refusal.Of(err)
+		if !ok || !c.moveOn(addr, e) || time.Until(deadline) < leastTry {
+			return err
+		}
+		refusal.CountRetry(c.part, e.Code)
+		time.Sleep(refusal.Spread(retryPause))
+	}
+}
+
+const (
+	// callTimeout bounds one try, so that a replica that is cut off silently
+	// costs one try and not the whole time.
+	callTimeout = 2 * time.Second
+	retryPause  = 20 * time.Millisecond
+	// leastTry is the time below which another try would only time out and
+	// hide the reason of the last one.
+	leastTry = 200 * time.Millisecond
+)
+
+func (c *Client) current() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
+// moveOn chooses another replica after a refusal, and reports whether asking
+// again can help.
+func (c *Client) moveOn(from string, e *refusal.Error) bool {
+	switch e.Code {
+	case refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable, refusal.UnknownOutcome:
+	default:
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.at != from: // somebody else has moved on already
+	case e.Code == refusal.NotLeader && e.Leader != "":
+		c.at = e.Leader
+	default:
+		c.at = c.peers[c.next%len(c.peers)]
+		c.next++
+	}
+	return true
+}
--- /dev/null
+++ b/control/leader.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/interference"
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/quorum"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+// clockMargin widens a lease at the leader against a worker whose clock runs
+// slower: one twentieth of the term is fifty times what clocks are off.
+const clockMargin = 20
+
+const watchEvery = 200 * time.Millisecond
+
+// session is what the leader remembers of one agent. It is lost with the
+// leadership; a new leader waits a full term before it takes anybody for gone.
+type session struct {
+	boot    string
+	expires time.Time
+	closing bool // a Down move is proposed; no lease may be granted meanwhile
+	usage   Usage
+	slow    float64 // service latency against running alone, 0 when not known
+	late    int     // measurements in a row above the preset's bound
+	health  health
+
+	countedSeq uint64 // of the measurement that late has counted
+}
+
+// leader is the part of a replica that works only while it leads.
+type leader struct {
+	r    *Replica
+	kick chan struct{}
+
+	mu       sync.Mutex
+	term     uint64
+	since    time.Time
+	sessions map[string]*session
+	model    *interference.Model
+	baseline *interference.Baseline
+	runtimes *runTimes
+}
+
+func newLeader(r *Replica) *leader {
+	l := &leader{r: r, kick: make(chan struct{}, 1), runtimes: newRunTimes()}
+	l.reset(0)
+	return l
+}
+
+func (l *leader) reset(term uint64) {
+	l.term, l.since = term, time.Now()
+	l.sessions = make(map[string]*session)
+	if l.model == nil {
+		l.model, l.baseline = interference.NewModel(), interference.NewBaseline()
+	}
+}
+
+// run watches the leases and schedules, while this replica leads.
+func (l *leader) run(ctx context.Context) error {
+	watch := time.NewTicker(watchEvery)
+	defer watch.Stop()
+	schedule := time.NewTicker(l.r.set.Control.Schedule.Duration)
+	defer schedule.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-watch.C:
+			if l.leads() {
+				l.watch(ctx)
+			}
+		case <-schedule.C:
+			l.scheduleIfLeading()
+		case <-l.kick:
+			l.scheduleIfLeading()
+		}
+	}
+}
+
+// leads notices a new leadership and forgets the sessions of an older one.
+func (l *leader) leads() bool {
+	v := l.r.node.View()
+	if v.Role != quorum.Leader {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != v.Term {
+		l.reset(v.Term)
+		logrus.WithField("term", v.Term).Info("control: This replica leads.")
+	}
+	return true
+}
+
+// wake asks for a scheduling pass at once.
+func (l *leader) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (l *leader) fullTerm() time.Duration {
+	term := l.r.set.Control.Lease.Duration
+	return term + term/clockMargin
+}
+
+// watch takes members whose lease has certainly ended for down, replaces
+// learners and adjusts the quarantine.
+func (l *leader) watch(ctx context.Context) {
+	l.r.repair(ctx)
+	var moves []membership.Move
+	l.r.machine.Read(func(s *State) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, m := range s.Members.Members {
+			if mv, ok := l.expired(m); ok {
+				moves = append(moves, mv)
+			}
+		}
+		moves = append(moves, l.quarantine(s)...)
+	})
+	if len(moves) == 0 {
+		return
+	}
+	if _, err := l.r.propose(Command{Moves: moves}); err != nil {
+		logrus.Warnf("control: Could not commit %d membership moves: %v.", len(moves), err)
+	}
+	l.reopen(moves)
+	l.wake()
+}
+
+func (l *leader) expired(m *membership.Member) (membership.Move, bool) {
+	if m.Phase == membership.Down {
+		return membership.Move{}, false
+	}
+	end := l.since.Add(l.fullTerm())
+	s := l.sessions[m.Agent]
+	if s != nil && s.expires.After(end) {
+		end = s.expires
+	}
+	if time.Now().Before(end) {
+		return membership.Move{}, false
+	}
+	if s == nil {
+		s = &session{}
+		l.sessions[m.Agent] = s
+	}
+	// From here to the commit no renewal may be granted: the agent would
+	// believe in a lease that the log has just ended.
+	s.closing = true
+	logrus.WithFields(logrus.Fields{"agent": m.Agent, "data_centre": m.DataCentre}).Warn("control: The lease ended; the member is down.")
+	return membership.Move{Agent: m.Agent, Boot: m.Boot, Phase: membership.Down, Reason: "its lease ended without a renewal"}, true
+}
+
+func (l *leader) reopen(moves []membership.Move) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, mv := range moves {
+		if s := l.sessions[mv.Agent]; s != nil {
+			s.closing = false
+		}
+	}
+}
+
+// grant extends the lease of an agent, or refuses while its end is committed.
+func (l *leader) grant(req *Renew) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sessions[req.Member.Agent]
+	if s == nil {
+		s = &session{}
+		l.sessions[req.Member.Agent] = s
+	}
+	if s.closing {
+		e := refusal.New(refusal.Unreachable, "renew again in a moment", "the lease of %s is just being ended", req.Member.Agent)
+		e.RetryAfter = watchEvery
+		return e
+	}
+	s.boot = req.Member.Boot
+	s.expires = time.Now().Add(l.fullTerm())
+	l.observe(s, req)
+	return nil
+}
+
+// observe feeds a new measurement to the cost model, with the jobs that shared
+// the worker when it was taken, not those that share it now.
+func (l *leader) observe(s *session, req *Renew) {
+	u := req.Usage
+	s.health.note(u)
+	if u.Seq <= s.usage.Seq && s.usage.Seq != 0 {
+		s.usage.Load = u.Load
+		return
+	}
+	service := req.Member.Market + "/" + req.Member.Service
+	s.slow = l.baseline.Slowdown(service, u.Load, u.P99, len(u.Jobs) == 0)
+	s.usage = u
+	if s.slow > 0 && len(u.Jobs) > 0 {
+		l.model.Observe(service, u.Load, u.Jobs, s.slow)
+	}
+}
+
+// onRenew is an agent's heartbeat: its announcement, the ends of attempts, its
+// measurements, and, in the answer, its lease and orders.
+//
+// The order is what makes the lease safe. The majority read comes first: a
+// leader that was frozen or cut off, and has been replaced, grants nothing. And
+// the ends are committed before the answer, so an agent may forget them.
+func (r *Replica) onRenew(req Renew) (RenewAnswer, error) {
+	if err := r.barrier(); err != nil {
+		return RenewAnswer{}, err
+	}
+	r.leader.leads()
+	if err := r.admit(&req); err != nil {
+		return RenewAnswer{}, err
+	}
+	if len(req.Ends) > 0 {
+		if _, err := r.propose(Command{Ends: &Ends{req.Member.Agent, req.Ends}}); err != nil {
+			return RenewAnswer{}, err
+		}
+		r.leader.wake()
+	}
+	if err := r.leader.grant(&req); err != nil {
+		return RenewAnswer{}, err
+	}
+	r.rollout.Acknowledge("agent", req.Member.Agent, req.Revision)
+	return r.answerRenew(&req), nil
+}
+
+// admit commits an announcement that brings something new.
+func (r *Replica) admit(req *Renew) error {
+	if err := req.Member.Validate(); err != nil {
+		return err
+	}
+	known := false
+	r.machine.Read(func(s *State) {
+		m := s.Members.Members[req.Member.Agent]
+		known = m != nil && m.Same(req.Member) && m.Phase != membership.Down
+	})
+	if known {
+		return nil
+	}
+	_, err := r.propose(Command{Announce: &req.Member})
+	if err == nil {
+		logrus.WithFields(logrus.Fields{"agent": req.Member.Agent, "service": req.Member.Service, "withdrawn": req.Member.Withdrawn}).
+			Info("control: Took an announcement.")
+		r.leader.wake()
+	}
+	return err
+}
+
+func (r *Replica) answerRenew(req *Renew) RenewAnswer {
+	a := RenewAnswer{LeaseMS: r.set.Control.Lease.Milliseconds()}
+	r.machine.Read(func(s *State) {
+		a.Revision = s.Market.Revision
+		if req.Revision < a.Revision {
+			a.Markets = s.Market.Since(req.Revision)
+		}
+		orders := s.Tasks.Orders(req.Member.Agent)
+		if lease.Digest(orders) != req.Digest {
+			a.Changed, a.Orders = true, orders
+		}
+	})
+	return a
+}
--- /dev/null
+++ b/control/replica.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/waxwinghaven/waxwinghaven/claim"
+	"github.com/waxwinghaven/waxwinghaven/quorum"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/rollout"
+	"github.com/waxwinghaven/waxwinghaven/settings"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+	"golang.org/x/sync/errgroup"
+)
+
+// part prefixes this part's log lines and labels its counters.
+const part = "control"
+
+// commitTimeout bounds the wait for a commit; past it the outcome is unknown.
+const commitTimeout = 5 * time.Second
+
+// Replica is one control replica.
+type Replica struct {
+	set     *settings.Settings
+	self    quorum.Replica
+	disk    *quorum.Disk
+	node    *quorum.Node
+	machine *Machine
+	client  *transport.Client
+	server  *transport.Server
+	rollout *rollout.Table
+	leader  *leader
+	links   *links
+}
+
+// New opens the data folder and returns a replica that is not yet running.
+func New(set *settings.Settings) (*Replica, error) {
+	keys, err := transport.LoadTLS(keysOf(set))
+	if err != nil {
+		return nil, err
+	}
+	disk, err := quorum.OpenDisk(set.Control.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{set: set, disk: disk, machine: NewMachine(), rollout: rollout.NewTable(),
+		client: transport.NewClient(keys, set.Instance.IP), server: transport.NewServer(part, keys)}
+	r.self = quorum.Replica{ID: disk.Stored().ID, Name: set.Instance.Name,
+		Address: set.Address(set.Control.Port), Operator: set.Address(set.Control.OperatorPort)}
+	r.links = newLinks(r.self, r.client)
+	r.node, err = quorum.NewNode(quorum.Options{Disk: disk, Machine: r.machine, Sender: r.links,
+		TickEvery: set.Control.Tick.Duration, SnapshotEntries: set.Control.SnapshotEntries, Seed: time.Now().UnixNano()})
+	if err != nil {
+		return nil, errors.Join(err, disk.Close())
+	}
+	r.leader = newLeader(r)
+	r.routes()
+	return r, nil
+}
+
+// keysOf returns the key files that the settings name, or nil.
+func keysOf(set *settings.Settings) *transport.Keys {
+	if set.TLS == nil {
+		return nil
+	}
+	return &transport.Keys{Authority: set.TLS.Authority, Certificate: set.TLS.Certificate, Key: set.TLS.Key}
+}
+
+func (r *Replica) routes() {
+	control := transport.RoleControl
+	r.server.Handle(PathQuorum, handle(r.onQuorum), control)
+	r.server.Handle(PathJoin, handle(r.onJoin), control)
+	r.server.Handle(PathRenew, handle(r.onRenew), transport.RoleAgent)
+	r.server.Handle(PathSync, handle(r.onSync), transport.RoleEntry)
+	r.server.Handle(PathClaim, handle(r.onClaim), transport.RoleEntry)
+	r.server.Handle(PathSettle, handle(r.onSettle), transport.RoleEntry)
+}
+
+// handle decodes a message of type T for a typed handler.
+func handle[T, A any](f func(T) (A, error)) transport.Handler {
+	return func(body []byte) (any, error) {
+		var req T
+		if err := transport.Decode(body, &req); err != nil {
+			return nil, err
+		}
+		return f(req)
+	}
+}
+
+// Run serves until the context ends. It hands the leadership over first.
+func (r *Replica) Run(ctx context.Context) error {
+	r.logStart()
+	ln, err := transport.Listen(r.self.Address)
+	if err != nil {
+		return err
+	}
+	operators, err := transport.Listen(r.self.Operator)
+	if err != nil {
+		return errors.Join(err, ln.Close())
+	}
+	nodeCtx, stopNode := context.WithCancel(context.Background())
+	defer stopNode()
+	// A part that fails ends the others: half a replica would look alive.
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return r.node.Run(nodeCtx) })
+	g.Go(func() error { return r.server.Serve(ctx, ln) })
+	g.Go(func() error { return r.serveOperators(ctx, operators) })
+	g.Go(func() error { return r.leader.run(ctx) })
+	g.Go(func() error { return r.join(ctx) })
+	g.Go(func() error {
+		<-ctx.Done()
+		r.handOver()
+		stopNode()
+		return nil
+	})
+	err = g.Wait()
+	r.links.close()
+	return errors.Join(err, r.disk.Close())
+}
+
+func (r *Replica) logStart() {
+	st := r.disk.Stored()
+	if st.Cut > 0 {
+		logrus.Warnf("control: Cut a torn tail of %d bytes that nobody was told of.", st.Cut)
+	}
+	logrus.WithFields(logrus.Fields{"id": st.ID, "address": r.self.Address, "snapshot": st.Snapshot.Index, "entries": len(st.Entries)}).
+		Info("control: Replica started.")
+}
+
+// handOverWait bounds the wait for another replica to lead.
+const handOverWait = 2 * time.Second
+
+// handOver gives the leadership to the replica that has caught up furthest, so
+// that a restart costs one round trip and not an election timeout.
+func (r *Replica) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverWait)
+	defer cancel()
+	st, err := r.node.Status(ctx)
+	if err != nil || st.Role != quorum.Leader {
+		return
+	}
+	var best quorum.Replica
+	for _, v := range st.Config.Voters {
+		if v.ID != r.self.ID && st.Match[v.ID] >= st.Match[best.ID] {
+			best = v
+		}
+	}
+	if best.ID == 0 || r.node.Transfer(ctx, best.ID) != nil {
+		return
+	}
+	for ctx.Err() == nil && r.node.View().Role == quorum.Leader {
+		time.Sleep(r.set.Control.Tick.Duration)
+	}
+	logrus.WithField("to", best.Name).Info("control: Handed the leadership over.")
+}
+
+// propose commits a command and returns what it did.
+func (r *Replica) propose(c Command) (any, error) {
+	c.Now = time.Now().UnixMilli()
+	b, err := msgpack.Marshal(&c)
+	if err != nil {
+		return nil, quorum.Error.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	v, err := r.node.Propose(ctx, b)
+	if err != nil {
+		return nil, r.refusalOf(err)
+	}
+	a := v.(applied)
+	return a.value, a.err
+}
+
+// barrier returns once this replica is confirmed as the leader by a majority.
+func (r *Replica) barrier() error {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	if err := r.node.Barrier(ctx); err != nil {
+		return r.refusalOf(err)
+	}
+	return nil
+}
+
+// refusalOf turns the quorum's errors into what a peer or operator is told.
+func (r *Replica) refusalOf(err error) error {
+	switch {
+	case errors.Is(err, quorum.ErrUnknown):
+		return refusal.New(refusal.UnknownOutcome, "send the same change again under the same id", "the leader changed before the change was committed")
+	case errors.Is(err, quorum.ErrDiskFull):
+		return refusal.New(refusal.DiskFull, "free room on the control replica's disk", "the data folder of %s is full", r.self.Name)
+	}
+	view := r.node.View()
+	if view.Leader.ID != 0 && view.Leader.ID != r.self.ID {
+		e := refusal.New(refusal.NotLeader, "ask the leader "+view.Leader.Operator, "%s does not lead", r.self.Name)
+		e.Leader = view.Leader.Address
+		return e
+	}
+	e := refusal.New(refusal.NoQuorum, "wait for a majority of the control replicas, or check their network", "no leader is known to %s", r.self.Name)
+	e.RetryAfter = refusal.Spread(500 * time.Millisecond)
+	return e
+}
+
+func (r *Replica) onQuorum(b QuorumBatch) (Empty, error) {
+	r.node.Deliver(b.From, b.Messages)
+	return Empty{}, nil
+}
+
+func (r *Replica) onClaim(c claim.Claim) (ClaimAnswer, error) {
+	v, err := r.propose(Command{Claim: &c})
+	if err != nil {
+		return ClaimAnswer{}, err
+	}
+	return ClaimAnswer{v.(claim.Result)}, nil
+}
+
+func (r *Replica) onSettle(c claim.Settle) (Empty, error) {
+	_, err := r.propose(Command{Settle: &c})
+	return Empty{}, err
+}
+
+// onSync answers an entry from this replica's own copy. A replica that is out
+// of contact with the majority refuses: what it holds may be long outdated.
+func (r *Replica) onSync(req Sync) (SyncAnswer, error) {
+	if !r.node.View().InContact {
+		return SyncAnswer{}, r.refusalOf(quorum.ErrNotLeader)
+	}
+	r.rollout.Acknowledge("entry", req.Instance, req.Revision)
+	var a SyncAnswer
+	r.machine.Read(func(s *State) {
+		a.Revision, a.Index = s.Market.Revision, s.Index
+		a.Markets = s.Market.Since(req.Revision)
+		a.Members = s.Members.Since(req.Index) // members are replaced, never changed
+	})
+	return a, nil
+}
--- /dev/null
+++ b/control/schedule.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/placement"
+)
+
+// Bounds of one scheduling pass.
+const (
+	headsPerJob   = 256
+	maxPlacements = 1024
+)
+
+// scheduleIfLeading plans from a snapshot and commits the plan. What changed in
+// between is caught when the plan is applied.
+func (l *leader) scheduleIfLeading() {
+	if !l.leads() {
+		return
+	}
+	snap := l.snapshot()
+	if snap == nil {
+		return
+	}
+	start := time.Now()
+	l.mu.Lock() // the plan asks the cost model, which renewals feed
+	plan := placement.Learned{}.Plan(snap)
+	l.mu.Unlock()
+	metrics.GetOrCreateHistogram(`waxwinghaven_plan_seconds`).UpdateDuration(start)
+	if len(plan.Placements)+len(plan.Evictions)+len(plan.SetAside) == 0 {
+		return
+	}
+	v, err := l.r.propose(Command{Plan: &plan})
+	if err != nil {
+		logrus.Warnf("control: Could not commit a plan: %v.", err)
+		return
+	}
+	l.countPlan(v.(lease.PlanResult))
+}
+
+func (l *leader) countPlan(res lease.PlanResult) {
+	count := func(name string, n int) { metrics.GetOrCreateCounter(name).Add(n) }
+	count(`waxwinghaven_placements_total{result="placed"}`, res.Placed)
+	count(`waxwinghaven_placements_total{result="stale"}`, res.Stale)
+	count(`waxwinghaven_placements_total{result="no-room"}`, res.NoRoom)
+	count(`waxwinghaven_evictions_total`, res.Evicted)
+	count(`waxwinghaven_set_aside_total`, res.SetAside)
+	if res.Placed == maxPlacements {
+		l.wake()
+	}
+}
+
+// snapshot copies what a pass needs, or returns nil when there is nothing to do.
+func (l *leader) snapshot() *placement.Snapshot {
+	var snap *placement.Snapshot
+	l.r.machine.Read(func(s *State) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if s.Tasks.Waiting() == 0 && !l.anyLate(s) {
+			return
+		}
+		snap = l.build(s)
+	})
+	return snap
+}
+
+func (l *leader) anyLate(s *State) bool {
+	for agent, ses := range l.sessions {
+		if ses.slow > 0 && len(s.Tasks.On(agent)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *leader) build(s *State) *placement.Snapshot {
+	l.runtimes.update(s)
+	snap := &placement.Snapshot{Now: max(s.Clock, time.Now().UnixMilli()), Waiting: s.Tasks.WaitingHeads(headsPerJob),
+		Costs: costs{l.model}, Seed: s.Index, MaxPlacements: maxPlacements, RunTime: l.runtimes.of}
+	snap.Quota, snap.TeamUse = teamLimits(s, snap.Waiting)
+	for _, m := range s.Members.Members {
+		snap.Workers = append(snap.Workers, l.worker(s, m, snap.Now))
+	}
+	return snap
+}
+
+func (l *leader) worker(s *State, m *membership.Member, now int64) placement.Worker {
+	room := s.room(m.Agent)
+	w := placement.Worker{Agent: m.Agent, Boot: m.Boot, DataCentre: m.DataCentre, Rack: m.Rack, Open: room.Open,
+		Total: room.Total, Free: room.Total.Sub(s.Tasks.Reserved(m.Agent)), Preset: market.DefaultPreset}
+	if v := s.Market.Markets[m.Market]; v != nil {
+		w.Preset = v.Preset()
+	}
+	if m.Service != "" {
+		w.Service = m.Market + "/" + m.Service
+	}
+	l.measured(m, &w)
+	for _, t := range s.Tasks.On(m.Agent) {
+		if t.Class == market.ClassBatch {
+			w.BatchUsed += t.Need.MilliCPU
+		}
+		w.Running = append(w.Running, placement.Running{Task: t.ID, Attempt: t.Attempt, Market: t.Market, Job: t.Job, Need: t.Need,
+			Elapsed: now - t.PlacedAt, Expected: l.runtimes.of(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
+	}
+	return w
+}
+
+// measured adds the last report of a member and counts how long it is late.
+func (l *leader) measured(m *membership.Member, w *placement.Worker) {
+	ses := l.sessions[m.Agent]
+	if ses == nil {
+		return
+	}
+	w.Load, w.Slowdown = ses.usage.Load, ses.slow
+	if ses.countedSeq != ses.usage.Seq {
+		ses.countedSeq = ses.usage.Seq
+		if ses.slow > w.Preset.MaxSlowdown {
+			ses.late++
+		} else {
+			ses.late = 0
+		}
+	}
+	w.Late = ses.late
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/waxwinghaven/waxwinghaven/claim"
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+// Command is one entry of the log. Exactly one of its parts is set.
+type Command struct {
+	// Now is the leader's wall clock in milliseconds. The state keeps the
+	// highest seen, so its clock never runs backwards and no two
+	// instances' clocks are compared.
+	Now      int64              `msgpack:"n"`
+	Change   *market.Change     `msgpack:"c,omitempty"`
+	Submit   *lease.Submit      `msgpack:"s,omitempty"`
+	Cancel   *lease.Cancel      `msgpack:"x,omitempty"`
+	Plan     *lease.Plan        `msgpack:"p,omitempty"`
+	Announce *membership.Member `msgpack:"a,omitempty"`
+	Moves    []membership.Move  `msgpack:"m,omitempty"`
+	Ends     *Ends              `msgpack:"e,omitempty"`
+	Claim    *claim.Claim       `msgpack:"k,omitempty"`
+	Settle   *claim.Settle      `msgpack:"l,omitempty"`
+}
+
+// Ends are the attempt ends that one agent reports.
+type Ends struct {
+	Agent string      `msgpack:"a"`
+	List  []lease.End `msgpack:"l"`
+}
+
+// State is everything the log decides.
+type State struct {
+	Market  *market.State     `msgpack:"m"`
+	Tasks   *lease.State      `msgpack:"t"`
+	Members *membership.State `msgpack:"b"`
+	Claims  *claim.State      `msgpack:"c"`
+	Clock   int64             `msgpack:"k"` // milliseconds since 1970
+	Index   uint64            `msgpack:"i"` // of the last applied entry
+}
+
+// NewState returns the empty state.
+func NewState() *State {
+	return &State{Market: market.NewState(), Tasks: lease.NewState(), Members: membership.NewState(), Claims: claim.NewState()}
+}
+
+// applied is what a command's sender gets back.
+type applied struct {
+	value any
+	err   error
+}
+
+// Apply makes one command take effect. It is deterministic.
+func (s *State) Apply(index uint64, c Command) (any, error) {
+	s.Index = index
+	s.Clock = max(s.Clock, c.Now)
+	switch {
+	case c.Change != nil:
+		return s.Market.Apply(*c.Change)
+	case c.Submit != nil:
+		return s.Tasks.ApplySubmit(*c.Submit, s.job(c.Submit.Market, c.Submit.Job), s.Clock)
+	case c.Cancel != nil:
+		return s.Tasks.ApplyCancel(*c.Cancel, s.Clock), nil
+	case c.Plan != nil:
+		return s.Tasks.ApplyPlan(*c.Plan, s.limits(), s.Clock), nil
+	case c.Announce != nil:
+		s.announce(*c.Announce, index)
+	case c.Moves != nil:
+		s.move(c.Moves, index)
+	case c.Ends != nil:
+		for _, e := range c.Ends.List {
+			s.Tasks.ApplyEnd(c.Ends.Agent, e, s.Clock)
+		}
+	case c.Claim != nil:
+		return s.Claims.ApplyClaim(*c.Claim, s.Clock)
+	case c.Settle != nil:
+		return s.Claims.ApplySettle(*c.Settle), nil
+	}
+	return nil, nil
+}
+
+func (s *State) announce(m membership.Member, index uint64) {
+	if lost := s.Members.ApplyAnnounce(m, index); lost != "" {
+		// The worker was started anew: what it ran before ended with it.
+		s.Tasks.ApplyAgentLost(m.Agent, lost, s.Clock)
+	}
+}
+
+func (s *State) move(moves []membership.Move, index uint64) {
+	for _, mv := range moves {
+		if s.Members.ApplyMove(mv, index) && mv.Phase == membership.Down {
+			s.Tasks.ApplyAgentLost(mv.Agent, mv.Boot, s.Clock)
+		}
+	}
+}
+
+func (s *State) job(marketName, name string) *market.Job {
+	if v := s.Market.Markets[marketName]; v != nil {
+		return v.Jobs[name]
+	}
+	return nil
+}
+
+// kept is what a member's service keeps of the worker.
+func (s *State) kept(m *membership.Member) resource.Vector {
+	v := s.Market.Markets[m.Market]
+	if v == nil || v.Services[m.Service] == nil {
+		return resource.Vector{}
+	}
+	svc := v.Services[m.Service]
+	return resource.Vector{MilliCPU: svc.MilliCPU, MemoryMB: svc.MemoryMB}
+}
+
+func (s *State) room(agent string) lease.Room {
+	m := s.Members.Members[agent]
+	if m == nil {
+		return lease.Room{}
+	}
+	return s.Members.Room(agent, s.kept(m))
+}
+
+func (s *State) quota(team string) resource.Vector {
+	t := s.Market.Teams.ByName[team]
+	return resource.Vector{MilliCPU: t.MilliCPU, MemoryMB: t.MemoryMB}
+}
+
+func (s *State) limits() lease.Limits {
+	return lease.Limits{Room: s.room, Quota: s.quota}
+}
+
+// Machine guards the state: the quorum's node applies, everybody else reads.
+type Machine struct {
+	mu    sync.RWMutex
+	state *State
+}
+
+// NewMachine returns a machine with the empty state.
+func NewMachine() *Machine { return &Machine{state: NewState()} }
+
+// Apply implements quorum.StateMachine.
+func (m *Machine) Apply(index uint64, command []byte) any {
+	var c Command
+	if err := msgpack.Unmarshal(command, &c); err != nil {
+		return applied{err: err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, err := m.state.Apply(index, c)
+	return applied{v, err}
+}
+
+// Snapshot implements quorum.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return msgpack.Marshal(m.state)
+}
+
+// Restore implements quorum.StateMachine.
+func (m *Machine) Restore(data []byte) error {
+	s := NewState()
+	if err := msgpack.Unmarshal(data, s); err != nil {
+		return err
+	}
+	s.Tasks.Rebuild()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = s
+	return nil
+}
+
+// Read calls f with the state, which f must neither change nor keep.
+func (m *Machine) Read(f func(*State)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	f(m.state)
+}
--- /dev/null
+++ b/entry/keyed.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/claim"
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/header"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+const (
+	maxKey        = 256 // bytes
+	settleTimeout = 10 * time.Second
+	// runningPoll is how often a repeated request asks whether the first one
+	// has its answer.
+	runningPoll = 100 * time.Millisecond
+	// keyRetryAfter is told when the first request still runs.
+	keyRetryAfter = time.Second
+)
+
+// handleKeyed runs a request with an Idempotency-Key at most once: the key is
+// claimed in the quorum first. Whoever finds it claimed gets the first answer,
+// or is told that the outcome is not known.
+func (e *Entry) handleKeyed(x *exchange, key string) verdict {
+	if len(key) > maxKey {
+		return verdict{outcome: header.NotRun, code: refusal.Invalid}
+	}
+	c := claim.Claim{Key: claim.MakeKey(x.route.Market, x.route.Service.Name, key), Token: x.id,
+		Body: claim.BodyDigest(string(x.ctx.Method()), string(x.ctx.RequestURI()), x.ctx.PostBody())}
+	for {
+		result, err := e.claim(c, x.deadline)
+		if err != nil {
+			return e.unclaimed(c, err)
+		}
+		if result.Granted {
+			return e.runClaimed(x, c)
+		}
+		if v, ok := x.replay(result); ok {
+			return v
+		}
+		if time.Until(x.deadline) < 2*runningPoll {
+			return verdict{header.Unknown, refusal.KeyRunning, keyRetryAfter}
+		}
+		time.Sleep(runningPoll)
+	}
+}
+
+func (e *Entry) claim(c claim.Claim, deadline time.Time) (claim.Result, error) {
+	var a control.ClaimAnswer
+	err := e.ctl.Call(control.PathClaim, time.Until(deadline), &c, &a)
+	return a.Result, err
+}
+
+// unclaimed answers when no claim could be confirmed. The request was not sent,
+// and nobody else holds this token, so it will not run. The claim may still be
+// committed; it is given back so that the key does not stay blocked.
+func (e *Entry) unclaimed(c claim.Claim, err error) verdict {
+	if r, ok := refusal.Of(err); ok {
+		switch r.Code {
+		case refusal.KeyMismatch, refusal.KeyStoreFull:
+			return verdict{outcome: header.NotRun, code: r.Code, retryAfter: r.RetryAfter}
+		case refusal.KeyExpired:
+			return verdict{outcome: header.Unknown, code: r.Code}
+		}
+	}
+	e.settle(claim.Settle{Key: c.Key, Token: c.Token, Release: true})
+	return verdict{header.NotRun, refusal.KeyUnconfirmed, time.Second}
+}
+
+// replay answers from the first request's record, if it has ended.
+func (x *exchange) replay(r claim.Result) (verdict, bool) {
+	switch {
+	case r.Phase == claim.Lost:
+		return verdict{outcome: header.Unknown, code: refusal.KeyUnknown}, true
+	case r.Phase == claim.Finished && r.Answer != nil:
+		x.ctx.SetStatusCode(r.Answer.Status)
+		x.ctx.SetContentType(r.Answer.ContentType)
+		x.ctx.Response.Header.Set(header.Replayed, "true")
+		x.ctx.SetBody(r.Answer.Body)
+		return verdict{outcome: header.Done}, true
+	}
+	return verdict{}, false
+}
+
+func (e *Entry) runClaimed(x *exchange, c claim.Claim) verdict {
+	v := e.send(x)
+	s := claim.Settle{Key: c.Key, Token: c.Token}
+	switch v.outcome {
+	case header.NotRun:
+		s.Release = true
+	case header.Done:
+		r := &x.ctx.Response
+		s.Answer = &claim.Answer{Status: r.StatusCode(), ContentType: string(r.Header.ContentType()), Body: keptBody(r)}
+	}
+	e.settle(s)
+	return v
+}
+
+// keptBody copies a body that is small enough to be kept in the quorum. Of a
+// larger one only the fact is kept; a marker longer than the bound says so.
+func keptBody(r *fasthttp.Response) []byte {
+	body := r.Body()
+	return append([]byte(nil), body[:min(len(body), claim.MaxAnswerBytes+1)]...)
+}
+
+// settle ends a claim in the background: the caller's answer does not wait for
+// it. If it is lost, the key stays claimed and a repeat is told "unknown".
+func (e *Entry) settle(s claim.Settle) {
+	e.settles.Add(1)
+	go func() {
+		defer e.settles.Done()
+		if err := e.ctl.Call(control.PathSettle, settleTimeout, &s, nil); err != nil {
+			logrus.Warnf("entry: Could not settle a key: %v.", err)
+		}
+	}()
+}
--- /dev/null
+++ b/interference/model.go
@@ -0,0 +1,132 @@
+// Package interference learns what a batch task costs the service beside it.
+//
+// The cost is unknown, depends on the pair and on the load, and shows up late
+// in measurements of whole workers. The model keeps, for each service, job and
+// load band, the logarithm of the slowdown that one task adds, and how
+// uncertain that is. A measurement corrects all tasks that shared the worker
+// when it was taken, the uncertain ones most (a diagonal Kalman filter).
+package interference
+
+import "math"
+
+// Bands is the number of load bands.
+const Bands = 4
+
+// Tuning of the filter. Variances are of logarithms of slowdowns.
+const (
+	priorVar = 0.09   // of a pair never seen
+	noiseVar = 0.02   // of one measurement of a 99th percentile
+	driftVar = 0.0002 // added at each measurement: old knowledge fades
+	maxMean  = 3.0
+)
+
+// Estimate is the logarithm of the slowdown that one task adds.
+type Estimate struct {
+	Mean, Var float64
+	// Seen counts the measurements behind it; 0 means a guess from others.
+	Seen int
+}
+
+// Upper returns a bound that the slowdown stays below with the given number of
+// standard deviations.
+func (e Estimate) Upper(sigmas float64) float64 {
+	return e.Mean + sigmas*math.Sqrt(e.Var)
+}
+
+type pair struct {
+	service, job string
+	band         int
+}
+
+// Model is the learned costs. It is not safe for concurrent use.
+type Model struct {
+	pairs map[pair]*Estimate
+	kinds map[string]*mean // by job, over all services and loads
+	all   mean
+}
+
+// mean is a running average that forgets slowly.
+type mean struct {
+	value float64
+	n     float64
+}
+
+const meanMemory = 200 // measurements after which an old one has little weight
+
+func (m *mean) add(v float64) {
+	m.n = math.Min(m.n+1, meanMemory)
+	m.value += (v - m.value) / m.n
+}
+
+// NewModel returns a model that knows nothing.
+func NewModel() *Model {
+	return &Model{pairs: make(map[pair]*Estimate), kinds: make(map[string]*mean)}
+}
+
+// Band returns the load band of a service whose slots are used to this part.
+func Band(load float64) int {
+	return min(max(int(load*Bands), 0), Bands-1)
+}
+
+// Predict estimates the cost of one task beside a service under a load. An
+// unseen pair falls back to the next lower band, then to the job elsewhere,
+// then to all jobs.
+func (m *Model) Predict(service, job string, load float64) Estimate {
+	for b := Band(load); b >= 0; b-- {
+		if e := m.pairs[pair{service, job, b}]; e != nil {
+			out := *e
+			out.Var += float64(Band(load)-b) * driftVar * 50
+			return out
+		}
+	}
+	if k := m.kinds[job]; k != nil {
+		return Estimate{Mean: k.value, Var: priorVar / 2}
+	}
+	return Estimate{Mean: m.all.value, Var: priorVar}
+}
+
+// Observe takes one measurement: the service's slowdown against running alone,
+// its load, and the count of each job's tasks on the worker, all at the time
+// the measurement was taken.
+func (m *Model) Observe(service string, load float64, jobs map[string]int, slowdown float64) {
+	if len(jobs) == 0 || slowdown <= 0 {
+		return
+	}
+	band := Band(load)
+	predicted, total := 0.0, noiseVar
+	for job, n := range jobs {
+		e := m.at(service, job, load)
+		e.Var += driftVar
+		predicted += float64(n) * e.Mean
+		total += float64(n*n) * e.Var
+	}
+	miss := math.Log(slowdown) - predicted
+	for job, n := range jobs {
+		m.correct(m.pairs[pair{service, job, band}], job, float64(n), miss, total)
+	}
+}
+
+func (m *Model) at(service, job string, load float64) *Estimate {
+	key := pair{service, job, Band(load)}
+	e := m.pairs[key]
+	if e == nil {
+		guess := m.Predict(service, job, load)
+		e = &Estimate{Mean: guess.Mean, Var: math.Max(guess.Var, priorVar/2)}
+		m.pairs[key] = e
+	}
+	return e
+}
+
+func (m *Model) correct(e *Estimate, job string, n, miss, total float64) {
+	gain := n * e.Var / total
+	e.Mean = math.Min(math.Max(e.Mean+gain*miss, 0), maxMean)
+	e.Var *= 1 - gain*n
+	e.Seen++
+	k := m.kinds[job]
+	if k == nil {
+		k = &mean{}
+		m.kinds[job] = k
+	}
+	k.add(e.Mean)
+	m.all.add(e.Mean)
+}
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,142 @@
+// Package membership holds who is a member: the agents, the workers and
+// upstreams beside them, and whether each may receive work. State is a pure
+// state machine under the quorum's log; heartbeats never reach the log.
+package membership
+
+import (
+	"net/netip"
+	"sort"
+
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+// Phase is where a member stands.
+type Phase string
+
+// The phases of members.
+const (
+	Up          Phase = "up"
+	Leaving     Phase = "leaving"     // withdrew its announcement, or its agent drains
+	Down        Phase = "down"        // its lease ended without a renewal
+	Quarantined Phase = "quarantined" // fails far more than its peers
+)
+
+// Member is an agent with the worker and the upstream beside it.
+type Member struct {
+	Agent      string `msgpack:"a" json:"agent"`
+	Address    string `msgpack:"d" json:"address"` // of the agent, for entries
+	DataCentre string `msgpack:"c" json:"data_centre"`
+	Rack       string `msgpack:"r" json:"rack"`
+	// Boot changes with every start of the worker: whatever ran under
+	// another boot is gone.
+	Boot     string          `msgpack:"b" json:"boot"`
+	Capacity resource.Vector `msgpack:"v" json:"capacity"`
+	Market   string          `msgpack:"m" json:"market"`
+	Service  string          `msgpack:"s" json:"service"`
+	Slots    int             `msgpack:"l" json:"slots"`
+	// Conns bounds the connections to the upstream.
+	Conns int `msgpack:"n" json:"connections"`
+	// Withdrawn tells that the upstream itself asked for no more work.
+	Withdrawn bool `msgpack:"w,omitempty" json:"withdrawn,omitempty"`
+
+	Phase    Phase  `msgpack:"p" json:"phase"`
+	Reason   string `msgpack:"e,omitempty" json:"reason,omitempty"`
+	Revision uint64 `msgpack:"i" json:"revision"` // log index of the last change
+}
+
+// announced is the part of a member that its own announcement decides.
+func (m Member) announced() Member {
+	m.Phase, m.Reason, m.Revision = "", "", 0
+	return m
+}
+
+// Same reports whether an announcement brings nothing new.
+func (m Member) Same(o Member) bool { return m.announced() == o.announced() }
+
+// Validate checks an announcement.
+func (m Member) Validate() error {
+	invalid := func(format string, args ...any) error {
+		return refusal.New(refusal.Invalid, "correct the agent's settings or the upstream's announcement", format, args...)
+	}
+	if m.Agent == "" || m.Boot == "" {
+		return invalid("the announcement names no agent or no boot")
+	}
+	if _, err := netip.ParseAddrPort(m.Address); err != nil {
+		return invalid("agent address %q is not an IP number and port", m.Address)
+	}
+	if m.Slots < 0 || m.Conns < 0 || m.Capacity.MilliCPU < 0 || m.Capacity.MemoryMB < 0 || m.Capacity.Accelerators < 0 {
+		return invalid("the announcement offers less than nothing")
+	}
+	return nil
+}
+
+// Move changes the phase of a member.
+type Move struct {
+	Agent  string `msgpack:"a"`
+	Boot   string `msgpack:"b"` // the move is stale under another boot
+	Phase  Phase  `msgpack:"p"`
+	Reason string `msgpack:"r"`
+}
+
+// State is all members by agent.
+type State struct {
+	Members map[string]*Member `msgpack:"m"`
+}
+
+// NewState returns the empty state.
+func NewState() *State { return &State{Members: make(map[string]*Member)} }
+
+// ApplyAnnounce takes an announcement and returns the boot that it replaces,
+// whose tasks are lost, or "".
+func (s *State) ApplyAnnounce(m Member, index uint64) (lostBoot string) {
+	old := s.Members[m.Agent]
+	m.Phase, m.Reason, m.Revision = Up, "", index
+	if m.Withdrawn {
+		m.Phase, m.Reason = Leaving, "the upstream withdrew"
+	}
+	if old != nil && old.Phase == Quarantined && old.Boot == m.Boot {
+		// A repeated announcement must not end a quarantine: a worker that
+		// fails everything would be back within a second.
+		m.Phase, m.Reason = old.Phase, old.Reason
+	}
+	s.Members[m.Agent] = &m
+	if old != nil && old.Boot != m.Boot {
+		return old.Boot
+	}
+	return ""
+}
+
+// ApplyMove changes a member's phase and reports whether it did.
+func (s *State) ApplyMove(mv Move, index uint64) bool {
+	m := s.Members[mv.Agent]
+	if m == nil || m.Boot != mv.Boot || m.Phase == mv.Phase {
+		return false
+	}
+	next := *m
+	next.Phase, next.Reason, next.Revision = mv.Phase, mv.Reason, index
+	s.Members[mv.Agent] = &next
+	return true
+}
+
+// Room returns what a member can hold besides its service.
+func (s *State) Room(agent string, kept resource.Vector) lease.Room {
+	m := s.Members[agent]
+	if m == nil {
+		return lease.Room{}
+	}
+	return lease.Room{Boot: m.Boot, Total: m.Capacity.Sub(kept), Open: m.Phase == Up}
+}
+
+// Since returns the members changed after a log index, in order of agent.
+func (s *State) Since(index uint64) []*Member {
+	var out []*Member
+	for _, m := range s.Members {
+		if m.Revision > index {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Agent < out[j].Agent })
+	return out
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,220 @@
+// Package operator is the client of the control replicas' operator interface.
+package operator
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+)
+
+const (
+	tryTimeout = 6 * time.Second
+	retryPause = 200 * time.Millisecond
+)
+
+// Client talks to the replicas and finds the leader among them.
+type Client struct {
+	http   *http.Client
+	scheme string
+	addrs  []string
+	// Patience bounds how long a call is repeated while no leader is known.
+	Patience time.Duration
+}
+
+// NewClient returns a client for the replicas' operator addresses.
+func NewClient(addrs []string, keys *transport.Keys) (*Client, error) {
+	tlsConfig, err := transport.LoadTLS(keys)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{scheme: "http", addrs: addrs, Patience: 10 * time.Second,
+		http: &http.Client{Timeout: tryTimeout, Transport: &http.Transport{TLSClientConfig: tlsConfig, MaxIdleConnsPerHost: 8}}}
+	if tlsConfig != nil {
+		c.scheme = "https"
+	}
+	return c, nil
+}
+
+// NewID returns an id for a change or submission.
+func NewID() string {
+	b := make([]byte, 8)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// call asks one replica after the other until one answers or the patience ends.
+// Changes and submissions carry an id, so sending one again is safe.
+func (c *Client) call(method, path string, body, out any) error {
+	deadline := time.Now().Add(c.Patience)
+	var last error
+	for {
+		for _, addr := range c.addrs {
+			err := c.once(addr, method, path, body, out)
+			if err == nil || !tryElsewhere(err) {
+				return err
+			}
+			last = err
+		}
+		if time.Now().After(deadline) {
+			return last
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func tryElsewhere(err error) bool {
+	e, ok := refusal.Of(err)
+	if !ok {
+		return true
+	}
+	switch e.Code {
+	case refusal.NotLeader, refusal.NoQuorum, refusal.UnknownOutcome, refusal.Unreachable:
+		return true
+	}
+	return false
+}
+
+func (c *Client) once(addr, method, path string, body, out any) error {
+	var r io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		r = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, c.scheme+"://"+addr+path, r)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return refusal.New(refusal.Unreachable, "check --to and that the replica runs", "%s cannot be reached: %v", addr, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return refusal.New(refusal.Unreachable, "send the same again", "the answer of %s was cut: %v", addr, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return readError(resp.StatusCode, b)
+	}
+	return json.Unmarshal(b, out)
+}
+
+func readError(status int, b []byte) error {
+	var e refusal.Error
+	if err := json.Unmarshal(b, &e); err != nil || e.Code == "" {
+		return refusal.New(refusal.Invalid, "check that --to names an operator address", "answered with status %d", status)
+	}
+	return &e
+}
+
+// Change sends a change.
+func (c *Client) Change(ch market.Change) (market.Answer, error) {
+	var a market.Answer
+	return a, c.call(http.MethodPost, "/v1/changes", &ch, &a)
+}
+
+// Base returns the present revision that a change to a market builds on.
+func (c *Client) Base(marketName string) (uint64, error) {
+	if marketName == "" {
+		teams, err := c.Teams()
+		return teams.Revision, err
+	}
+	views, err := c.Markets()
+	if err != nil {
+		return 0, err
+	}
+	for _, v := range views {
+		if v.Market.Name == marketName {
+			return v.Revision, nil
+		}
+	}
+	return 0, nil
+}
+
+// Markets returns all markets.
+func (c *Client) Markets() ([]*market.View, error) {
+	var out []*market.View
+	return out, c.call(http.MethodGet, "/v1/markets", nil, &out)
+}
+
+// Teams returns all teams.
+func (c *Client) Teams() (market.Teams, error) {
+	var out market.Teams
+	return out, c.call(http.MethodGet, "/v1/teams", nil, &out)
+}
+
+// Members returns all members.
+func (c *Client) Members() ([]*membership.Member, error) {
+	var out []*membership.Member
+	return out, c.call(http.MethodGet, "/v1/members", nil, &out)
+}
+
+// Submit submits tasks.
+func (c *Client) Submit(s lease.Submit) (control.SubmitAnswer, error) {
+	var a control.SubmitAnswer
+	return a, c.call(http.MethodPost, "/v1/submissions", &s, &a)
+}
+
+// Cancel cancels tasks.
+func (c *Client) Cancel(x lease.Cancel) (lease.CancelAnswer, error) {
+	var a lease.CancelAnswer
+	return a, c.call(http.MethodPost, "/v1/cancellations", &x, &a)
+}
+
+// TaskQuery selects tasks; empty fields match all.
+type TaskQuery struct {
+	ID, Market, Job, Phase string
+	Limit                  int
+}
+
+// Tasks lists tasks.
+func (c *Client) Tasks(q TaskQuery) ([]control.TaskView, error) {
+	v := url.Values{"id": {q.ID}, "market": {q.Market}, "job": {q.Job}, "phase": {q.Phase}, "limit": {fmt.Sprint(q.Limit)}}
+	var out []control.TaskView
+	return out, c.call(http.MethodGet, "/v1/tasks?"+v.Encode(), nil, &out)
+}
+
+// Init makes a new cluster at the first address.
+func (c *Client) Init() error {
+	var out map[string]uint64
+	return c.once(c.addrs[0], http.MethodPost, "/v1/init", nil, &out)
+}
+
+// HandOver asks the leader to hand over.
+func (c *Client) HandOver() (string, error) {
+	var out map[string]string
+	err := c.call(http.MethodPost, "/v1/hand-over", nil, &out)
+	return out["leader"], err
+}
+
+// Statuses asks every replica for its own view; those that do not answer are
+// returned by address with their error.
+func (c *Client) Statuses() ([]control.StatusAnswer, map[string]error) {
+	var out []control.StatusAnswer
+	failed := make(map[string]error)
+	for _, addr := range c.addrs {
+		var a control.StatusAnswer
+		if err := c.once(addr, http.MethodGet, "/v1/status", nil, &a); err != nil {
+			failed[addr] = err
+			continue
+		}
+		out = append(out, a)
+	}
+	return out, failed
+}
--- /dev/null
+++ b/placement/relieve.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"math"
+	"sort"
+
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+// Tuning of evictions.
+const (
+	// lateReports is how many reports in a row must be above the bound
+	// before a task is evicted: one may be chance.
+	lateReports = 2
+	// moveCost is the time in milliseconds that a checkpoint, a stop and a
+	// start elsewhere take. What ends sooner is not worth moving.
+	moveCost = 30_000
+	// hysteresis is the factor above the preset's bound at which relief
+	// begins; it ends at the bound itself.
+	hysteresis = 1.05
+)
+
+// makeRoom evicts from one worker what an urgent task needs. The task itself
+// is placed by a later pass, when the worker has confirmed the stops; being
+// urgent it is then the first to choose.
+func (p *planner) makeRoom(t *lease.Task) {
+	best, bestLoss := []Running(nil), math.Inf(1)
+	bestWorker := -1
+	for _, i := range p.open {
+		victims, loss := p.victims(t.Need, &p.workers[i])
+		if victims != nil && loss < bestLoss {
+			best, bestLoss, bestWorker = victims, loss, i
+		}
+	}
+	if bestWorker < 0 {
+		return
+	}
+	w := &p.workers[bestWorker]
+	for _, r := range best {
+		p.evict(r)
+	}
+	// Reserve what is being freed, so that the next urgent task in this pass
+	// asks for more and does not count on the same room.
+	w.Free = w.Free.Sub(t.Need)
+	w.Running = nil
+}
+
+// victims returns the cheapest few tasks whose room, with what is free, holds
+// need. Room that is already being freed counts, so that a second pass does
+// not evict more before the first stop is confirmed.
+func (p *planner) victims(need resource.Vector, w *Worker) ([]Running, float64) {
+	if !need.Fits(w.Total) {
+		return nil, 0
+	}
+	room := w.Free
+	var movable []Running
+	for _, r := range w.Running {
+		if !r.Evictable {
+			room = room.Add(r.Need)
+		} else if !r.Urgent {
+			movable = append(movable, r)
+		}
+	}
+	if need.Fits(room) {
+		return []Running{}, 0
+	}
+	sort.Slice(movable, func(i, j int) bool { return lostWork(movable[i]) < lostWork(movable[j]) })
+	var out []Running
+	loss := 0.0
+	for _, r := range movable {
+		if len(out) == urgentEvictions {
+			return nil, 0
+		}
+		out, room, loss = append(out, r), room.Add(r.Need), loss+lostWork(r)
+		if need.Fits(room) {
+			return out, loss
+		}
+	}
+	return nil, 0
+}
+
+// lostWork is what evicting an attempt costs: processor time for the move.
+func lostWork(r Running) float64 {
+	return float64(r.Need.MilliCPU) * moveCost
+}
+
+func (p *planner) evict(r Running) {
+	p.plan.Evictions = append(p.plan.Evictions, lease.Eviction{Task: r.Task, Attempt: r.Attempt})
+}
+
+// relieveAll evicts where a service has been late for several reports.
+func (p *planner) relieveAll() {
+	for i := range p.s.Workers {
+		w := &p.s.Workers[i]
+		if w.Service == "" || w.Late < lateReports || w.Slowdown <= w.Preset.MaxSlowdown*p.tolerance(w) {
+			continue
+		}
+		p.relieve(w)
+	}
+}
+
+// tolerance widens the bound where the preset weighs throughput.
+func (p *planner) tolerance(w *Worker) float64 {
+	return hysteresis + (1-w.Preset.TailWeight)*2
+}
+
+// relieve evicts the task that buys most relief for the work lost, if the
+// tasks are what slows the service down at all.
+func (p *planner) relieve(w *Worker) {
+	best, bestValue := -1, 0.0
+	for i, r := range w.Running {
+		if !r.Evictable {
+			return // wait for the effect of the last eviction
+		}
+		if !p.worthMoving(r) {
+			continue
+		}
+		relief, _ := p.s.Costs.Cost(w.Service, r.Market, r.Job, w.Load)
+		if value := relief / (1 + lostWork(r)/1e6); relief > minRelief && value > bestValue {
+			best, bestValue = i, value
+		}
+	}
+	if best >= 0 {
+		p.evict(w.Running[best])
+	}
+}
+
+// minRelief is the logarithmic slowdown below which an eviction buys nothing
+// that can be measured.
+const minRelief = 0.02
+
+// worthMoving excludes what ends sooner than the move pays, and what would
+// miss its deadline for it.
+func (p *planner) worthMoving(r Running) bool {
+	left := r.Expected - r.Elapsed
+	if r.Urgent || left < 2*moveCost {
+		return false
+	}
+	return r.Deadline == 0 || p.s.Now+left+2*moveCost < r.Deadline
+}
--- /dev/null
+++ b/placement/types.go
@@ -0,0 +1,74 @@
+// Package placement decides where waiting tasks run and which running ones
+// give way. It is a pure function from a snapshot to a plan; the plan's
+// capacity is checked again when the quorum's log applies it.
+package placement
+
+import (
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+// Running is an attempt on a worker.
+type Running struct {
+	Task    string
+	Attempt uint32
+	Market  string
+	Job     string
+	Need    resource.Vector
+	// Elapsed and Expected are milliseconds since the attempt's start, and of
+	// the whole run as far as known.
+	Elapsed, Expected int64
+	Deadline          int64 // log clock, milliseconds; 0 means none
+	Urgent            bool
+	Evictable         bool // placed, and not already asked to stop
+}
+
+// Worker is one worker at the time of the snapshot.
+type Worker struct {
+	Agent, Boot      string
+	DataCentre, Rack string
+	Open             bool
+	Total            resource.Vector // without what the service keeps
+	Free             resource.Vector
+	BatchUsed        int64 // milli CPU held by batch tasks
+	Service          string
+	Preset           market.Preset
+	Load             float64 // used part of the service's slots
+	// Slowdown is the service's last measured latency against running alone;
+	// 0 means not measured. Late tells since how many reports it has been
+	// above the preset's bound.
+	Slowdown float64
+	Late     int
+	Running  []Running
+}
+
+// Costs estimates what a task costs the service beside it, as the logarithm of
+// the slowdown it adds.
+type Costs interface {
+	// Cost returns the expected cost and, for a bound, the cost that is
+	// exceeded only rarely.
+	Cost(service, market, job string, load float64) (mean, upper float64)
+}
+
+// Snapshot is everything a plan is made from.
+type Snapshot struct {
+	Now     int64 // log clock, milliseconds
+	Workers []Worker
+	Waiting []*lease.Task
+	Quota   func(team string) resource.Vector
+	TeamUse func(team string) resource.Vector
+	// RunTime returns the learned run time of a job's task in milliseconds,
+	// or the declared one.
+	RunTime func(t *lease.Task) int64
+	Costs   Costs
+	Seed    uint64
+	// MaxPlacements bounds a plan, so that a pass stays short.
+	MaxPlacements int
+}
+
+// Policy makes a plan from a snapshot.
+type Policy interface {
+	Name() string
+	Plan(s *Snapshot) lease.Plan
+}
--- /dev/null
+++ b/quorum/disk.go
@@ -0,0 +1,420 @@
+package quorum
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sys/unix"
+)
+
+// Files in a data folder. Each holds checksummed records; a file under its
+// final name is complete up to its last sync.
+const (
+	identityFile = "identity"
+	walPrefix    = "wal-"
+	snapPrefix   = "snapshot-"
+	tempSuffix   = ".tmp"
+
+	headerBytes = 8       // length and checksum
+	maxRecord   = 1 << 30 // bytes; a longer length is damage
+	// MinFreeBytes is the room on the disk below which proposals are refused.
+	MinFreeBytes = 64 << 20
+)
+
+var crcTable = crc32.MakeTable(crc32.Castagnoli)
+
+// record is what the write-ahead log holds. A later record's entries replace
+// those of an earlier one from their first index on.
+type record struct {
+	Hard    *HardState `msgpack:"h,omitempty"`
+	Entries []Entry    `msgpack:"e,omitempty"`
+}
+
+// Disk is a replica's data folder. It is not safe for concurrent use.
+type Disk struct {
+	dir   string
+	lock  *os.File
+	wal   *os.File
+	gen   uint64
+	size  int64
+	state Stored
+}
+
+// Stored is what a data folder held when it was opened.
+type Stored struct {
+	ID       uint64
+	Hard     HardState
+	Snapshot Snapshot
+	Entries  []Entry
+	// Cut counts the bytes of a torn tail that were dropped.
+	Cut int64
+}
+
+// OpenDisk opens or makes a data folder. An empty folder gets a new identity.
+//
+// It returns an error that names the file and the remedy when synced data is
+// damaged: going on with a part of it could undo accepted changes.
+func OpenDisk(dir string) (*Disk, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	d := &Disk{dir: dir}
+	if err := d.takeLock(); err != nil {
+		return nil, err
+	}
+	if err := d.load(); err != nil {
+		d.lock.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Stored returns what the folder held when it was opened.
+func (d *Disk) Stored() Stored { return d.state }
+
+func (d *Disk) takeLock() error {
+	f, err := os.OpenFile(filepath.Join(d.dir, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		f.Close()
+		return Error.New("data folder %s is in use by another process; stop it or choose another folder", d.dir)
+	}
+	d.lock = f
+	return nil
+}
+
+func (d *Disk) load() error {
+	d.removeTemporary()
+	if err := d.loadIdentity(); err != nil {
+		return err
+	}
+	if err := d.loadSnapshot(); err != nil {
+		return err
+	}
+	return d.loadWAL()
+}
+
+func (d *Disk) removeTemporary() {
+	names, _ := filepath.Glob(filepath.Join(d.dir, "*"+tempSuffix))
+	for _, n := range names {
+		os.Remove(n) // never renamed, so never relied on
+	}
+}
+
+func (d *Disk) loadIdentity() error {
+	path := filepath.Join(d.dir, identityFile)
+	b, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return d.makeIdentity()
+	}
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	payload, n := parseRecord(b)
+	if n != len(b) || len(payload) != 8 {
+		return damaged(path, 0)
+	}
+	d.state.ID = binary.LittleEndian.Uint64(payload)
+	return nil
+}
+
+// makeIdentity draws a new identity, but only for a folder without a log: a
+// log whose identity file was deleted must not come back as somebody else.
+func (d *Disk) makeIdentity() error {
+	if names := d.list(walPrefix); len(names) > 0 {
+		return Error.New("data folder %s has a log but no identity file; restore the file or empty the folder to rejoin as a new replica", d.dir)
+	}
+	d.state.ID = rand.Uint64() | 1
+	payload := binary.LittleEndian.AppendUint64(nil, d.state.ID)
+	return d.writeWhole(identityFile, payload)
+}
+
+func (d *Disk) list(prefix string) []string {
+	names, _ := filepath.Glob(filepath.Join(d.dir, prefix+"*"))
+	sort.Strings(names)
+	return names
+}
+
+func (d *Disk) loadSnapshot() error {
+	names := d.list(snapPrefix)
+	if len(names) == 0 {
+		return nil
+	}
+	path := names[len(names)-1]
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	payload, n := parseRecord(b)
+	if n != len(b) || n == 0 {
+		return damaged(path, 0)
+	}
+	if err := msgpack.Unmarshal(payload, &d.state.Snapshot); err != nil {
+		return damaged(path, 0)
+	}
+	return nil
+}
+
+func (d *Disk) loadWAL() error {
+	names := d.list(walPrefix)
+	if len(names) == 0 {
+		if d.state.Snapshot.Index > 0 {
+			return Error.New("data folder %s has a snapshot but no log; empty the folder to rejoin as a new replica", d.dir)
+		}
+		return d.startWAL(record{})
+	}
+	path := names[len(names)-1]
+	if _, err := fmt.Sscanf(strings.TrimPrefix(filepath.Base(path), walPrefix), "%016x", &d.gen); err != nil {
+		return damaged(path, 0)
+	}
+	f, err := os.OpenFile(path, os.O_RDWR, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	b, err := io.ReadAll(bufio.NewReader(f))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	good, err := d.replay(path, b)
+	if err != nil {
+		f.Close()
+		return err
+	}
+	return d.adopt(f, good, int64(len(b)))
+}
+
+// adopt continues a log file after its last good record.
+func (d *Disk) adopt(f *os.File, good, size int64) error {
+	d.state.Cut = size - good
+	if err := f.Truncate(good); err != nil {
+		return Error.Wrap(err)
+	}
+	if _, err := f.Seek(good, io.SeekStart); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := f.Sync(); err != nil {
+		return Error.Wrap(err)
+	}
+	d.wal, d.size = f, good
+	return nil
+}
+
+// replay reads records until the end or a bad one. A bad record with a good one
+// behind it is damage to synced data: the later one was written only after
+// the earlier was synced. A bad record at the end is a write cut short by a
+// crash, which nobody was told about.
+func (d *Disk) replay(path string, b []byte) (good int64, err error) {
+	for off := 0; off < len(b); {
+		payload, n := parseRecord(b[off:])
+		if n == 0 {
+			if laterRecord(b[off+1:]) {
+				return 0, damaged(path, int64(off))
+			}
+			return int64(off), nil
+		}
+		var r record
+		if err := msgpack.Unmarshal(payload, &r); err != nil {
+			return 0, damaged(path, int64(off))
+		}
+		if err := d.apply(r); err != nil {
+			return 0, damaged(path, int64(off))
+		}
+		off += n
+	}
+	return int64(len(b)), nil
+}
+
+func (d *Disk) apply(r record) error {
+	if r.Hard != nil {
+		d.state.Hard = *r.Hard
+	}
+	for _, e := range r.Entries {
+		if e.Index <= d.state.Snapshot.Index {
+			continue
+		}
+		at := e.Index - d.state.Snapshot.Index - 1
+		if at > uint64(len(d.state.Entries)) {
+			return Error.New("gap in the log")
+		}
+		d.state.Entries = append(d.state.Entries[:at], e)
+	}
+	return nil
+}
+
+func damaged(path string, off int64) error {
+	return Error.New("%s is damaged at byte %d before its end; empty the data folder, and the replica rejoins with a new identity", path, off)
+}
+
+// parseRecord returns the payload at the start of b and the bytes it takes, or
+// 0 when there is no whole and sound record.
+func parseRecord(b []byte) (payload []byte, n int) {
+	if len(b) < headerBytes {
+		return nil, 0
+	}
+	size := int(binary.LittleEndian.Uint32(b))
+	if size == 0 || size > maxRecord || headerBytes+size > len(b) {
+		return nil, 0
+	}
+	payload = b[headerBytes : headerBytes+size]
+	if crc32.Checksum(payload, crcTable) != binary.LittleEndian.Uint32(b[4:]) {
+		return nil, 0
+	}
+	return payload, headerBytes + size
+}
+
+func appendRecord(b, payload []byte) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint32(b, crc32.Checksum(payload, crcTable))
+	return append(b, payload...)
+}
+
+// laterRecord reports whether a sound record starts anywhere in b.
+func laterRecord(b []byte) bool {
+	for i := range b {
+		if payload, n := parseRecord(b[i:]); n > 0 {
+			var r record
+			if msgpack.Unmarshal(payload, &r) == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Save appends what a Ready asks for and syncs it.
+//
+// An error is fatal to the replica. After a failed sync the kernel may have
+// dropped the pages and report success the next time, so it is never retried.
+func (d *Disk) Save(hs *HardState, entries []Entry) error {
+	if hs == nil && len(entries) == 0 {
+		return nil
+	}
+	b, err := encodeRecord(record{Hard: hs, Entries: entries})
+	if err != nil {
+		return err
+	}
+	if _, err := d.wal.Write(b); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := unix.Fdatasync(int(d.wal.Fd())); err != nil {
+		return Error.Wrap(err)
+	}
+	d.size += int64(len(b))
+	return nil
+}
+
+func encodeRecord(r record) ([]byte, error) {
+	payload, err := msgpack.Marshal(&r)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return appendRecord(nil, payload), nil
+}
+
+// SaveSnapshot makes s durable and starts a new log file that holds only the
+// entries after it. The snapshot is in place before the old log goes.
+func (d *Disk) SaveSnapshot(s Snapshot, hs HardState, after []Entry) error {
+	payload, err := msgpack.Marshal(&s)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := d.writeWhole(fmt.Sprintf("%s%016x", snapPrefix, s.Index), payload); err != nil {
+		return err
+	}
+	if err := d.startWAL(record{Hard: &hs, Entries: after}); err != nil {
+		return err
+	}
+	d.removeOld()
+	return nil
+}
+
+// startWAL writes a new generation of the log and makes it the one in use.
+func (d *Disk) startWAL(first record) error {
+	payload, err := msgpack.Marshal(&first)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	d.gen++
+	name := fmt.Sprintf("%s%016x", walPrefix, d.gen)
+	if err := d.writeWhole(name, payload); err != nil {
+		return err
+	}
+	if d.wal != nil {
+		d.wal.Close()
+	}
+	d.wal, err = os.OpenFile(filepath.Join(d.dir, name), os.O_RDWR|os.O_APPEND, 0o600)
+	d.size = int64(headerBytes + len(payload))
+	return Error.Wrap(err)
+}
+
+func (d *Disk) removeOld() {
+	for _, prefix := range []string{walPrefix, snapPrefix} {
+		names := d.list(prefix)
+		for _, n := range names[:len(names)-1] {
+			os.Remove(n) // a leftover is harmless: the newest is read
+		}
+	}
+}
+
+// writeWhole writes a file so that it is either absent or complete: write,
+// sync, rename, sync the folder.
+func (d *Disk) writeWhole(name string, payload []byte) error {
+	path := filepath.Join(d.dir, name)
+	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = f.Write(appendRecord(nil, payload))
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = os.Rename(path+tempSuffix, path)
+	}
+	if err == nil {
+		err = d.syncFolder()
+	}
+	return Error.Wrap(err)
+}
+
+func (d *Disk) syncFolder() error {
+	f, err := os.Open(d.dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// Full reports whether the disk has less room than MinFreeBytes.
+func (d *Disk) Full() bool {
+	var st unix.Statfs_t
+	if err := unix.Statfs(d.dir, &st); err != nil {
+		return false
+	}
+	return st.Bavail*uint64(st.Bsize) < MinFreeBytes
+}
+
+// Size returns the length of the current log file in bytes.
+func (d *Disk) Size() int64 { return d.size }
+
+// Close releases the folder.
+func (d *Disk) Close() error {
+	err := d.wal.Close()
+	d.lock.Close()
+	return Error.Wrap(err)
+}
--- /dev/null
+++ b/quorum/log.go
@@ -0,0 +1,185 @@
+package quorum
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// retainedEntries stay in memory behind a snapshot, so that a replica only a
+// little behind is sent entries and not the snapshot.
+const retainedEntries = 1024
+
+// memLog is the recent part of the log, and how far it is committed, handed
+// out to be persisted and handed out to be applied.
+//
+// Invariant: base <= snap.Index <= applied <= committed <= last.
+type memLog struct {
+	snap      Snapshot
+	base      uint64 // index just before entries[0]
+	baseTerm  uint64
+	entries   []Entry // entries[i].Index == base+1+i
+	committed uint64
+	applied   uint64 // handed out in Ready.Committed
+	handed    uint64 // handed out in Ready.Entries
+	configs   []configAt
+}
+
+// configAt is a configuration in force from the moment it is appended.
+type configAt struct {
+	index  uint64
+	config Config
+}
+
+func newMemLog(snap Snapshot, entries []Entry, committed uint64) *memLog {
+	l := &memLog{snap: snap, base: snap.Index, baseTerm: snap.Term, committed: snap.Index, applied: snap.Index, handed: snap.Index}
+	l.configs = []configAt{{snap.Index, snap.Config}}
+	l.append(entries)
+	l.handed = l.last()
+	l.commitTo(committed)
+	return l
+}
+
+func (l *memLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+// term returns the term at index i; ok is false when i is compacted or not yet there.
+func (l *memLog) term(i uint64) (term uint64, ok bool) {
+	switch {
+	case i == l.base:
+		return l.baseTerm, true
+	case i < l.base || i > l.last():
+		return 0, false
+	}
+	return l.entries[i-l.base-1].Term, true
+}
+
+func (l *memLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// slice returns the entries from lo on, cut at about maxBytes but never empty.
+func (l *memLog) slice(lo uint64, maxBytes int) []Entry {
+	if lo > l.last() {
+		return nil
+	}
+	all := l.entries[lo-l.base-1:]
+	size := 0
+	for i, e := range all {
+		size += len(e.Data) + entryOverhead
+		if size > maxBytes && i > 0 {
+			return all[:i:i]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+// entryOverhead is the encoded size of an entry without its data, in bytes.
+const entryOverhead = 24
+
+func (l *memLog) append(entries []Entry) {
+	for _, e := range entries {
+		l.entries = append(l.entries, e)
+		if e.Kind == EntryConfig {
+			l.configs = append(l.configs, configAt{e.Index, decodeConfig(e.Data)})
+		}
+	}
+}
+
+// merge appends what a leader sent and drops what contradicts it.
+//
+// A conflict at or below the commit index would mean that a committed entry
+// changed. The quorum rules exclude it, so it is a panic and not an error:
+// going on would spread the damage.
+func (l *memLog) merge(entries []Entry) {
+	for i, e := range entries {
+		if t, ok := l.term(e.Index); ok && t == e.Term {
+			continue
+		}
+		if e.Index <= l.committed {
+			panic("quorum: a committed entry would be replaced")
+		}
+		l.truncateFrom(e.Index)
+		l.append(entries[i:])
+		return
+	}
+}
+
+func (l *memLog) truncateFrom(index uint64) {
+	if index > l.last() {
+		return
+	}
+	// The old array may still be read by a message under way.
+	l.entries = append([]Entry(nil), l.entries[:index-l.base-1]...)
+	l.handed = min(l.handed, index-1)
+	for l.configs[len(l.configs)-1].index >= index {
+		l.configs = l.configs[:len(l.configs)-1]
+	}
+}
+
+func (l *memLog) commitTo(index uint64) {
+	l.committed = max(l.committed, min(index, l.last()))
+}
+
+// config returns the newest configuration in the log and where it stands.
+func (l *memLog) config() configAt { return l.configs[len(l.configs)-1] }
+
+// configUpTo returns the configuration in force at index.
+func (l *memLog) configUpTo(index uint64) Config {
+	for i := len(l.configs) - 1; i > 0; i-- {
+		if l.configs[i].index <= index {
+			return l.configs[i].config
+		}
+	}
+	return l.configs[0].config
+}
+
+// compact takes a snapshot of the applied part and forgets the entries behind
+// it, but for the last few.
+func (l *memLog) compact(s Snapshot) {
+	if s.Index <= l.snap.Index || s.Index > l.applied {
+		return
+	}
+	l.snap = s
+	if s.Index < l.base+retainedEntries {
+		return
+	}
+	base := s.Index - retainedEntries
+	term, _ := l.term(base)
+	config := l.configUpTo(base)
+	l.entries = append([]Entry(nil), l.entries[base-l.base:]...)
+	l.base, l.baseTerm = base, term
+	l.rebaseConfigs(configAt{base, config})
+}
+
+func (l *memLog) rebaseConfigs(first configAt) {
+	configs := []configAt{first}
+	for _, c := range l.configs {
+		if c.index > first.index {
+			configs = append(configs, c)
+		}
+	}
+	l.configs = configs
+}
+
+// after returns the entries past an index that is still in memory.
+func (l *memLog) after(index uint64) []Entry { return l.entries[index-l.base:] }
+
+// restore replaces the whole log by a snapshot from the leader.
+func (l *memLog) restore(s Snapshot) {
+	*l = memLog{snap: s, base: s.Index, baseTerm: s.Term, committed: s.Index, applied: s.Index, handed: s.Index}
+	l.configs = []configAt{{s.Index, s.Config}}
+}
+
+func encodeConfig(c Config) []byte {
+	b, err := msgpack.Marshal(&c)
+	if err != nil {
+		panic(err) // a struct of strings and numbers always encodes
+	}
+	return b
+}
+
+// decodeConfig reads a configuration that this program wrote into the log.
+func decodeConfig(b []byte) Config {
+	var c Config
+	if err := msgpack.Unmarshal(b, &c); err != nil {
+		panic("quorum: a configuration entry cannot be read: " + err.Error())
+	}
+	return c
+}
--- /dev/null
+++ b/quorum/node.go
@@ -0,0 +1,472 @@
+package quorum
+
+import (
+	"context"
+	"math/rand"
+	"sync/atomic"
+	"time"
+)
+
+// Sender carries messages to other replicas. Send must not block; messages to
+// one replica should keep their order, and any may be lost.
+type Sender interface {
+	Send(to Replica, msgs []Message)
+}
+
+// StateMachine is what the log's commands are applied to, in order. Only the
+// node's goroutine calls it.
+type StateMachine interface {
+	Apply(index uint64, command []byte) any
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// Options are a node's settings.
+type Options struct {
+	Disk    *Disk
+	Machine StateMachine
+	Sender  Sender
+	// TickEvery is the real time of one tick.
+	TickEvery time.Duration
+	// SnapshotEntries is the number of applied entries after which a
+	// snapshot replaces them.
+	SnapshotEntries uint64
+	Seed            int64
+}
+
+// maxBatch bounds the proposals that share one sync of the disk.
+const maxBatch = 512
+
+// proposal is a command on its way to being applied.
+type proposal struct {
+	data []byte
+	term uint64
+	done chan outcome
+}
+
+// delivery is messages with who sent them.
+type delivery struct {
+	from     Replica
+	messages []Message
+}
+
+type outcome struct {
+	result any
+	err    error
+}
+
+// ErrUnknown is returned when the leadership ended before the command was
+// committed. It may or may not take effect.
+var ErrUnknown = Error.New("the outcome is unknown because the leader changed; send the same change again")
+
+// ErrDiskFull is returned when the leader's disk has no room for a change.
+var ErrDiskFull = Error.New("the data folder's disk is full; free room on it")
+
+// ErrStopped is returned by a node that has stopped.
+var ErrStopped = Error.New("this replica is stopping; ask another one")
+
+// Node drives a Core with a clock, a disk and a network.
+type Node struct {
+	opts      Options
+	core      *Core
+	inbox     chan delivery
+	proposals chan proposal
+	calls     chan func()
+	reads     chan chan outcome
+	stopped   chan struct{}
+
+	waiting  map[uint64]proposal // by log index
+	readers  map[uint64][]chan outcome
+	pending  []pendingApply
+	readID   uint64
+	applied  uint64
+	fullSeen bool
+	known    map[uint64]Replica // who sent messages, by identity
+	view     atomic.Pointer[View]
+}
+
+// View is a cheap copy of where a replica stands, for every request's use.
+type View struct {
+	Role      Role
+	Term      uint64
+	Leader    Replica // zero when unknown
+	InContact bool    // see Status
+}
+
+// View returns the newest view.
+func (n *Node) View() View { return *n.view.Load() }
+
+func (n *Node) publish() {
+	v := View{Role: n.core.role, Term: n.core.term, InContact: n.core.leaderFresh()}
+	v.Leader, _ = n.core.log.config().config.Find(n.core.leader)
+	if old := n.view.Load(); old == nil || *old != v {
+		n.view.Store(&v)
+	}
+}
+
+// pendingApply is a confirmed read that waits for its index to be applied.
+type pendingApply struct {
+	index uint64
+	done  []chan outcome
+}
+
+// NewNode returns a node that starts from what its disk holds.
+func NewNode(opts Options) (*Node, error) {
+	st := opts.Disk.Stored()
+	n := &Node{
+		opts:      opts,
+		core:      NewCore(st.ID, st.Hard, st.Snapshot, st.Entries, rand.New(rand.NewSource(opts.Seed^int64(st.ID)))),
+		inbox:     make(chan delivery, 256),
+		known:     make(map[uint64]Replica),
+		proposals: make(chan proposal, maxBatch),
+		calls:     make(chan func()),
+		reads:     make(chan chan outcome, maxBatch),
+		stopped:   make(chan struct{}),
+		waiting:   make(map[uint64]proposal),
+		readers:   make(map[uint64][]chan outcome),
+		applied:   st.Snapshot.Index,
+	}
+	if len(st.Snapshot.Data) > 0 {
+		if err := opts.Machine.Restore(st.Snapshot.Data); err != nil {
+			return nil, Error.New("the snapshot cannot be read by this version (%v); start the version that wrote it", err)
+		}
+	}
+	n.publish()
+	return n, nil
+}
+
+// Run drives the replica until the context ends or the disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.failAll()
+	tick := time.NewTicker(n.opts.TickEvery)
+	defer tick.Stop()
+	for {
+		if err := n.process(); err != nil {
+			return err
+		}
+		n.publish()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			n.onTick()
+		case d := <-n.inbox:
+			n.step(d)
+		case p := <-n.proposals:
+			n.propose(p)
+		case r := <-n.reads:
+			n.read(r)
+		case f := <-n.calls:
+			f()
+		}
+		n.drain()
+	}
+}
+
+func (n *Node) onTick() {
+	n.core.Tick()
+	n.fullSeen = n.opts.Disk.Full()
+}
+
+// drain takes what else has already arrived, so that it shares one sync.
+func (n *Node) drain() {
+	for range maxBatch {
+		select {
+		case d := <-n.inbox:
+			n.step(d)
+		case p := <-n.proposals:
+			n.propose(p)
+		case r := <-n.reads:
+			n.read(r)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) step(d delivery) {
+	n.known[d.from.ID] = d.from
+	for _, m := range d.messages {
+		if n.fullSeen && len(m.Entries) > 0 {
+			continue // no room to persist it; the leader sends it again
+		}
+		n.core.Step(m)
+	}
+}
+
+func (n *Node) propose(p proposal) {
+	if n.fullSeen {
+		p.done <- outcome{err: ErrDiskFull}
+		return
+	}
+	index, term, err := n.core.Propose(p.data)
+	if err != nil {
+		p.done <- outcome{err: err}
+		return
+	}
+	p.term = term
+	n.waiting[index] = p
+}
+
+func (n *Node) read(done chan outcome) {
+	n.readID++
+	if err := n.core.Read(n.readID); err != nil {
+		done <- outcome{err: err}
+		return
+	}
+	n.readers[n.readID] = append(n.readers[n.readID], done)
+}
+
+// process does what the core asks for, in the order that Ready documents.
+func (n *Node) process() error {
+	for {
+		rd := n.core.Ready()
+		n.send(rd.Early)
+		if err := n.persist(rd); err != nil {
+			return err
+		}
+		n.send(rd.Messages)
+		n.apply(rd.Committed)
+		n.confirm(rd.Reads)
+		n.dropLost()
+		if len(rd.Entries) == 0 && len(rd.Committed) == 0 && rd.Snapshot == nil {
+			return n.maybeCompact()
+		}
+	}
+}
+
+func (n *Node) send(msgs []Message) {
+	if len(msgs) == 0 {
+		return
+	}
+	cfg := n.core.log.config().config
+	byPeer := make(map[uint64][]Message)
+	for _, m := range msgs {
+		byPeer[m.To] = append(byPeer[m.To], m)
+	}
+	for id, list := range byPeer {
+		r, ok := cfg.Find(id)
+		if !ok {
+			// A replica that is just joining knows no configuration yet; it
+			// must still answer the leader that brings it.
+			r = n.known[id]
+		}
+		n.opts.Sender.Send(r, list)
+	}
+}
+
+func (n *Node) persist(rd Ready) error {
+	var err error
+	if rd.Snapshot != nil {
+		err = n.installSnapshot(rd)
+	} else {
+		err = n.opts.Disk.Save(rd.HardState, rd.Entries)
+	}
+	if err == nil && len(rd.Entries) > 0 {
+		last := rd.Entries[len(rd.Entries)-1]
+		n.core.Persisted(last.Index, last.Term)
+	}
+	return err
+}
+
+func (n *Node) installSnapshot(rd Ready) error {
+	if err := n.opts.Disk.SaveSnapshot(*rd.Snapshot, n.hardState(), rd.Entries); err != nil {
+		return err
+	}
+	if err := n.opts.Machine.Restore(rd.Snapshot.Data); err != nil {
+		return Error.New("the leader's snapshot cannot be read by this version (%v); upgrade this replica", err)
+	}
+	n.applied = rd.Snapshot.Index
+	return nil
+}
+
+func (n *Node) hardState() HardState {
+	return HardState{Term: n.core.term, Vote: n.core.vote, Commit: n.core.log.committed}
+}
+
+func (n *Node) apply(entries []Entry) {
+	for _, e := range entries {
+		var result any
+		if e.Kind == EntryCommand {
+			result = n.opts.Machine.Apply(e.Index, e.Data)
+		}
+		n.applied = e.Index
+		p, ok := n.waiting[e.Index]
+		if !ok {
+			continue
+		}
+		delete(n.waiting, e.Index)
+		if p.term != e.Term {
+			p.done <- outcome{err: ErrUnknown}
+			continue
+		}
+		p.done <- outcome{result: result}
+	}
+	n.releaseReads()
+}
+
+func (n *Node) confirm(reads []Read) {
+	for _, r := range reads {
+		n.pending = append(n.pending, pendingApply{r.Index, n.readers[r.ID]})
+		delete(n.readers, r.ID)
+	}
+	n.releaseReads()
+}
+
+func (n *Node) releaseReads() {
+	rest := n.pending[:0]
+	for _, p := range n.pending {
+		if p.index > n.applied {
+			rest = append(rest, p)
+			continue
+		}
+		for _, done := range p.done {
+			done <- outcome{}
+		}
+	}
+	n.pending = rest
+}
+
+// dropLost answers those who wait on a leadership that has ended. Without it
+// an isolated leader's callers would wait until their own timeouts.
+func (n *Node) dropLost() {
+	if n.core.role == Leader {
+		return
+	}
+	for index, p := range n.waiting {
+		p.done <- outcome{err: ErrUnknown}
+		delete(n.waiting, index)
+	}
+	for id, list := range n.readers {
+		for _, done := range list {
+			done <- outcome{err: ErrNotLeader}
+		}
+		delete(n.readers, id)
+	}
+}
+
+func (n *Node) maybeCompact() error {
+	if n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries {
+		return nil
+	}
+	data, err := n.opts.Machine.Snapshot()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	s := n.core.SnapshotAt(n.applied)
+	s.Data = data
+	n.core.Compact(s)
+	return n.opts.Disk.SaveSnapshot(s, n.hardState(), n.core.log.after(s.Index))
+}
+
+func (n *Node) failAll() {
+	close(n.stopped)
+	for _, p := range n.waiting {
+		p.done <- outcome{err: ErrUnknown}
+	}
+	for _, list := range n.readers {
+		for _, done := range list {
+			done <- outcome{err: ErrStopped}
+		}
+	}
+}
+
+// Deliver hands over messages from another replica. It drops them when the
+// replica is overloaded; the protocol sends them again.
+func (n *Node) Deliver(from Replica, msgs []Message) {
+	select {
+	case n.inbox <- delivery{from, msgs}:
+	default:
+	}
+}
+
+// Propose commits a command and returns what the state machine made of it.
+func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	p := proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return nil, ErrNotLeader // never handed over
+	case <-n.stopped:
+		return nil, ErrStopped
+	}
+	return n.wait(ctx, p.done)
+}
+
+func (n *Node) wait(ctx context.Context, done chan outcome) (any, error) {
+	select {
+	case o := <-done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, ErrUnknown
+	case <-n.stopped:
+		select {
+		case o := <-done:
+			return o.result, o.err
+		default:
+			return nil, ErrUnknown
+		}
+	}
+}
+
+// Barrier returns once a majority has confirmed this leader and everything
+// committed before the call is applied.
+func (n *Node) Barrier(ctx context.Context) error {
+	done := make(chan outcome, 1)
+	select {
+	case n.reads <- done:
+	case <-ctx.Done():
+		return ErrNotLeader
+	case <-n.stopped:
+		return ErrStopped
+	}
+	_, err := n.wait(ctx, done)
+	return err
+}
+
+// call runs f on the node's goroutine.
+func (n *Node) call(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case n.calls <- func() { f(); close(done) }:
+		<-done
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.stopped:
+		return ErrStopped
+	}
+}
+
+// Status returns the replica's view.
+func (n *Node) Status(ctx context.Context) (s Status, err error) {
+	err = n.call(ctx, func() { s = n.core.Status() })
+	return s, err
+}
+
+// Bootstrap makes this empty replica a cluster of one.
+func (n *Node) Bootstrap(ctx context.Context, self Replica) error {
+	var err error
+	if cerr := n.call(ctx, func() { err = n.core.Bootstrap(self) }); cerr != nil {
+		return cerr
+	}
+	return err
+}
+
+// ChangeConfig proposes the next set of replicas, computed from the present one.
+func (n *Node) ChangeConfig(ctx context.Context, next func(Config) Config) error {
+	var err error
+	if cerr := n.call(ctx, func() { err = n.core.ProposeConfig(next(n.core.log.config().config)) }); cerr != nil {
+		return cerr
+	}
+	return err
+}
+
+// Transfer starts handing the leadership to another voter.
+func (n *Node) Transfer(ctx context.Context, to uint64) error {
+	var err error
+	if cerr := n.call(ctx, func() { err = n.core.Transfer(to) }); cerr != nil {
+		return cerr
+	}
+	return err
+}
--- /dev/null
+++ b/quorum/types.go
@@ -0,0 +1,236 @@
+// Package quorum keeps a command log on several replicas, each with a disk.
+//
+// The Core is a deterministic step machine: messages, proposals and ticks go
+// in, a Ready comes out. It owns no clock, socket or disk. The Node drives it:
+// it persists what a Ready asks for, then sends, then applies.
+package quorum
+
+import "github.com/zeebo/errs"
+
+// Error is the class of this package's errors.
+var Error = errs.Class("quorum")
+
+// EntryKind tells what an Entry carries.
+type EntryKind uint8
+
+// The kinds of entries.
+const (
+	EntryNoop    EntryKind = iota // appended by a new leader to commit what came before
+	EntryCommand                  // a command for the state machine
+	EntryConfig                   // an encoded Config
+)
+
+// Entry is one slot of the replicated log.
+type Entry struct {
+	Index uint64    `msgpack:"i"`
+	Term  uint64    `msgpack:"t"`
+	Kind  EntryKind `msgpack:"k"`
+	Data  []byte    `msgpack:"d"`
+}
+
+// Replica names one holder of the log. ID is drawn at random when its data
+// folder is made, so a replica that lost its disk returns as somebody else.
+type Replica struct {
+	ID       uint64 `msgpack:"i" json:"id"`
+	Name     string `msgpack:"n" json:"name"`
+	Address  string `msgpack:"a" json:"address"`
+	Operator string `msgpack:"o" json:"operator"`
+}
+
+// Config is the set of replicas that hold the log. Only voters count for a
+// majority; learners receive the log until they have caught up.
+type Config struct {
+	Voters   []Replica `msgpack:"v" json:"voters"`
+	Learners []Replica `msgpack:"l" json:"learners"`
+}
+
+// HardState is what a replica must never forget: a vote given twice in one
+// term would elect two leaders.
+type HardState struct {
+	Term   uint64 `msgpack:"t"`
+	Vote   uint64 `msgpack:"v"`
+	Commit uint64 `msgpack:"c"`
+}
+
+// Snapshot replaces the log up to and including Index.
+type Snapshot struct {
+	Index  uint64 `msgpack:"i"`
+	Term   uint64 `msgpack:"t"`
+	Config Config `msgpack:"c"`
+	Data   []byte `msgpack:"d"`
+}
+
+// Chunk is a part of a snapshot under way to a replica that is far behind.
+// Size is the length of the whole, in bytes.
+type Chunk struct {
+	Index  uint64 `msgpack:"i"`
+	Term   uint64 `msgpack:"t"`
+	Config Config `msgpack:"c"`
+	Offset int    `msgpack:"o"`
+	Size   int    `msgpack:"s"`
+	Data   []byte `msgpack:"d"`
+}
+
+// MessageKind tells what a Message asks or answers.
+type MessageKind uint8
+
+// The kinds of messages.
+const (
+	MsgPreVote MessageKind = iota
+	MsgPreVoteResp
+	MsgVote
+	MsgVoteResp
+	MsgAppend
+	MsgAppendResp
+	MsgChunk
+	MsgChunkResp
+	MsgTimeoutNow
+)
+
+var messageNames = [...]string{"PreVote", "PreVoteResp", "Vote", "VoteResp", "Append", "AppendResp", "Chunk", "ChunkResp", "TimeoutNow"}
+
+// String returns the kind's name, as golden files show it.
+func (k MessageKind) String() string {
+	if int(k) < len(messageNames) {
+		return messageNames[k]
+	}
+	return "Unknown"
+}
+
+// Message is what one replica tells another.
+type Message struct {
+	Kind     MessageKind `msgpack:"k"`
+	From     uint64      `msgpack:"f"`
+	To       uint64      `msgpack:"o"`
+	Term     uint64      `msgpack:"t"`
+	Index    uint64      `msgpack:"i,omitempty"` // previous index, last index, or the acknowledged one
+	LogTerm  uint64      `msgpack:"l,omitempty"` // term of the entry at Index
+	Commit   uint64      `msgpack:"c,omitempty"`
+	Entries  []Entry     `msgpack:"e,omitempty"`
+	Reject   bool        `msgpack:"r,omitempty"`
+	Round    uint64      `msgpack:"n,omitempty"` // leader's contact round, echoed by the answer
+	Chunk    *Chunk      `msgpack:"s,omitempty"`
+	Transfer bool        `msgpack:"x,omitempty"` // a vote asked for by the old leader itself
+}
+
+// Read is a confirmed majority read: the state applied up to Index is current.
+type Read struct {
+	ID    uint64
+	Index uint64
+}
+
+// Ready is what the driver must do next, in this order: send Early, persist
+// Snapshot, Entries and HardState, send Messages, apply Committed, answer Reads.
+//
+// Early holds only a leader's appends. They may leave before the leader's own
+// disk is synced, because the leader counts its own copy only after Persisted.
+type Ready struct {
+	HardState *HardState
+	Entries   []Entry
+	Snapshot  *Snapshot
+	Early     []Message
+	Messages  []Message
+	Committed []Entry
+	Reads     []Read
+}
+
+// Role is a replica's part in the current term.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name, as status shows it.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// ErrNotLeader is returned for proposals and reads at a replica that does not lead.
+var ErrNotLeader = Error.New("this replica does not lead; ask the leader")
+
+// ErrBusy is returned while a change of the same sort is still under way.
+var ErrBusy = Error.New("an earlier change is still under way; try again in a moment")
+
+// ErrConfig is returned for a change of the replica set that is more than one step.
+var ErrConfig = Error.New("only one voter may be added or removed at a time; split the change")
+
+func (c Config) clone() Config {
+	return Config{
+		Voters:   append([]Replica(nil), c.Voters...),
+		Learners: append([]Replica(nil), c.Learners...),
+	}
+}
+
+func find(list []Replica, id uint64) (Replica, bool) {
+	for _, r := range list {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return Replica{}, false
+}
+
+// Find returns the voter or learner with this identity.
+func (c Config) Find(id uint64) (Replica, bool) {
+	if r, ok := find(c.Voters, id); ok {
+		return r, true
+	}
+	return find(c.Learners, id)
+}
+
+// IsVoter reports whether id counts for a majority.
+func (c Config) IsVoter(id uint64) bool {
+	_, ok := find(c.Voters, id)
+	return ok
+}
+
+func without(list []Replica, id uint64) []Replica {
+	out := make([]Replica, 0, len(list))
+	for _, r := range list {
+		if r.ID != id {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// WithLearner returns the configuration with r added as a learner.
+func (c Config) WithLearner(r Replica) Config {
+	out := c.clone()
+	out.Learners = append(without(out.Learners, r.ID), r)
+	return out
+}
+
+// WithVoter returns the configuration with the learner r made a voter.
+func (c Config) WithVoter(r Replica) Config {
+	out := c.clone()
+	out.Learners = without(out.Learners, r.ID)
+	out.Voters = append(without(out.Voters, r.ID), r)
+	return out
+}
+
+// Without returns the configuration with the replica removed.
+func (c Config) Without(id uint64) Config {
+	return Config{Voters: without(c.Voters, id), Learners: without(c.Learners, id)}
+}
+
+// voterDiff counts the voters in which two configurations differ.
+func voterDiff(a, b Config) int {
+	n := 0
+	for _, r := range a.Voters {
+		if !b.IsVoter(r.ID) {
+			n++
+		}
+	}
+	for _, r := range b.Voters {
+		if !a.IsVoter(r.ID) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/resource/resource.go
@@ -0,0 +1,25 @@
+// Package resource has the amounts of processors, memory and accelerators that
+// workers offer and tasks need.
+package resource
+
+// Vector is an amount of each resource.
+type Vector struct {
+	MilliCPU     int64 `msgpack:"c" json:"milli_cpu"` // 1000 is one processor
+	MemoryMB     int64 `msgpack:"m" json:"memory_mb"`
+	Accelerators int64 `msgpack:"a,omitempty" json:"accelerators,omitempty"`
+}
+
+// Add returns v + o.
+func (v Vector) Add(o Vector) Vector {
+	return Vector{v.MilliCPU + o.MilliCPU, v.MemoryMB + o.MemoryMB, v.Accelerators + o.Accelerators}
+}
+
+// Sub returns v - o.
+func (v Vector) Sub(o Vector) Vector {
+	return Vector{v.MilliCPU - o.MilliCPU, v.MemoryMB - o.MemoryMB, v.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether v is no more than room in every resource.
+func (v Vector) Fits(room Vector) bool {
+	return v.MilliCPU <= room.MilliCPU && v.MemoryMB <= room.MemoryMB && v.Accelerators <= room.Accelerators
+}
--- /dev/null
+++ b/standin/upstream.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/agent"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+)
+
+// TokenHeader carries a caller's own token, which the upstream echoes in its
+// answer and counts in its record.
+const TokenHeader = "X-Token"
+
+// Fault makes an upstream misbehave.
+type Fault int32
+
+// The faults.
+const (
+	FaultNone  Fault = iota
+	FaultError       // answers 500 at once
+	FaultHang        // answers only after a minute
+	FaultCut         // sends half of the answer, then closes
+	FaultBare        // sends an answer without a length
+)
+
+// UpstreamOptions describe a stand-in instance.
+type UpstreamOptions struct {
+	Market, Service string
+	Address         string // IP number and port of the upstream
+	WorkerAddress   string // empty without a worker
+	AgentLocal      string // where to announce
+	Rack            string
+	Capacity        resource.Vector
+	Slots, Conns    int
+	// Work is the time that a request takes without its own "ms" argument.
+	Work time.Duration
+	// Every is the interval of the heartbeats.
+	Every time.Duration
+}
+
+// Upstream is a stand-in for a service's instance.
+type Upstream struct {
+	opts    UpstreamOptions
+	Fault   atomic.Int32
+	running atomic.Int32
+	// Most is the largest number of requests that ran at once.
+	Most    atomic.Int32
+	leaving atomic.Bool
+	mute    atomic.Bool // sends no heartbeats
+	mu      sync.Mutex
+	runs    map[string]int
+	Worker  *Server
+	client  *transport.Client
+}
+
+// NewUpstream returns an instance that is not yet running.
+func NewUpstream(o UpstreamOptions) *Upstream {
+	host, _, _ := net.SplitHostPort(o.Address)
+	return &Upstream{opts: o, runs: make(map[string]int), Worker: NewServer(NewWorker(o.Capacity)), client: transport.NewClient(nil, host)}
+}
+
+// Runs returns how often each token was run.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make(map[string]int, len(u.runs))
+	for k, v := range u.runs {
+		out[k] = v
+	}
+	return out
+}
+
+// Leave asks for no more work.
+func (u *Upstream) Leave() { u.leaving.Store(true) }
+
+// Mute stops the heartbeats, as a dying instance does.
+func (u *Upstream) Mute() { u.mute.Store(true) }
+
+// Run serves and announces until the context ends.
+func (u *Upstream) Run(ctx context.Context) error {
+	ln, err := transport.Listen(u.opts.Address)
+	if err != nil {
+		return err
+	}
+	if u.opts.WorkerAddress != "" {
+		wln, err := transport.Listen(u.opts.WorkerAddress)
+		if err != nil {
+			ln.Close()
+			return err
+		}
+		go transport.ServeHTTP(ctx, &fasthttp.Server{Handler: u.Worker.Serve, NoDefaultServerHeader: true}, wln)
+	}
+	go u.announceLoop(ctx)
+	server := &fasthttp.Server{Handler: u.serve, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: logrus.StandardLogger(), MaxRequestBodySize: 64 << 20}
+	return transport.ServeHTTP(ctx, server, ln)
+}
+
+func (u *Upstream) announceLoop(ctx context.Context) {
+	tick := time.NewTicker(u.opts.Every)
+	defer tick.Stop()
+	for {
+		if !u.mute.Load() {
+			u.announce()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (u *Upstream) announce() {
+	running := int(u.running.Load())
+	a := agent.Announcement{Market: u.opts.Market, Service: u.opts.Service, Address: u.opts.Address, Rack: u.opts.Rack,
+		Worker: u.opts.WorkerAddress, Capacity: u.opts.Capacity, Slots: u.opts.Slots, Connections: u.opts.Conns, Running: &running, Leaving: u.leaving.Load()}
+	b, err := json.Marshal(&a)
+	if err != nil {
+		return
+	}
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(p)
+	q.Header.SetMethod(fasthttp.MethodPost)
+	q.SetRequestURI("/announce")
+	q.Header.SetHost(u.opts.AgentLocal)
+	q.SetBodyRaw(b)
+	u.client.Host(u.opts.AgentLocal).DoTimeout(q, p, time.Second) // repeated at the next heartbeat
+}
+
+func (u *Upstream) serve(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/standin/runs":
+		writeJSON(ctx, u.Runs())
+		return
+	case "/standin/most":
+		writeJSON(ctx, u.Most.Load())
+		return
+	case "/standin/fault":
+		u.Fault.Store(int32(ctx.QueryArgs().GetUintOrZero("n")))
+		return
+	case "/standin/leave":
+		u.Leave()
+		return
+	}
+	n := u.running.Add(1)
+	defer u.running.Add(-1)
+	for most := u.Most.Load(); n > most && !u.Most.CompareAndSwap(most, n); most = u.Most.Load() {
+	}
+	u.work(ctx)
+}
+
+const hang = time.Minute
+
+func (u *Upstream) work(ctx *fasthttp.RequestCtx) {
+	token := string(ctx.Request.Header.Peek(TokenHeader))
+	if token != "" {
+		u.mu.Lock()
+		u.runs[token]++
+		u.mu.Unlock()
+	}
+	wait := u.opts.Work
+	if ms, err := ctx.QueryArgs().GetUint("ms"); err == nil {
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	body := u.body(ctx, token)
+	switch Fault(u.Fault.Load()) {
+	case FaultError:
+		ctx.Error("this upstream fails everything", fasthttp.StatusInternalServerError)
+	case FaultHang:
+		time.Sleep(hang)
+	case FaultCut:
+		cutAnswer(ctx, len(body), body[:len(body)/2])
+	case FaultBare:
+		bareAnswer(ctx, body)
+	default:
+		ctx.SetBodyString(body)
+	}
+}
+
+// body is the token, then as many bytes as "size" asks for.
+func (u *Upstream) body(ctx *fasthttp.RequestCtx, token string) string {
+	size := ctx.QueryArgs().GetUintOrZero("size")
+	if size == 0 {
+		return "answer to " + token + "\n"
+	}
+	b := append([]byte("answer to "+token+"\n"), make([]byte, size)...)
+	return string(b)
+}
+
+func cutAnswer(ctx *fasthttp.RequestCtx, length int, half string) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		w := bufio.NewWriter(c)
+		w.WriteString("HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n" + half)
+		w.Flush()
+	})
+}
+
+func bareAnswer(ctx *fasthttp.RequestCtx, body string) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		w := bufio.NewWriter(c)
+		w.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+		w.Flush()
+	})
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,207 @@
+// Package standin has small stand-ins for what the system serves: an upstream
+// and a worker. They keep their own record of what ran, which tests and the
+// load tool use as the oracle.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/worker"
+)
+
+// Interval is one attempt's time on a worker, in milliseconds of its clock.
+type Interval struct {
+	Task    string `json:"task"`
+	Attempt uint32 `json:"attempt"`
+	StartMS int64  `json:"start_ms"`
+	EndMS   int64  `json:"end_ms"`
+	// From and To are the progress at both ends, in milliseconds of work.
+	From int64 `json:"from"`
+	To   int64 `json:"to"`
+}
+
+// attempt is one task attempt on the worker.
+type attempt struct {
+	worker.TaskReport
+	start, from, work int64 // milliseconds
+}
+
+// Worker runs tasks by letting time pass. Its methods take the time of its own
+// clock in milliseconds, so tests need not wait.
+type Worker struct {
+	Boot     string
+	Capacity resource.Vector
+	// FailAll makes every attempt fail at once.
+	FailAll bool
+
+	tasks     map[worker.Ref]*attempt
+	fence     map[string]uint32
+	until     int64
+	Intervals []Interval
+	// Overfull counts the starts that found no room: the system's promise
+	// is that there are none.
+	Overfull int
+}
+
+// NewWorker returns a worker with a new boot.
+func NewWorker(capacity resource.Vector) *Worker {
+	return &Worker{Boot: fmt.Sprintf("%016x", rand.Uint64()), Capacity: capacity,
+		tasks: make(map[worker.Ref]*attempt), fence: make(map[string]uint32)}
+}
+
+// Report returns the state at a time.
+func (w *Worker) Report(now int64) worker.Report {
+	w.advance(now)
+	r := worker.Report{Boot: w.Boot, ClockMS: now, Capacity: w.Capacity}
+	for _, a := range w.tasks {
+		r.Tasks = append(r.Tasks, a.TaskReport)
+	}
+	sort.Slice(r.Tasks, func(i, j int) bool { return r.Tasks[i].Task < r.Tasks[j].Task })
+	return r
+}
+
+// Sync does what an agent asks for.
+func (w *Worker) Sync(s worker.Sync, now int64) worker.Report {
+	w.advance(now)
+	if s.Boot != w.Boot || now >= s.UntilMS {
+		return w.Report(now) // for another boot, or too late
+	}
+	w.until = max(w.until, s.UntilMS)
+	for _, f := range s.Forget {
+		if a := w.tasks[f]; a != nil && !a.Running {
+			delete(w.tasks, f)
+		}
+	}
+	for _, st := range s.Stop {
+		w.stop(st, now)
+	}
+	for _, st := range s.Start {
+		w.start(st, now)
+	}
+	return w.Report(now)
+}
+
+// advance ends what ended by itself up to now, and what the lease ended.
+func (w *Worker) advance(now int64) {
+	for _, a := range w.tasks {
+		if !a.Running {
+			continue
+		}
+		doneAt := a.start + a.work - a.from
+		switch {
+		case doneAt <= now && doneAt <= w.until:
+			w.end(a, doneAt, lease.OutcomeDone, "")
+		case w.until <= now:
+			w.end(a, w.until, lease.OutcomeLost, "the lease ended")
+		}
+	}
+}
+
+func (w *Worker) end(a *attempt, at int64, o lease.Outcome, reason string) {
+	a.Running, a.Outcome, a.Reason = false, o, reason
+	w.Intervals = append(w.Intervals, Interval{a.Task, a.Attempt, a.start, at, a.from, a.from + at - a.start})
+}
+
+func (w *Worker) start(s worker.Start, now int64) {
+	if s.Attempt <= w.fence[s.Task] {
+		return // a duplicate, or older than one it knows of
+	}
+	w.fence[s.Task] = s.Attempt
+	a := &attempt{TaskReport: worker.TaskReport{Task: s.Task, Attempt: s.Attempt, Job: s.Market + "/" + s.Job, Need: s.Need}, start: now, work: s.RunTimeMS}
+	w.tasks[worker.Ref{Task: s.Task, Attempt: s.Attempt}] = a
+	switch {
+	case !w.used().Add(s.Need).Fits(w.Capacity):
+		w.Overfull++
+		a.Outcome, a.Reason = lease.OutcomeRejected, "no room"
+	case w.FailAll:
+		a.Outcome, a.Reason = lease.OutcomeFailed, "this worker fails everything"
+	default:
+		a.from, _ = strconv.ParseInt(s.Checkpoint, 10, 64)
+		a.Running = true
+	}
+}
+
+func (w *Worker) used() resource.Vector {
+	var sum resource.Vector
+	for _, a := range w.tasks {
+		if a.Running {
+			sum = sum.Add(a.Need)
+		}
+	}
+	return sum
+}
+
+func (w *Worker) stop(s worker.Stop, now int64) {
+	ref := worker.Ref{Task: s.Task, Attempt: s.Attempt}
+	a := w.tasks[ref]
+	if a == nil {
+		w.fence[s.Task] = max(w.fence[s.Task], s.Attempt)
+		w.tasks[ref] = &attempt{TaskReport: worker.TaskReport{Task: s.Task, Attempt: s.Attempt, Outcome: lease.OutcomeRejected, Reason: "stopped before its start"}}
+		return
+	}
+	if !a.Running {
+		return
+	}
+	w.end(a, now, lease.OutcomeStopped, "stopped")
+	if s.Checkpoint {
+		a.Checkpoint = strconv.FormatInt(a.from+now-a.start, 10)
+	}
+}
+
+// Server serves a worker over HTTP.
+type Server struct {
+	mu      sync.Mutex
+	Worker  *Worker
+	started time.Time
+}
+
+// NewServer returns a server around a worker.
+func NewServer(w *Worker) *Server { return &Server{Worker: w, started: time.Now()} }
+
+// Do calls f while nothing else uses the worker.
+func (s *Server) Do(f func(w *Worker, now int64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.Worker, time.Since(s.started).Milliseconds())
+}
+
+// Serve answers the worker's interface.
+func (s *Server) Serve(ctx *fasthttp.RequestCtx) {
+	s.Do(func(w *Worker, now int64) {
+		switch string(ctx.Path()) {
+		case worker.PathReport:
+			writeJSON(ctx, w.Report(now))
+		case worker.PathSync:
+			var m worker.Sync
+			if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
+				ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+				return
+			}
+			writeJSON(ctx, w.Sync(m, now))
+		case "/worker/intervals":
+			w.advance(now)
+			writeJSON(ctx, w.Intervals)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
--- /dev/null
+++ b/transport/client.go
@@ -0,0 +1,114 @@
+package transport
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+const (
+	dialTimeout  = time.Second
+	idleTimeout  = 30 * time.Second
+	maxConns     = 256
+	maxBodyBytes = 64 << 20
+)
+
+// Client calls other processes. It dials from a fixed local address, so that a
+// process is known, and can be cut off, by its address.
+type Client struct {
+	tls   *tls.Config
+	local net.IP
+	mu    sync.Mutex
+	hosts map[string]*fasthttp.HostClient
+}
+
+// NewClient returns a client that dials from the given IP number.
+func NewClient(tlsConfig *tls.Config, from string) *Client {
+	return &Client{tls: tlsConfig, local: net.ParseIP(from), hosts: make(map[string]*fasthttp.HostClient)}
+}
+
+// Dialer returns a dial function bound to the local address.
+func (c *Client) Dialer() fasthttp.DialFunc {
+	return func(addr string) (net.Conn, error) {
+		d := net.Dialer{Timeout: dialTimeout}
+		if c.local != nil {
+			d.LocalAddr = &net.TCPAddr{IP: c.local}
+		}
+		return d.Dial("tcp", addr)
+	}
+}
+
+// Host returns the connection pool for one address. A call is sent once: what
+// may be repeated is decided by the caller, who knows what it asked for.
+func (c *Client) Host(addr string) *fasthttp.HostClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[addr]
+	if h == nil {
+		h = &fasthttp.HostClient{
+			Addr: addr, Dial: c.Dialer(), IsTLS: c.tls != nil, TLSConfig: c.tls,
+			MaxConns: maxConns, MaxIdleConnDuration: idleTimeout, MaxIdemponentCallAttempts: 1,
+			RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			MaxResponseBodySize: maxBodyBytes, NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
+		}
+		c.hosts[addr] = h
+	}
+	return h
+}
+
+// Address makes a request go to addr over this client's kind of link.
+func (c *Client) Address(q *fasthttp.Request, addr string) {
+	q.UseHostHeader = len(q.Header.Host()) > 0
+	q.URI().SetHost(addr)
+	q.URI().SetScheme("http")
+	if c.tls != nil {
+		q.URI().SetScheme("https")
+	}
+}
+
+// Call sends a message and reads its answer. The error is a *refusal.Error:
+// either the other side's, or Unreachable.
+func (c *Client) Call(addr, path string, timeout time.Duration, req, resp any) error {
+	body, err := Encode(req)
+	if err != nil {
+		return err
+	}
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(p)
+	q.Header.SetMethod(fasthttp.MethodPost)
+	q.SetRequestURI(path)
+	c.Address(q, addr)
+	q.SetBodyRaw(body)
+	if err := c.Host(addr).DoTimeout(q, p, timeout); err != nil {
+		return unreachable(addr, err)
+	}
+	return readAnswer(p, resp)
+}
+
+func readAnswer(p *fasthttp.Response, resp any) error {
+	if p.StatusCode() == fasthttp.StatusOK {
+		if resp == nil {
+			return nil
+		}
+		return Decode(p.Body(), resp)
+	}
+	var e refusal.Error
+	if err := Decode(p.Body(), &e); err != nil {
+		return refusal.New(refusal.Unreachable, "check that the address belongs to this system", "answered with status %d", p.StatusCode())
+	}
+	return &e
+}
+
+func unreachable(addr string, err error) error {
+	var cert *tls.CertificateVerificationError
+	if errors.As(err, &cert) {
+		return refusal.New(refusal.Forbidden, "make its key with this system's authority", "%s has no valid key: %v", addr, err)
+	}
+	return refusal.New(refusal.Unreachable, "check that the process runs and the network reaches it", "%s cannot be reached: %v", addr, err)
+}
