--- a/control/leader.go
+++ b/control/leader.go
@@ -13,22 +13,15 @@
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
 
-// clockMargin widens a lease at the leader against a worker whose clock runs
-// slower: one twentieth of the term is fifty times what clocks are off.
-const clockMargin = 20
-
 const watchEvery = 200 * time.Millisecond
 
 // session is what the leader remembers of one agent. It is lost with the
 // leadership; a new leader waits a full term before it takes anybody for gone.
 type session struct {
-	boot    string
-	expires time.Time
-	closing bool // a Down move is proposed; no lease may be granted meanwhile
-	usage   Usage
-	slow    float64 // service latency against running alone, 0 when not known
-	late    int     // measurements in a row above the preset's bound
-	health  health
+	usage  Usage
+	slow   float64 // service latency against running alone, 0 when not known
+	late   int     // measurements in a row above the preset's bound
+	health health
 
 	countedSeq uint64 // of the measurement that late has counted
 }
@@ -40,7 +33,7 @@
 
 	mu       sync.Mutex
 	term     uint64
-	since    time.Time
+	keeper   *lease.Keeper
 	sessions map[string]*session
 	model    *interference.Model
 	baseline *interference.Baseline
@@ -54,7 +47,7 @@
 }
 
 func (l *leader) reset(term uint64) {
-	l.term, l.since = term, time.Now()
+	l.term, l.keeper = term, lease.NewKeeper(l.r.set.Control.Lease.Duration, time.Now())
 	l.sessions = make(map[string]*session)
 	if l.model == nil {
 		l.model, l.baseline = interference.NewModel(), interference.NewBaseline()
@@ -106,11 +99,6 @@
 	}
 }
 
-func (l *leader) fullTerm() time.Duration {
-	term := l.r.set.Control.Lease.Duration
-	return term + term/clockMargin
-}
-
 // watch takes members whose lease has certainly ended for down, replaces
 // learners and adjusts the quarantine.
 func (l *leader) watch(ctx context.Context) {
@@ -137,24 +125,9 @@
 }
 
 func (l *leader) expired(m *membership.Member) (membership.Move, bool) {
-	if m.Phase == membership.Down {
+	if m.Phase == membership.Down || !l.keeper.Close(m.Agent, time.Now()) {
 		return membership.Move{}, false
 	}
-	end := l.since.Add(l.fullTerm())
-	s := l.sessions[m.Agent]
-	if s != nil && s.expires.After(end) {
-		end = s.expires
-	}
-	if time.Now().Before(end) {
-		return membership.Move{}, false
-	}
-	if s == nil {
-		s = &session{}
-		l.sessions[m.Agent] = s
-	}
-	// From here to the commit no renewal may be granted: the agent would
-	// believe in a lease that the log has just ended.
-	s.closing = true
 	logrus.WithFields(logrus.Fields{"agent": m.Agent, "data_centre": m.DataCentre}).Warn("control: The lease ended; the member is down.")
 	return membership.Move{Agent: m.Agent, Boot: m.Boot, Phase: membership.Down, Reason: "its lease ended without a renewal"}, true
 }
@@ -163,9 +136,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, mv := range moves {
-		if s := l.sessions[mv.Agent]; s != nil {
-			s.closing = false
-		}
+		l.keeper.Reopen(mv.Agent)
 	}
 }
 
@@ -173,18 +144,16 @@
 func (l *leader) grant(req *Renew) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.keeper.Grant(req.Member.Agent, time.Now()) {
+		e := refusal.New(refusal.Unreachable, "renew again in a moment", "the lease of %s is just being ended", req.Member.Agent)
+		e.RetryAfter = watchEvery
+		return e
+	}
 	s := l.sessions[req.Member.Agent]
 	if s == nil {
 		s = &session{}
 		l.sessions[req.Member.Agent] = s
 	}
-	if s.closing {
-		e := refusal.New(refusal.Unreachable, "renew again in a moment", "the lease of %s is just being ended", req.Member.Agent)
-		e.RetryAfter = watchEvery
-		return e
-	}
-	s.boot = req.Member.Boot
-	s.expires = time.Now().Add(l.fullTerm())
 	l.observe(s, req)
 	return nil
 }
--- /dev/null
+++ b/proof/tasks_test.go
@@ -0,0 +1,423 @@
+// Package proof joins the pure cores of several parts and checks what must
+// always hold for the whole, against the record that a stand-in worker keeps.
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/waxwinghaven/waxwinghaven/agent"
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/standin"
+	"github.com/waxwinghaven/waxwinghaven/worker"
+)
+
+var runs = flag.Int("runs", 150, "operation sequences in each stateful fuzz")
+
+const (
+	term     = 2000 * time.Millisecond
+	stepMS   = 100
+	workMS   = 3000
+	hosts    = 3
+	taskRoom = 1000 // milli CPU
+)
+
+// host is one instance: an agent's ledger and its worker.
+type host struct {
+	name    string
+	ledger  *agent.Ledger
+	worker  *standin.Worker
+	old     []*standin.Worker // earlier boots, for their records
+	bootAt  int64
+	frozen  bool
+	cut     bool
+	delayed []func() // messages to the worker that the network still holds
+}
+
+// system is the committed state, a leader's lease book, and the hosts.
+type system struct {
+	now     int64 // milliseconds
+	index   uint64
+	state   *control.State
+	keeper  *lease.Keeper
+	hosts   []*host
+	closing []membership.Move // ends of leases decided, not yet committed
+	rng     *rand.Rand
+	errors  []string
+	next    int
+	lost    map[worker.Ref]bool // attempts that were committed as lost
+}
+
+func newSystem(seed int64) *system {
+	s := &system{now: 1_000_000, state: control.NewState(), rng: rand.New(rand.NewSource(seed)), lost: make(map[worker.Ref]bool)}
+	s.keeper = lease.NewKeeper(term, s.time())
+	s.commit(control.Command{Change: &market.Change{ID: "t", Verb: market.PutTeam, Team: &market.Team{Name: "team"}}})
+	s.commit(control.Command{Change: &market.Change{ID: "m", Verb: market.PutMarket, Market: "vault"}})
+	s.commit(control.Command{Change: &market.Change{ID: "j", Base: 2, Verb: market.PutJob, Market: "vault", Job: &market.Job{
+		Name: "render", Team: "team", Class: market.ClassBatch, MilliCPU: taskRoom, MemoryMB: 1, RunTimeMS: workMS}}})
+	for i := range hosts {
+		h := &host{name: fmt.Sprintf("a%d", i), ledger: agent.NewLedger()}
+		h.boot(s.now)
+		s.hosts = append(s.hosts, h)
+	}
+	return s
+}
+
+func (s *system) time() time.Time { return time.UnixMilli(s.now) }
+
+func (h *host) boot(now int64) {
+	if h.worker != nil {
+		h.worker.Die(h.clock(now))
+		h.old = append(h.old, h.worker)
+	}
+	h.worker, h.bootAt = standin.NewWorker(resource.Vector{MilliCPU: 2 * taskRoom, MemoryMB: 100}), now
+	h.worker.Boot = fmt.Sprintf("%s-%d", h.name, now)
+}
+
+func (h *host) clock(now int64) int64 { return now - h.bootAt }
+
+func (s *system) commit(c control.Command) any {
+	s.index++
+	c.Now = s.now
+	s.noteLost(c)
+	v, err := s.state.Apply(s.index, c)
+	if err != nil {
+		s.errors = append(s.errors, err.Error())
+	}
+	return v
+}
+
+// noteLost remembers the attempts that a command gives up with their worker.
+func (s *system) noteLost(c control.Command) {
+	boots := make(map[string]string)
+	for _, mv := range c.Moves {
+		boots[mv.Agent] = mv.Boot
+	}
+	if c.Announce != nil {
+		if old := s.state.Members.Members[c.Announce.Agent]; old != nil && old.Boot != c.Announce.Boot {
+			boots[old.Agent] = old.Boot
+		}
+	}
+	for name, boot := range boots {
+		for id, t := range s.state.Tasks.On(name) {
+			if t.Boot == boot {
+				s.lost[worker.Ref{Task: id, Attempt: t.Attempt}] = true
+			}
+		}
+	}
+}
+
+// renew is one round of an agent, split where the real one can be delayed: the
+// worker's clock is read first, and the worker is told later.
+func (s *system) renew(h *host, delay bool) {
+	if h.frozen || h.cut {
+		return
+	}
+	h.ledger.Observe(h.worker.Report(h.clock(s.now)))
+	until := h.clock(s.now) + term.Milliseconds()
+	m := membership.Member{Agent: h.name, Address: "127.0.0.1:1", Boot: h.ledger.Boot(), Capacity: h.ledger.Capacity()}
+	known := s.state.Members.Members[h.name]
+	if known == nil || !known.Same(m) || known.Phase == membership.Down {
+		s.commit(control.Command{Announce: &m})
+	}
+	if ends := h.ledger.Ends(); len(ends) > 0 {
+		s.commit(control.Command{Ends: &control.Ends{Agent: h.name, List: ends}})
+	}
+	if !s.keeper.Grant(h.name, s.time()) {
+		return
+	}
+	orders := s.state.Tasks.Orders(h.name)
+	if lease.Digest(orders) != h.ledger.Digest() {
+		h.ledger.Replace(m.Boot, orders)
+	}
+	cmd := h.ledger.Commands(until)
+	w := h.worker
+	tell := func() {
+		if h.worker == w { // a message to a worker that is gone is lost
+			w.Sync(cmd, h.clock(s.now))
+		}
+	}
+	if delay {
+		h.delayed = append(h.delayed, tell)
+		return
+	}
+	tell()
+	h.ledger.Observe(h.worker.Report(h.clock(s.now)))
+}
+
+// expire decides which leases have ended; commitExpired commits it, maybe much
+// later and after other commits.
+func (s *system) expire() {
+	for _, h := range s.hosts {
+		m := s.state.Members.Members[h.name]
+		if m != nil && m.Phase != membership.Down && s.keeper.Close(h.name, s.time()) {
+			s.closing = append(s.closing, membership.Move{Agent: h.name, Boot: m.Boot, Phase: membership.Down})
+		}
+	}
+}
+
+func (s *system) commitExpired() {
+	if len(s.closing) == 0 {
+		return
+	}
+	s.commit(control.Command{Moves: s.closing})
+	for _, mv := range s.closing {
+		s.keeper.Reopen(mv.Agent)
+	}
+	s.closing = nil
+}
+
+// place plans as a scheduler would, from a snapshot that may be old by now.
+func (s *system) place() {
+	var p lease.Plan
+	for i, t := range s.state.Tasks.WaitingHeads(10) {
+		h := s.hosts[(i+s.rng.Intn(hosts))%hosts]
+		if m := s.state.Members.Members[h.name]; m != nil {
+			p.Placements = append(p.Placements, lease.Placement{Task: t.ID, Agent: h.name, Boot: m.Boot, Attempt: t.Attempt + 1})
+		}
+	}
+	s.commit(control.Command{Plan: &p})
+	if s.rng.Intn(3) == 0 {
+		s.commit(control.Command{Plan: &p}) // the same plan again, from another leader
+	}
+}
+
+func (s *system) evict(n int) {
+	h := s.hosts[n%hosts]
+	for _, o := range s.state.Tasks.Orders(h.name) {
+		s.commit(control.Command{Plan: &lease.Plan{Evictions: []lease.Eviction{{Task: o.Task, Attempt: o.Attempt}}}})
+		return
+	}
+}
+
+type op struct{ Kind, A int }
+
+const (
+	opStep = iota
+	opRenew
+	opRenewDelayed
+	opDeliverDelayed
+	opSubmit
+	opPlace
+	opEvict
+	opCancel
+	opFreeze
+	opCut
+	opBoot
+	opAgentRestart
+	opNewLeader
+	opExpire
+	opCommitExpired
+	opSnapshot
+	opKinds
+)
+
+var weights = [opKinds]int{opStep: 30, opRenew: 25, opRenewDelayed: 5, opDeliverDelayed: 4, opSubmit: 4, opPlace: 10, opEvict: 4, opCancel: 1,
+	opFreeze: 2, opCut: 2, opBoot: 1, opAgentRestart: 2, opNewLeader: 1, opExpire: 8, opCommitExpired: 6, opSnapshot: 1}
+
+func genOp() gopter.Gen {
+	var kinds []any
+	for k, n := range weights {
+		for range n {
+			kinds = append(kinds, k)
+		}
+	}
+	return gen.Struct(reflect.TypeOf(op{}), map[string]gopter.Gen{"Kind": gen.OneConstOf(kinds...), "A": gen.IntRange(0, 29)})
+}
+
+func (s *system) do(o op) {
+	h := s.hosts[o.A%hosts]
+	switch o.Kind {
+	case opStep:
+		s.now += stepMS * int64(1+o.A%4)
+	case opRenew:
+		s.renew(h, false)
+	case opRenewDelayed:
+		s.renew(h, true)
+	case opDeliverDelayed:
+		s.deliverDelayed(h)
+	case opSubmit:
+		s.next++
+		s.commit(control.Command{Submit: &lease.Submit{ID: fmt.Sprint("s", s.next), Market: "vault", Job: "render", Count: 1 + o.A%3, IssuedMS: s.now}})
+	case opPlace:
+		s.place()
+	case opEvict:
+		s.evict(o.A)
+	case opCancel:
+		s.commit(control.Command{Cancel: &lease.Cancel{Market: "vault", Tasks: []string{fmt.Sprintf("s%d/0", 1+o.A)}}})
+	default:
+		s.fail(o, h)
+	}
+}
+
+func (s *system) fail(o op, h *host) {
+	switch o.Kind {
+	case opFreeze:
+		h.frozen = !h.frozen
+	case opCut:
+		h.cut = !h.cut
+	case opBoot:
+		h.boot(s.now)
+	case opAgentRestart:
+		h.ledger = agent.NewLedger()
+	case opNewLeader:
+		s.keeper, s.closing = lease.NewKeeper(term, s.time()), nil
+	case opExpire:
+		s.expire()
+	case opCommitExpired:
+		s.commitExpired()
+	case opSnapshot:
+		s.state.Tasks.Rebuild()
+	}
+}
+
+func (s *system) deliverDelayed(h *host) {
+	if len(h.delayed) == 0 {
+		return
+	}
+	i := s.rng.Intn(len(h.delayed))
+	tell := h.delayed[i]
+	if s.rng.Intn(2) == 0 { // else it is delivered once more later
+		h.delayed = slices.Delete(h.delayed, i, i+1)
+	}
+	tell()
+}
+
+// finish ends all failures and gives the system time to run everything.
+func (s *system) finish() {
+	for _, h := range s.hosts {
+		h.frozen, h.cut = false, false
+	}
+	for range 3000 {
+		s.now += stepMS
+		s.expire()
+		s.commitExpired()
+		s.place()
+		for _, h := range s.hosts {
+			s.renew(h, false)
+		}
+		if s.allOver() {
+			return
+		}
+	}
+	s.errors = append(s.errors, "not all tasks were over in the end")
+}
+
+func (s *system) allOver() bool {
+	for _, t := range s.state.Tasks.Tasks {
+		if !t.Over() {
+			return false
+		}
+	}
+	return true
+}
+
+// stay is one attempt's time on a worker, on the common clock.
+type stay struct {
+	standin.Interval
+	host string
+}
+
+func (s *system) stays() map[string][]stay {
+	out := make(map[string][]stay)
+	add := func(h *host, w *standin.Worker, bootAt int64) {
+		for _, iv := range w.Intervals {
+			iv.StartMS, iv.EndMS = iv.StartMS+bootAt, iv.EndMS+bootAt
+			out[iv.Task] = append(out[iv.Task], stay{iv, h.name})
+		}
+	}
+	for _, h := range s.hosts {
+		for _, w := range h.old {
+			bootAt, _ := strconv.ParseInt(w.Boot[strings.IndexByte(w.Boot, '-')+1:], 10, 64)
+			add(h, w, bootAt)
+		}
+		add(h, h.worker, h.bootAt)
+	}
+	return out
+}
+
+// check compares the workers' own records with what must always hold.
+func (s *system) check() {
+	stays := s.stays()
+	for id, list := range stays {
+		slices.SortFunc(list, func(a, b stay) int { return int(a.StartMS - b.StartMS) })
+		for i := 1; i < len(list); i++ {
+			if list[i].StartMS < list[i-1].EndMS {
+				s.errors = append(s.errors, fmt.Sprintf("%s ran in two places: %+v and %+v", id, list[i-1], list[i]))
+			}
+			if list[i].Attempt <= list[i-1].Attempt {
+				s.errors = append(s.errors, fmt.Sprintf("%s: attempt %d ran after %d", id, list[i].Attempt, list[i-1].Attempt))
+			}
+		}
+	}
+	for id, t := range s.state.Tasks.Tasks {
+		s.checkTask(id, t, stays[id])
+	}
+	for _, h := range s.hosts {
+		for _, w := range append(h.old, h.worker) {
+			if w.Overfull > 0 {
+				s.errors = append(s.errors, h.name+" was given more than it holds")
+			}
+		}
+	}
+}
+
+// checkTask checks that a done task's work was ended once, by the attempt that
+// was committed as done, and that what is called not run was not run. An attempt
+// that ended on a worker which was lost before it could tell is void: its end
+// was never committed, and the next attempt does the work.
+func (s *system) checkTask(id string, t *lease.Task, list []stay) {
+	ended := 0
+	for _, iv := range list {
+		void := iv.Attempt != t.Attempt && s.lost[worker.Ref{Task: id, Attempt: iv.Attempt}]
+		if iv.To == workMS && !void {
+			ended++
+		}
+	}
+	switch {
+	case t.Phase == lease.Done && ended != 1:
+		s.errors = append(s.errors, fmt.Sprintf("%s is done, but its work ended %d times: %+v", id, ended, list))
+	case t.Ran() == lease.RanNo && len(list) > 0:
+		s.errors = append(s.errors, fmt.Sprintf("%s is said not to have run, but did: %+v", id, list))
+	case t.Ran() == lease.RanYes && len(list) == 0:
+		s.errors = append(s.errors, fmt.Sprintf("%s is said to have run, but did not", id))
+	}
+}
+
+// Agents freeze, restart and are cut off, workers restart, messages to them
+// come late and twice, leaders change between any two steps, plans are applied
+// twice, tasks are evicted and cancelled while they end. The workers' own records
+// show each task in one place at a time, its work ended once, no worker over
+// its capacity, and no run of what is called not run.
+func TestTasksRunInOnePlaceAndEndOnce(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(11)
+	params.MinSuccessfulTests = *runs
+	props := gopter.NewProperties(params)
+	props.Property("tasks", prop.ForAll(func(ops []op) (string, error) {
+		s := newSystem(5)
+		for _, o := range ops {
+			s.do(o)
+		}
+		s.finish()
+		s.check()
+		if len(s.errors) > 0 {
+			return fmt.Sprint(s.errors[0], " after ", ops), nil
+		}
+		return "", nil
+	}, gen.SliceOfN(250, genOp())))
+	props.TestingRun(t)
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// Die ends everything at once, as when the worker is killed.
+func (w *Worker) Die(now int64) {
+	w.advance(now)
+	for _, a := range w.tasks {
+		if a.Running {
+			w.end(a, now, lease.OutcomeLost, "the worker died")
+		}
+	}
+}
+
 func (w *Worker) end(a *attempt, at int64, o lease.Outcome, reason string) {
 	a.Running, a.Outcome, a.Reason = false, o, reason
 	w.Intervals = append(w.Intervals, Interval{a.Task, a.Attempt, a.start, at, a.from, a.from + at - a.start})
