--- a/proof/tasks_test.go
+++ b/proof/tasks_test.go
@@ -60,6 +60,7 @@
 	errors  []string
 	next    int
 	lost    map[worker.Ref]bool // attempts that were committed as lost
+	sent    []control.Command   // reports and plans that may arrive once more
 }
 
 func newSystem(seed int64) *system {
@@ -94,6 +95,9 @@
 	s.index++
 	c.Now = s.now
 	s.noteLost(c)
+	if c.Ends != nil || c.Plan != nil {
+		s.sent = append(s.sent, c)
+	}
 	v, err := s.state.Apply(s.index, c)
 	if err != nil {
 		s.errors = append(s.errors, err.Error())
@@ -223,11 +227,12 @@
 	opExpire
 	opCommitExpired
 	opSnapshot
+	opRepeat
 	opKinds
 )
 
 var weights = [opKinds]int{opStep: 30, opRenew: 25, opRenewDelayed: 5, opDeliverDelayed: 4, opSubmit: 4, opPlace: 10, opEvict: 4, opCancel: 1,
-	opFreeze: 2, opCut: 2, opBoot: 1, opAgentRestart: 2, opNewLeader: 1, opExpire: 8, opCommitExpired: 6, opSnapshot: 1}
+	opFreeze: 2, opCut: 2, opBoot: 1, opAgentRestart: 2, opNewLeader: 1, opExpire: 8, opCommitExpired: 6, opSnapshot: 1, opRepeat: 8}
 
 func genOp() gopter.Gen {
 	var kinds []any
@@ -282,6 +287,8 @@
 		s.commitExpired()
 	case opSnapshot:
 		s.state.Tasks.Rebuild()
+	case opRepeat:
+		s.repeat()
 	}
 }
 
@@ -297,6 +304,14 @@
 	tell()
 }
 
+// repeat commits a report or plan once more, as after a lost answer.
+func (s *system) repeat() {
+	if len(s.sent) > 0 {
+		c := s.sent[len(s.sent)-1-s.rng.Intn(min(len(s.sent), 12))]
+		s.commit(control.Command{Ends: c.Ends, Plan: c.Plan})
+	}
+}
+
 // finish ends all failures and gives the system time to run everything.
 func (s *system) finish() {
 	for _, h := range s.hosts {
--- /dev/null
+++ b/quorum/traps_test.go
@@ -0,0 +1,253 @@
+package quorum
+
+import (
+	"math/rand"
+	"testing"
+)
+
+// settled returns a group of n voters with its leader.
+func settled(t *testing.T, n int) (*network, *fakeReplica) {
+	t.Helper()
+	w := newNetwork(n, 3)
+	w.settle(200)
+	l := w.leader()
+	if l == nil || len(l.core.Status().Config.Voters) != n {
+		t.Fatalf("no settled group: %s", w.log.String())
+	}
+	return w, l
+}
+
+func (w *network) others(r *fakeReplica) []*fakeReplica {
+	var out []*fakeReplica
+	for _, o := range w.replicas {
+		if o != r {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (w *network) isolate(r *fakeReplica) {
+	for _, o := range w.others(r) {
+		w.cut[[2]uint64{r.disk.id, o.disk.id}] = true
+		w.cut[[2]uint64{o.disk.id, r.disk.id}] = true
+	}
+}
+
+func (w *network) fatalOnError(t *testing.T) {
+	t.Helper()
+	if len(w.errors) > 0 {
+		t.Fatal(w.errors[0])
+	}
+}
+
+// A leader is cut off silently; the others elect a new one and accept a change.
+// A caller who reads at the old leader must not be told the old state as
+// current: the read needs a majority's echo, which never comes, and the leader
+// steps down within one election timeout.
+func TestCutOffLeaderConfirmsNothing(t *testing.T) {
+	w, old := settled(t, 3)
+	w.inFlight = nil
+	w.isolate(old)
+	old.core.Read(77)
+	old.reads[77] = 0
+	rd := old.core.Ready()
+	if len(rd.Reads) != 0 {
+		t.Fatal("a read was confirmed by the leader alone")
+	}
+	index, _, _ := old.core.Propose([]byte("lost"))
+	for range 3 * ElectionTicks {
+		old.core.Tick()
+	}
+	if st := old.core.Status(); st.Role == Leader || st.InContact || st.Commit >= index {
+		t.Fatalf("the cut off leader still leads: %+v", st)
+	}
+}
+
+// An entry of an older term reaches a majority only under a later leader. If it
+// were committed by counting, a third replica with a newer log could still win
+// and replace it: the caller's change would be acknowledged and then gone.
+func TestOlderTermIsNotCommittedByCounting(t *testing.T) {
+	voters := Config{Voters: []Replica{{ID: 1}, {ID: 2}, {ID: 3}}}
+	entries := []Entry{{Index: 1, Term: 1, Kind: EntryConfig, Data: encodeConfig(voters)}, {Index: 2, Term: 2, Kind: EntryCommand, Data: []byte("old")}}
+	c := NewCore(1, HardState{Term: 3, Vote: 1, Commit: 1}, Snapshot{}, entries, rand.New(rand.NewSource(1)))
+	c.role, c.term, c.vote = Candidate, 4, 1
+	c.votes = map[uint64]bool{1: true, 2: true}
+	c.becomeLeader()
+	c.Ready()
+	c.Step(Message{Kind: MsgAppendResp, From: 2, To: 1, Term: 4, Index: 2})
+	if c.log.committed != 1 {
+		t.Fatalf("committed %d by counting an older term", c.log.committed)
+	}
+	c.Persisted(3, 4)
+	c.Step(Message{Kind: MsgAppendResp, From: 2, To: 1, Term: 4, Index: 3})
+	if c.log.committed != 3 {
+		t.Fatalf("committed %d, want 3 with an entry of this term", c.log.committed)
+	}
+}
+
+// The leader sends its entries before its own disk is synced. One follower's
+// answer plus the leader's unsynced copy must not count as a majority: a crash
+// of the leader would leave the change on one disk of three. The same holds for
+// an index that was synced once, but with an entry that has been replaced.
+func TestUnsyncedCopyDoesNotCount(t *testing.T) {
+	w, l := settled(t, 3)
+	index, term, _ := l.core.Propose([]byte("x"))
+	l.core.Ready()
+	follower := w.others(l)[0].disk.id
+	l.core.Step(Message{Kind: MsgAppendResp, From: follower, To: l.disk.id, Term: term, Index: index})
+	if l.core.log.committed >= index {
+		t.Fatal("committed on one disk")
+	}
+	l.core.Persisted(index, term)
+	if l.core.log.committed < index {
+		t.Fatal("not committed on two disks")
+	}
+	f := w.others(l)[1].core
+	f.persisted = f.log.last()
+	last := f.log.last()
+	f.Step(Message{Kind: MsgAppend, From: l.disk.id, To: f.id, Term: term + 1, Index: last, LogTerm: f.log.lastTerm(), Entries: []Entry{{Index: last + 1, Term: term + 1}}})
+	f.Ready()
+	f.Persisted(last+1, term+1)
+	f.Step(Message{Kind: MsgAppend, From: 99, To: f.id, Term: term + 2, Index: last, LogTerm: term, Entries: []Entry{{Index: last + 1, Term: term + 2}}})
+	if f.persisted > last {
+		t.Fatal("a replaced entry still counts as synced")
+	}
+}
+
+// A lone voter wins its election without anybody's vote. What it sends before
+// its new term is synced could be forgotten in a crash, and the same term led
+// again with other entries under the same numbers: learners would differ.
+func TestNothingLeavesBeforeTheTermIsSynced(t *testing.T) {
+	cfg := Config{Voters: []Replica{{ID: 1}}, Learners: []Replica{{ID: 2}}}
+	entries := []Entry{{Index: 1, Term: 1, Kind: EntryConfig, Data: encodeConfig(cfg)}}
+	c := NewCore(1, HardState{Term: 1, Vote: 1, Commit: 1}, Snapshot{}, entries, rand.New(rand.NewSource(1)))
+	c.campaign(false)
+	rd := c.Ready()
+	if c.role != Leader || len(rd.Early) > 0 || len(rd.Messages) == 0 || rd.HardState == nil {
+		t.Fatalf("early messages in an unsynced term: %+v", rd)
+	}
+}
+
+// Changing two voters at once, or a second time before the first change is
+// committed, can make two majorities that do not overlap: two leaders in one
+// term. An operator's repair in the middle of another waits.
+func TestReplicaSetChangesOneStepAtATime(t *testing.T) {
+	_, l := settled(t, 3)
+	cfg := l.core.Status().Config
+	two := cfg.WithVoter(Replica{ID: 50, Name: "x"}).WithVoter(Replica{ID: 51, Name: "y"})
+	if err := l.core.ProposeConfig(two); err != ErrConfig {
+		t.Fatalf("two voters at once: %v", err)
+	}
+	if err := l.core.ProposeConfig(cfg.WithVoter(Replica{ID: 50, Name: "x"})); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.core.ProposeConfig(cfg); err != ErrBusy {
+		t.Fatalf("a second change before the first was committed: %v", err)
+	}
+	fresh := NewCore(1, HardState{Term: 1, Vote: 1, Commit: 1}, Snapshot{}, []Entry{{Index: 1, Term: 1, Kind: EntryConfig,
+		Data: encodeConfig(Config{Voters: []Replica{{ID: 1}, {ID: 2}}})}}, rand.New(rand.NewSource(1)))
+	fresh.role, fresh.term = Candidate, 2
+	fresh.becomeLeader()
+	if err := fresh.ProposeConfig(Config{Voters: []Replica{{ID: 1}}}); err != ErrBusy {
+		t.Fatalf("a change before an entry of this term is committed: %v", err)
+	}
+}
+
+// A replica loses its disk and comes back empty. It becomes a learner under a
+// new identity, and a voter only once it answers and has caught up; then a
+// second replica loses its disk right after the repair. Nothing that was
+// acknowledged is lost, and no vote is counted twice.
+func TestSecondDiskLostRightAfterRepair(t *testing.T) {
+	w, l := settled(t, 3)
+	for range 200 {
+		w.propose(l)
+		w.settle(1)
+	}
+	for round := range 4 {
+		victim := w.others(w.leader())[round%2]
+		before := victim.disk.id
+		w.stop(victim)
+		w.wipe(victim)
+		w.start(victim)
+		if victim.disk.id == before {
+			t.Fatal("a lost disk kept its identity")
+		}
+		w.joinAll()
+		if w.leader().core.Status().Config.IsVoter(victim.disk.id) {
+			t.Fatal("an empty replica was made a voter")
+		}
+		w.settle(60)
+		if !w.leader().core.Status().Config.IsVoter(victim.disk.id) || w.leader().core.Status().Config.IsVoter(before) {
+			t.Fatalf("round %d: not repaired: %+v", round, w.leader().core.Status().Config)
+		}
+	}
+	w.checkAll()
+	w.fatalOnError(t)
+}
+
+// A learner that never answered has nothing on its disk that the leader knows
+// of. As a voter it would take the majority away; the caller would see "no
+// quorum" until it comes.
+func TestSilentLearnerIsNotPromoted(t *testing.T) {
+	st := Status{Last: 10, Match: map[uint64]uint64{1: 10}, Config: Config{Voters: []Replica{{ID: 1}}, Learners: []Replica{{ID: 2}}}}
+	if caughtUp(st, Replica{ID: 2}) {
+		t.Fatal("a learner that never answered counts as caught up")
+	}
+	st.Match[2], st.Last = 10, 1000
+	if caughtUp(st, Replica{ID: 2}) {
+		t.Fatal("a learner far behind counts as caught up")
+	}
+}
+
+// A replica is away while hundreds of changes go by and the log is compacted. It
+// is brought up by a snapshot in chunks, though some of them are lost.
+func TestFarBehindReplicaIsBroughtUpBySnapshot(t *testing.T) {
+	w, l := settled(t, 3)
+	behind := w.others(l)[0]
+	w.stop(behind)
+	for range 3000 {
+		w.propose(l)
+		if len(w.inFlight) > 50 {
+			w.settle(1)
+		}
+	}
+	w.settle(5)
+	w.compact(w.leader())
+	w.start(behind)
+	for i := range 40 {
+		w.settle(2)
+		if i%3 == 0 {
+			w.inFlight = nil
+		}
+	}
+	w.settle(40)
+	if len(behind.applied) != 3000 || behind.core.log.base == 0 {
+		t.Fatalf("applied %d of 3000, base %d", len(behind.applied), behind.core.log.base)
+	}
+	w.checkAll()
+	w.fatalOnError(t)
+}
+
+// The leadership is handed over when an instance is shut down: the next leader
+// is there after one round of messages, not after an election timeout.
+func TestHandOverTakesNoElectionTimeout(t *testing.T) {
+	w, l := settled(t, 3)
+	to := w.others(l)[1]
+	if err := l.core.Transfer(to.disk.id); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := l.core.Propose(nil); err != ErrBusy {
+		t.Fatalf("a proposal during the hand-over: %v", err)
+	}
+	w.process(l)
+	for range 40 {
+		if len(w.inFlight) > 0 {
+			w.deliver(0)
+		}
+	}
+	if to.core.role != Leader {
+		t.Fatalf("%s does not lead", to.name)
+	}
+	w.fatalOnError(t)
+}
