Prove replicas, disks, changes, keys, slots and routing under failure

Three replicas in one process with real sockets and disks: an isolated leader, resends through another replica and after restart, lost disks one right after the other, 500 changes missed. Links are cut silently by a hook in the transport.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,88 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+func claimIt(t *testing.T, s *State, key string, body uint64, token string, now int64) (Result, error) {
+	t.Helper()
+	return s.ApplyClaim(Claim{Key: MakeKey("m", "s", key), Body: body, Token: token}, now)
+}
+
+// A caller loses its answer and sends the request again through another entry.
+// Only the first claim may run; the second waits, then gets the first's answer.
+func TestKeyRunsOnceAndReplays(t *testing.T) {
+	s := NewState()
+	if r, err := claimIt(t, s, "k", 1, "e1", 0); err != nil || !r.Granted {
+		t.Fatalf("first: %+v %v", r, err)
+	}
+	if r, _ := claimIt(t, s, "k", 1, "e1", 1); !r.Granted {
+		t.Fatal("the same entry, resending its claim, was not granted again")
+	}
+	if r, _ := claimIt(t, s, "k", 1, "e2", 2); r.Granted || r.Phase != Running {
+		t.Fatalf("another entry while the first runs: %+v", r)
+	}
+	if _, err := claimIt(t, s, "k", 2, "e2", 2); !refusal.Is(err, refusal.KeyMismatch) {
+		t.Fatalf("another body under the same key: %v", err)
+	}
+	if s.ApplySettle(Settle{Key: MakeKey("m", "s", "k"), Token: "e2", Release: true}) {
+		t.Fatal("a stranger released the claim")
+	}
+	s.ApplySettle(Settle{Key: MakeKey("m", "s", "k"), Token: "e1", Answer: &Answer{Status: 201, Body: []byte("slot 7")}})
+	if r, _ := claimIt(t, s, "k", 1, "e2", 3); r.Granted || r.Answer == nil || string(r.Answer.Body) != "slot 7" {
+		t.Fatalf("replay: %+v", r)
+	}
+}
+
+// The outcome was not known, or certainly not run: the first must never run
+// again, the second may.
+func TestUnknownStaysUnknownAndNotRunIsFreed(t *testing.T) {
+	s := NewState()
+	claimIt(t, s, "lost", 1, "e1", 0)
+	s.ApplySettle(Settle{Key: MakeKey("m", "s", "lost"), Token: "e1"})
+	if r, _ := claimIt(t, s, "lost", 1, "e2", 1); r.Granted || r.Phase != Lost {
+		t.Fatalf("a lost outcome: %+v", r)
+	}
+	claimIt(t, s, "free", 1, "e1", 0)
+	s.ApplySettle(Settle{Key: MakeKey("m", "s", "free"), Token: "e1", Release: true})
+	if r, _ := claimIt(t, s, "free", 1, "e2", 1); !r.Granted {
+		t.Fatalf("a released key: %+v", r)
+	}
+}
+
+// Answers are kept for an hour and keys for a day. In between the caller is told
+// that the request was run, and never runs it again.
+func TestOldKeyIsRefusedNotRunAgain(t *testing.T) {
+	s := NewState()
+	claimIt(t, s, "k", 1, "e1", 0)
+	s.ApplySettle(Settle{Key: MakeKey("m", "s", "k"), Token: "e1", Answer: &Answer{Body: []byte("x")}})
+	if _, err := claimIt(t, s, "k", 1, "e2", AnswerMS+1); !refusal.Is(err, refusal.KeyExpired) || s.Bytes != 0 {
+		t.Fatalf("after an hour: %v, %d bytes kept", err, s.Bytes)
+	}
+	if r, _ := claimIt(t, s, "k", 1, "e2", TombstoneMS+1); !r.Granted {
+		t.Fatal("after a day the key is new")
+	}
+}
+
+// The store is bounded. When it is full new keys are refused: dropping a young
+// record would let its request run twice.
+func TestFullStoreRefusesNewKeys(t *testing.T) {
+	s := NewState()
+	for i := range MaxRecords {
+		claimIt(t, s, fmt.Sprint(i), 1, "e", 0)
+	}
+	if _, err := claimIt(t, s, "more", 1, "e", 1); !refusal.Is(err, refusal.KeyStoreFull) {
+		t.Fatalf("one more: %v", err)
+	}
+	if r, _ := claimIt(t, s, "7", 1, "other", 1); r.Granted {
+		t.Fatal("an old key ran again in a full store")
+	}
+	big := make([]byte, MaxAnswerBytes+1)
+	s.ApplySettle(Settle{Key: MakeKey("m", "s", "1"), Token: "e", Answer: &Answer{Body: big}})
+	if _, err := claimIt(t, s, "1", 1, "other", 2); !refusal.Is(err, refusal.KeyExpired) {
+		t.Fatalf("an answer too large to keep: %v", err)
+	}
+}
--- /dev/null
+++ b/control/replica_test.go
@@ -0,0 +1,285 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/quorum"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/settings"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+)
+
+// cluster is three replicas in this process, each on a loopback address of its
+// own, with real sockets and disks.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	net      int
+	replicas [3]*Replica
+	cancel   [3]context.CancelFunc
+	done     [3]chan error
+	mu       sync.Mutex
+	cut      map[string]bool // isolated IP numbers
+}
+
+var nextNet = os.Getpid() % 150
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	logrus.SetOutput(io.Discard)
+	nextNet++
+	c := &cluster{t: t, dir: t.TempDir(), net: nextNet, cut: make(map[string]bool)}
+	transport.SetFault(c.isCut)
+	for i := range c.replicas {
+		c.start(i)
+	}
+	t.Cleanup(func() {
+		transport.SetFault(nil)
+		for i := range c.replicas {
+			c.stop(i)
+		}
+	})
+	if err := c.replicas[0].node.Bootstrap(context.Background(), c.replicas[0].self); err != nil {
+		t.Fatal(err)
+	}
+	c.wait("three voters", func() bool { return c.voters() == 3 })
+	return c
+}
+
+func (c *cluster) ip(i int) string { return fmt.Sprintf("127.7.%d.%d", c.net, i+1) }
+
+// isCut isolates replicas from each other, not from the test.
+func (c *cluster) isCut(from, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return from != to && (c.cut[from] || c.cut[to])
+}
+
+func (c *cluster) isolate(i int, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[c.ip(i)] = on
+}
+
+func (c *cluster) start(i int) {
+	c.t.Helper()
+	text := fmt.Sprintf("[instance]\nname=\"r%d\"\ndata_centre=\"dc\"\nip=%q\n[peers]\ncontrol=[\"%s:7101\",\"%s:7101\",\"%s:7101\"]\n[control]\nport=7101\noperator_port=7102\ndata_folder=%q\ntick=\"20ms\"\nlease=\"1s\"\nsnapshot_entries=100\n",
+		i, c.ip(i), c.ip(0), c.ip(1), c.ip(2), filepath.Join(c.dir, fmt.Sprint(i)))
+	set, err := settings.Parse("test", text)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	r, err := New(set)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.replicas[i], c.cancel[i], c.done[i] = r, cancel, make(chan error, 1)
+	go func() { c.done[i] <- r.Run(ctx) }()
+}
+
+func (c *cluster) stop(i int) {
+	if c.cancel[i] == nil {
+		return
+	}
+	c.cancel[i]()
+	<-c.done[i]
+	c.cancel[i] = nil
+}
+
+// wait polls a condition; the bound only ends a hopeless wait.
+func (c *cluster) wait(what string, f func() bool) {
+	c.t.Helper()
+	for range 3000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatalf("never: %s", what)
+}
+
+func (c *cluster) leader() int {
+	for i, r := range c.replicas {
+		if c.cancel[i] != nil && r.node.View().Role == quorum.Leader && !c.isCut(c.ip(i), "") {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *cluster) voters() int {
+	l := c.leader()
+	if l < 0 {
+		return 0
+	}
+	st, err := c.replicas[l].node.Status(context.Background())
+	if err != nil {
+		return 0
+	}
+	return len(st.Config.Voters)
+}
+
+// change sends a change to the leader until it is answered.
+func (c *cluster) change(ch market.Change) (market.Answer, error) {
+	for {
+		if l := c.leader(); l >= 0 {
+			v, err := c.replicas[l].propose(Command{Change: &ch})
+			if err == nil {
+				return v.(market.Answer), nil
+			}
+			if e, ok := refusal.Of(err); ok && e.Code != refusal.NotLeader && e.Code != refusal.UnknownOutcome && e.Code != refusal.NoQuorum {
+				return market.Answer{}, err
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (c *cluster) revision(i int) (rev uint64) {
+	c.replicas[i].machine.Read(func(s *State) { rev = s.Market.Revision })
+	return rev
+}
+
+func (c *cluster) inForceEverywhere(want uint64) {
+	c.t.Helper()
+	c.wait(fmt.Sprint("revision ", want, " everywhere"), func() bool {
+		for i := range c.replicas {
+			if c.cancel[i] == nil || c.revision(i) < want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func team(n int) market.Change {
+	return market.Change{ID: fmt.Sprint("team-", n), Base: uint64(n), Verb: market.PutTeam, Team: &market.Team{Name: fmt.Sprint("t", n)}}
+}
+
+// The leader is cut off silently while operators work. A change is accepted by
+// the others; the cut off one answers no read, no renewal and no news as
+// current, and what it was asked to change meanwhile is never accepted. When the
+// cut heals it takes over what was accepted; nothing goes back.
+func TestIsolatedLeaderServesNothingAsCurrent(t *testing.T) {
+	c := newCluster(t)
+	if _, err := c.change(team(0)); err != nil {
+		t.Fatal(err)
+	}
+	c.inForceEverywhere(1)
+	old := c.leader()
+	c.isolate(old, true)
+	lost := market.Change{ID: "lost", Base: 1, Verb: market.PutTeam, Team: &market.Team{Name: "lost"}}
+	if _, err := c.replicas[old].propose(Command{Change: &lost}); err == nil {
+		t.Fatal("a cut off leader accepted a change")
+	}
+	c.wait("a new leader", func() bool { return c.leader() >= 0 })
+	if a, err := c.change(team(1)); err != nil || a.Revision != 2 {
+		t.Fatalf("the majority's change: %+v %v", a, err)
+	}
+	if err := c.replicas[old].barrier(); err == nil {
+		t.Fatal("the cut off leader confirmed a read")
+	}
+	if _, err := c.replicas[old].onSync(Sync{}); err == nil {
+		t.Fatal("the cut off leader served news as current")
+	}
+	if _, err := c.replicas[old].onRenew(Renew{}); err == nil {
+		t.Fatal("the cut off leader granted a lease")
+	}
+	c.isolate(old, false)
+	c.inForceEverywhere(2)
+	for i := range c.replicas {
+		c.replicas[i].machine.Read(func(s *State) {
+			if _, ok := s.Market.Teams.ByName["lost"]; ok {
+				t.Errorf("replica %d took over a change that was refused", i)
+			}
+		})
+	}
+}
+
+// An operator loses the answer to a change and sends it again: through another
+// replica, after snapshots, and after a restart of all three. It always gets
+// the first answer, and the change takes effect once.
+func TestResentChangeGetsItsFirstAnswer(t *testing.T) {
+	c := newCluster(t)
+	first, err := c.change(team(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 1; i < 250; i++ { // more than two snapshots
+		if _, err := c.change(team(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	resend := func(when string) {
+		t.Helper()
+		a, err := c.change(team(0))
+		if err != nil || a.Revision != first.Revision || !a.Repeated {
+			t.Fatalf("%s: %+v %v, want revision %d", when, a, err, first.Revision)
+		}
+	}
+	resend("after 250 changes")
+	c.replicas[c.leader()].handOver()
+	resend("through another replica")
+	for i := range c.replicas {
+		c.stop(i)
+	}
+	for i := range c.replicas {
+		c.start(i)
+	}
+	resend("after a restart of all")
+	c.inForceEverywhere(250)
+}
+
+// A replica is away while 500 changes go by, and is brought up when it comes
+// back. Then another loses its disk, rejoins under a new identity, and right
+// after the repair a second disk is lost. Every accepted change is still there.
+func TestLostDisksLoseNoChange(t *testing.T) {
+	c := newCluster(t)
+	away := (c.leader() + 1) % 3
+	c.stop(away)
+	for i := range 500 {
+		if _, err := c.change(team(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.start(away)
+	c.inForceEverywhere(500)
+	for round, victim := range []int{(c.leader() + 1) % 3, (c.leader() + 2) % 3} {
+		id := c.replicas[victim].self.ID
+		c.stop(victim)
+		if err := os.RemoveAll(filepath.Join(c.dir, fmt.Sprint(victim))); err != nil {
+			t.Fatal(err)
+		}
+		c.start(victim)
+		if c.replicas[victim].self.ID == id {
+			t.Fatal("a lost disk kept its identity")
+		}
+		c.wait("the repair", func() bool {
+			l := c.leader()
+			if l < 0 {
+				return false
+			}
+			st, err := c.replicas[l].node.Status(context.Background())
+			return err == nil && len(st.Config.Voters) == 3 && st.Config.IsVoter(c.replicas[victim].self.ID)
+		})
+		if a, err := c.change(team(500 + round)); err != nil || a.Revision != uint64(501+round) {
+			t.Fatalf("a change after repair %d: %+v %v", round, a, err)
+		}
+	}
+	c.inForceEverywhere(502)
+	c.replicas[0].machine.Read(func(s *State) {
+		if len(s.Market.Teams.ByName) != 502 {
+			t.Errorf("%d of 502 teams", len(s.Market.Teams.ByName))
+		}
+	})
+}
--- /dev/null
+++ b/routing/table_test.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+)
+
+func member(name, dc string, rev uint64, phase membership.Phase) *membership.Member {
+	return &membership.Member{Agent: name, Address: name, DataCentre: dc, Market: "m", Service: "s", Slots: 8, Phase: phase, Revision: rev}
+}
+
+func table(members ...*membership.Member) (*Table, Route) {
+	t := NewTable("dc1")
+	v := &market.View{Market: market.Market{Name: "m"}, Revision: 1, Services: map[string]*market.Service{"s": {Name: "s", PathPrefix: "/s", TimeoutMS: 1}}}
+	t.Update(1, 1, []*market.View{v}, members)
+	r, _ := t.Find("any", "/s/1")
+	return t, r
+}
+
+var now = time.Unix(1000, 0)
+
+// An entry asks one replica, then another that lags. Neither its configuration
+// nor its members ever go back.
+func TestNewsNeverGoBack(t *testing.T) {
+	tb, r := table(member("a", "dc1", 5, membership.Leaving))
+	tb.Update(9, 9, []*market.View{{Market: market.Market{Name: "m"}, Revision: 9, InForce: "peak"}}, nil)
+	tb.Update(3, 3, []*market.View{{Market: market.Market{Name: "m"}, Revision: 3, InForce: "night"}}, []*membership.Member{member("a", "dc1", 4, membership.Up)})
+	if tb.Revision() != 9 || tb.Index() != 9 || tb.markets["m"].InForce != "peak" {
+		t.Fatalf("went back to %d/%d, %s", tb.Revision(), tb.Index(), tb.markets["m"].InForce)
+	}
+	if _, ok := tb.Pick(r, nil, now, rand.New(rand.NewPCG(1, 1))); ok {
+		t.Fatal("a leaving upstream came back by a stale report")
+	}
+}
+
+// An agent that cannot be reached is avoided at once, one that fails after three
+// times, both tried again later; when all fail, requests are still tried.
+func TestFailingAgentsAreAvoided(t *testing.T) {
+	tb, r := table(member("a", "dc1", 1, membership.Up), member("b", "dc1", 1, membership.Up))
+	rng := rand.New(rand.NewPCG(1, 1))
+	tb.Done(Choice{Agent: "a"}, Report{Free: -1, Unreached: true}, now)
+	for range 20 {
+		c, _ := tb.Pick(r, nil, now, rng)
+		if c.Agent != "b" {
+			t.Fatalf("picked %s", c.Agent)
+		}
+		tb.Done(c, Report{Free: 8}, now)
+	}
+	for range ejectAfter {
+		tb.Done(Choice{Agent: "b"}, Report{Free: 8, Failed: true}, now)
+	}
+	if _, ok := tb.Pick(r, nil, now, rng); !ok {
+		t.Fatal("nothing was tried when all were suspected")
+	}
+	seen := map[string]bool{}
+	for range 40 {
+		c, _ := tb.Pick(r, nil, now.Add(minEject+1), rng)
+		seen[c.Agent] = true
+		tb.Done(c, Report{Free: 8}, now)
+	}
+	if !seen["a"] || !seen["b"] {
+		t.Fatalf("not tried again: %v", seen)
+	}
+}
+
+// Requests stay in the entry's own data centre until its agents are nearly full.
+func TestOwnDataCentreFirst(t *testing.T) {
+	tb, r := table(member("near", "dc1", 1, membership.Up), member("far", "dc2", 1, membership.Up))
+	rng := rand.New(rand.NewPCG(1, 1))
+	count := map[string]int{}
+	for range 20 {
+		c, _ := tb.Pick(r, nil, now, rng)
+		count[c.Agent]++
+	}
+	if count["near"] < 8 || count["far"] == 0 {
+		t.Fatalf("picked %v of 8 near slots and 20 requests", count)
+	}
+}
+
+// Retries are at most a tenth of the successes, after a small stock is spent.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget()
+	spent := 0
+	for i := range 10_000 {
+		if i%2 == 0 {
+			b.Success()
+		}
+		if b.Spend() {
+			spent++
+		}
+	}
+	if spent < 500 || spent > 515 {
+		t.Fatalf("%d retries for 5000 successes", spent)
+	}
+}
+
+// Paths match whole segments, the most specific service first.
+func TestMostSpecificServiceIsFound(t *testing.T) {
+	tb := NewTable("dc1")
+	svc := map[string]*market.Service{}
+	for i, s := range []market.Service{{PathPrefix: "/a"}, {PathPrefix: "/a/b"}, {Host: "x.example", PathPrefix: "/"}, {PathPrefix: "/"}} {
+		s.Name = fmt.Sprint("s", i)
+		svc[s.Name] = &s
+	}
+	tb.Update(1, 1, []*market.View{{Market: market.Market{Name: "m"}, Revision: 1, Services: svc}}, nil)
+	for _, c := range []struct{ host, path, want string }{
+		{"h", "/a/b/c", "s1"}, {"h", "/a/bc", "s0"}, {"h", "/ab", "s3"}, {"X.Example:80", "/a", "s2"},
+	} {
+		if r, ok := tb.Find(c.host, c.path); !ok || r.Service.Name != c.want {
+			t.Errorf("%s %s: got %q, want %q", c.host, c.path, r.Service.Name, c.want)
+		}
+	}
+}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,9 @@
 	Work time.Duration
 	// Every is the interval of the heartbeats.
 	Every time.Duration
+	// Record is a file that gets a line for each token when it is run, so
+	// that the record outlives the process. Empty for none.
+	Record string
 }
 
 // Upstream is a stand-in for a service's instance.
@@ -59,6 +63,7 @@
 	mute    atomic.Bool // sends no heartbeats
 	mu      sync.Mutex
 	runs    map[string]int
+	record  *os.File
 	Worker  *Server
 	client  *transport.Client
 }
@@ -88,6 +93,14 @@
 
 // Run serves and announces until the context ends.
 func (u *Upstream) Run(ctx context.Context) error {
+	if u.opts.Record != "" {
+		f, err := os.OpenFile(u.opts.Record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		u.record = f
+	}
 	ln, err := transport.Listen(u.opts.Address)
 	if err != nil {
 		return err
@@ -167,6 +180,9 @@
 	if token != "" {
 		u.mu.Lock()
 		u.runs[token]++
+		if u.record != nil {
+			u.record.WriteString(token + "\n")
+		}
 		u.mu.Unlock()
 	}
 	wait := u.opts.Work
--- a/transport/client.go
+++ b/transport/client.go
@@ -39,7 +39,11 @@
 		if c.local != nil {
 			d.LocalAddr = &net.TCPAddr{IP: c.local}
 		}
-		return d.Dial("tcp", addr)
+		conn, err := d.Dial("tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return wrapFault(conn), nil
 	}
 }
 
