--- a/agent/agent.go
+++ b/agent/agent.go
@@ -39,8 +39,9 @@
 	meter  *meter
 
 	mu        sync.Mutex
-	announce  *Announcement
-	heard     time.Time // of the last heartbeat
+	announce  *Announcement // the last one, nil before the first
+	heard     time.Time     // of the last heartbeat
+	silent    bool          // the heartbeats have stopped
 	withdrawn bool
 	gate      *admission.Gate
 	upstream  *fasthttp.HostClient
@@ -145,7 +146,7 @@
 	if g.announce == nil || g.announce.Address != a.Address {
 		logrus.WithFields(logrus.Fields{"market": a.Market, "service": a.Service, "upstream": a.Address}).Info("agent: An upstream announced itself.")
 	}
-	g.announce, g.heard = &a, now
+	g.announce, g.heard, g.silent = &a, now, false
 	if a.Leaving || g.withdrawn {
 		release(g.gate.Close(refusal.Leaving))
 		return
@@ -186,15 +187,16 @@
 	}
 }
 
-// expireUpstream takes an upstream that stopped its heartbeats for gone.
+// expireUpstream takes an upstream that stopped its heartbeats for gone. The
+// worker beside it may still run tasks, so its address is kept.
 func (g *Agent) expireUpstream(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.announce == nil || now.Sub(g.heard) < g.set.Agent.AnnounceTimeout.Duration {
+	if g.announce == nil || g.silent || now.Sub(g.heard) < g.set.Agent.AnnounceTimeout.Duration {
 		return
 	}
 	logrus.WithField("upstream", g.announce.Address).Warn("agent: The upstream stopped its heartbeats.")
-	g.announce = nil
+	g.silent = true
 	release(g.gate.Close(refusal.NoUpstream))
 }
 
@@ -217,8 +219,16 @@
 // renew does one round. The worker's clock is read before the renewal is sent
 // and the lease counts from there: whatever is delayed or frozen in between
 // only makes the worker's lease shorter than what the control believes.
+//
+// Before the first announcement nothing is sent. An agent that was just started
+// anew does not know its worker's boot yet; naming none would tell the control
+// that the worker had restarted, and its tasks would be started elsewhere while
+// they still run here.
 func (g *Agent) renew() {
-	workerAddr := g.workerAddress()
+	workerAddr, known := g.workerAddress()
+	if !known {
+		return
+	}
 	report, ok := g.readWorker(workerAddr)
 	if !ok && workerAddr != "" {
 		return // without the worker's clock no lease can be given to it
@@ -258,13 +268,13 @@
 
 func (g *Agent) leaseValid(now time.Time) bool { return int64(now.Sub(g.started)) < g.leaseEnd.Load() }
 
-func (g *Agent) workerAddress() string {
+func (g *Agent) workerAddress() (addr string, known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.announce == nil {
-		return ""
+		return "", false
 	}
-	return g.announce.Worker
+	return g.announce.Worker, true
 }
 
 func (g *Agent) readWorker(addr string) (worker.Report, bool) {
@@ -326,18 +336,20 @@
 		Usage: g.meter.read(time.Now(), load, g.ledger.Jobs()), Revision: g.revision}
 }
 
+// noWorker is the boot of an instance without a worker.
+const noWorker = "none"
+
 // member is the announcement that this agent makes of the instance.
 func (g *Agent) member(report worker.Report) membership.Member {
 	m := membership.Member{Agent: g.set.Instance.Name, Address: g.set.Address(g.set.Agent.Port),
-		DataCentre: g.set.Instance.DataCentre, Boot: report.Boot, Withdrawn: g.withdrawn}
+		DataCentre: g.set.Instance.DataCentre, Boot: report.Boot, Capacity: report.Capacity}
 	if m.Boot == "" {
-		m.Boot = "none"
-	}
-	if a := g.announce; a != nil {
-		m.Rack, m.Market, m.Service, m.Slots, m.Conns = a.Rack, a.Market, a.Service, a.Slots, a.Connections
-		m.Capacity = report.Capacity
-		m.Withdrawn = m.Withdrawn || a.Leaving
+		m.Boot = noWorker
 	}
+	a := g.announce
+	m.Rack, m.Market, m.Service, m.Slots, m.Conns = a.Rack, a.Market, a.Service, a.Slots, a.Connections
+	m.Withdrawn = g.withdrawn || g.silent || a.Leaving
+	m.Evacuate = a.Leaving
 	return m
 }
 
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -61,7 +61,7 @@
 	l.r.machine.Read(func(s *State) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if s.Tasks.Waiting() == 0 && !l.anyLate(s) {
+		if s.Tasks.Waiting() == 0 && !l.mayEvict(s) {
 			return
 		}
 		snap = l.build(s)
@@ -69,9 +69,13 @@
 	return snap
 }
 
-func (l *leader) anyLate(s *State) bool {
-	for agent, ses := range l.sessions {
-		if ses.slow > 0 && len(s.Tasks.On(agent)) > 0 {
+// mayEvict reports whether any running task may have to give way.
+func (l *leader) mayEvict(s *State) bool {
+	for agent, m := range s.Members.Members {
+		if len(s.Tasks.On(agent)) == 0 {
+			continue
+		}
+		if ses := l.sessions[agent]; m.Evacuate || (ses != nil && ses.slow > 0) {
 			return true
 		}
 	}
@@ -91,7 +95,7 @@
 
 func (l *leader) worker(s *State, m *membership.Member, now int64) placement.Worker {
 	room := s.room(m.Agent)
-	w := placement.Worker{Agent: m.Agent, Boot: m.Boot, DataCentre: m.DataCentre, Rack: m.Rack, Open: room.Open,
+	w := placement.Worker{Agent: m.Agent, Boot: m.Boot, DataCentre: m.DataCentre, Rack: m.Rack, Open: room.Open, Evacuate: m.Evacuate,
 		Total: room.Total, Free: room.Total.Sub(s.Tasks.Reserved(m.Agent)), Preset: market.DefaultPreset}
 	if v := s.Market.Markets[m.Market]; v != nil {
 		w.Preset = v.Preset()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -38,8 +38,12 @@
 	Slots    int             `msgpack:"l" json:"slots"`
 	// Conns bounds the connections to the upstream.
 	Conns int `msgpack:"n" json:"connections"`
-	// Withdrawn tells that the upstream itself asked for no more work.
+	// Withdrawn tells that no more work is to be given.
 	Withdrawn bool `msgpack:"w,omitempty" json:"withdrawn,omitempty"`
+	// Evacuate tells that the instance itself is leaving, so its tasks are to
+	// be saved and moved. An agent that is only being restarted leaves it
+	// unset: its tasks go on under their lease.
+	Evacuate bool `msgpack:"u,omitempty" json:"evacuate,omitempty"`
 
 	Phase    Phase  `msgpack:"p" json:"phase"`
 	Reason   string `msgpack:"e,omitempty" json:"reason,omitempty"`
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -93,6 +93,10 @@
 func (p *planner) relieveAll() {
 	for i := range p.s.Workers {
 		w := &p.s.Workers[i]
+		if w.Evacuate {
+			p.evacuate(w)
+			continue
+		}
 		if w.Service == "" || w.Late < lateReports || w.Slowdown <= w.Preset.MaxSlowdown*p.tolerance(w) {
 			continue
 		}
@@ -100,6 +104,14 @@
 	}
 }
 
+func (p *planner) evacuate(w *Worker) {
+	for _, r := range w.Running {
+		if r.Evictable {
+			p.evict(r)
+		}
+	}
+}
+
 // tolerance widens the bound where the preset weighs throughput.
 func (p *planner) tolerance(w *Worker) float64 {
 	return hysteresis + (1-w.Preset.TailWeight)*2
--- a/placement/types.go
+++ b/placement/types.go
@@ -29,6 +29,7 @@
 	Agent, Boot      string
 	DataCentre, Rack string
 	Open             bool
+	Evacuate         bool            // everything on it is to move away
 	Total            resource.Vector // without what the service keeps
 	Free             resource.Vector
 	BatchUsed        int64 // milli CPU held by batch tasks
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -198,14 +198,30 @@
 			}
 			writeJSON(ctx, w.Sync(m, now))
 		case "/worker/intervals":
-			w.advance(now)
-			writeJSON(ctx, w.Intervals)
+			writeJSON(ctx, s.wallIntervals(w, now))
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
 	})
 }
 
+// wallIntervals returns the record on the machine's clock, so that the records
+// of several workers on one machine can be compared. What still runs is in it.
+func (s *Server) wallIntervals(w *Worker, now int64) []Interval {
+	w.advance(now)
+	out := append([]Interval(nil), w.Intervals...)
+	for _, a := range w.tasks {
+		if a.Running {
+			out = append(out, Interval{a.Task, a.Attempt, a.start, now, a.from, a.from + now - a.start})
+		}
+	}
+	for i := range out {
+		out[i].StartMS += s.started.UnixMilli()
+		out[i].EndMS += s.started.UnixMilli()
+	}
+	return out
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
