--- a/cmd/waxwinghaven/bench.go
+++ b/cmd/waxwinghaven/bench.go
@@ -16,6 +16,31 @@
 func (c *cli) benchCommands() {
 	c.standinCommand()
 	c.loadCommand()
+	c.compareCommand()
+	proxy := c.app.Command("proxy", "Runs a plain reverse proxy, the yardstick for the request path.")
+	address, target := proxy.Arg("address", "Where it serves.").Required().String(), proxy.Arg("target", "Where it sends to.").Required().String()
+	proxy.Action(func(*kingpin.ParseContext) error {
+		return standin.RunProxy(daemon.SignalContext(), *address, *target)
+	})
+}
+
+func (c *cli) compareCommand() {
+	cmd := c.app.Command("compare", "Loads several addresses in turn and prints medians and ratios to the first.\n\nExample: waxwinghaven compare direct=127.0.0.21:7107 system=127.0.0.11:7105 --path /vault/x")
+	targets := cmd.Arg("name=address", "What to compare; the first is the yardstick.").Required().Strings()
+	o := load.Options{Host: "localhost"}
+	cmd.Flag("path", "The path.").Default("/").StringVar(&o.Path)
+	cmd.Flag("method", "The method.").Default("GET").StringVar(&o.Method)
+	cmd.Flag("keyed", "Send an Idempotency-Key.").BoolVar(&o.Keyed)
+	cmd.Flag("requests", "Requests of one run.").Default("5000").IntVar(&o.Requests)
+	cmd.Flag("concurrency", "How many at once.").Default("8").IntVar(&o.Concurrency)
+	rounds := cmd.Flag("rounds", "Runs of each, taken in turn.").Default("5").Int()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		table, err := load.Compare(o, *targets, *rounds)
+		if err != nil {
+			return err
+		}
+		return c.show(table, func(w *tabwriter.Writer) { load.WriteComparison(w, table) })
+	})
 }
 
 func (c *cli) standinCommand() {
--- a/transport/client.go
+++ b/transport/client.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return wrapFault(conn), nil
+		return meteredConn{wrapFault(conn)}, nil
 	}
 }
 
--- a/transport/server.go
+++ b/transport/server.go
@@ -129,7 +129,7 @@
 // Serve answers on a listener until the context ends, then lets requests in
 // progress finish.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	return ServeHTTP(ctx, s.server, Secure(s.part, ln, s.tls))
+	return ServeHTTP(ctx, s.server, Secure(s.part, meteredListener{ln}, s.tls))
 }
 
 // ServeHTTP runs a server until the context ends, then shuts it down.
