Quorum: fewer heartbeats, and the disk's room looked up less often

Cause: at rest the leading control replica used 1.75% of a core and 17.1 KB/s, nearly all for 20 heartbeats a second, each a call over HTTP, and for asking the disk's room at every tick. Ruled out: scheduling (nothing waits) and renewals (one agent). Change: a heartbeat every 4 ticks instead of 2, elections after 16 ticks of silence instead of 10, the disk every 20 ticks. Elections after a kill take up to 1.6 s instead of 1.0 s.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -5,11 +5,11 @@
 // Limits of the step machine. Ticks are the driver's unit of time.
 const (
 	// HeartbeatTicks is the leader's interval between contacts.
-	HeartbeatTicks = 2
+	HeartbeatTicks = 4
 	// ElectionTicks is the shortest silence after which a replica campaigns;
 	// the longest is twice that. A leader that hears no majority for this
 	// long steps down.
-	ElectionTicks = 10
+	ElectionTicks = 16
 
 	maxAppendBytes = 1 << 20
 	chunkBytes     = 256 << 10
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -34,6 +34,9 @@
 	Seed            int64
 }
 
+// fullTicks is the interval at which the room on the disk is looked up.
+const fullTicks = 20
+
 // maxBatch bounds the proposals that share one sync of the disk.
 const maxBatch = 512
 
@@ -165,7 +168,9 @@
 
 func (n *Node) onTick() {
 	n.core.Tick()
-	n.fullSeen = n.opts.Disk.Full()
+	if n.core.now%fullTicks == 0 {
+		n.fullSeen = n.opts.Disk.Full()
+	}
 }
 
 // drain takes what else has already arrived, so that it shares one sync.
