--- a/cmd/waxwinghaven/bench.go
+++ b/cmd/waxwinghaven/bench.go
@@ -9,6 +9,7 @@
 	"github.com/waxwinghaven/waxwinghaven/daemon"
 	"github.com/waxwinghaven/waxwinghaven/load"
 	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/score"
 	"github.com/waxwinghaven/waxwinghaven/standin"
 )
 
@@ -17,6 +18,7 @@
 	c.standinCommand()
 	c.loadCommand()
 	c.compareCommand()
+	c.scoreCommand()
 	proxy := c.app.Command("proxy", "Runs a plain reverse proxy, the yardstick for the request path.")
 	address, target := proxy.Arg("address", "Where it serves.").Required().String(), proxy.Arg("target", "Where it sends to.").Required().String()
 	proxy.Action(func(*kingpin.ParseContext) error {
@@ -94,3 +96,19 @@
 		return nil
 	})
 }
+
+func (c *cli) scoreCommand() {
+	cmd := c.app.Command("score", "Scores the placement policies over a day in virtual time, on fixed seeds.")
+	tuning := cmd.Flag("tuning", "Use the seeds for tuning, not those for reporting.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		seeds := score.ReportSeeds
+		if *tuning {
+			seeds = score.TuningSeeds
+		}
+		rows, err := score.Run(seeds)
+		if err != nil {
+			return err
+		}
+		return c.show(rows, func(w *tabwriter.Writer) { score.WriteTable(w, rows) })
+	})
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -21,7 +21,7 @@
 	usage  Usage
 	slow   float64 // service latency against running alone, 0 when not known
 	late   int     // measurements in a row above the preset's bound
-	health health
+	health membership.Health
 
 	countedSeq uint64 // of the measurement that late has counted
 }
@@ -37,11 +37,11 @@
 	sessions map[string]*session
 	model    *interference.Model
 	baseline *interference.Baseline
-	runtimes *runTimes
+	runtimes *lease.RunTimes
 }
 
 func newLeader(r *Replica) *leader {
-	l := &leader{r: r, kick: make(chan struct{}, 1), runtimes: newRunTimes()}
+	l := &leader{r: r, kick: make(chan struct{}, 1), runtimes: lease.NewRunTimes()}
 	l.reset(0)
 	return l
 }
@@ -112,11 +112,14 @@
 				moves = append(moves, mv)
 			}
 		}
-		moves = append(moves, l.quarantine(s)...)
+		moves = append(moves, s.Members.Quarantine(l.health)...)
 	})
 	if len(moves) == 0 {
 		return
 	}
+	for _, mv := range moves {
+		logrus.WithFields(logrus.Fields{"agent": mv.Agent, "phase": mv.Phase, "reason": mv.Reason}).Warn("control: A member changes its phase.")
+	}
 	if _, err := l.r.propose(Command{Moves: moves}); err != nil {
 		logrus.Warnf("control: Could not commit %d membership moves: %v.", len(moves), err)
 	}
@@ -124,11 +127,18 @@
 	l.wake()
 }
 
+// health returns what is known of a member's failures, nil for nothing.
+func (l *leader) health(agent string) *membership.Health {
+	if s := l.sessions[agent]; s != nil {
+		return &s.health
+	}
+	return nil
+}
+
 func (l *leader) expired(m *membership.Member) (membership.Move, bool) {
 	if m.Phase == membership.Down || !l.keeper.Close(m.Agent, time.Now()) {
 		return membership.Move{}, false
 	}
-	logrus.WithFields(logrus.Fields{"agent": m.Agent, "data_centre": m.DataCentre}).Warn("control: The lease ended; the member is down.")
 	return membership.Move{Agent: m.Agent, Boot: m.Boot, Phase: membership.Down, Reason: "its lease ended without a renewal"}, true
 }
 
@@ -162,7 +172,7 @@
 // the worker when it was taken, not those that share it now.
 func (l *leader) observe(s *session, req *Renew) {
 	u := req.Usage
-	s.health.note(u)
+	s.health.Note(u.Done+u.TaskEnd, u.Failed+u.TaskBad)
 	if u.Seq <= s.usage.Seq && s.usage.Seq != 0 {
 		s.usage.Load = u.Load
 		return
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -9,6 +9,7 @@
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/membership"
 	"github.com/waxwinghaven/waxwinghaven/placement"
+	"github.com/waxwinghaven/waxwinghaven/resource"
 )
 
 // Bounds of one scheduling pass.
@@ -83,9 +84,9 @@
 }
 
 func (l *leader) build(s *State) *placement.Snapshot {
-	l.runtimes.update(s)
+	l.runtimes.Update(s.Tasks)
 	snap := &placement.Snapshot{Now: max(s.Clock, time.Now().UnixMilli()), Waiting: s.Tasks.WaitingHeads(headsPerJob),
-		Costs: costs{l.model}, Seed: s.Index, MaxPlacements: maxPlacements, RunTime: l.runtimes.of}
+		Costs: l.model, Seed: s.Index, MaxPlacements: maxPlacements, RunTime: l.runtimes.Of}
 	snap.Quota, snap.TeamUse = teamLimits(s, snap.Waiting)
 	for _, m := range s.Members.Members {
 		snap.Workers = append(snap.Workers, l.worker(s, m, snap.Now))
@@ -109,7 +110,7 @@
 			w.BatchUsed += t.Need.MilliCPU
 		}
 		w.Running = append(w.Running, placement.Running{Task: t.ID, Attempt: t.Attempt, Market: t.Market, Job: t.Job, Need: t.Need,
-			Elapsed: now - t.PlacedAt, Expected: l.runtimes.of(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
+			Elapsed: now - t.PlacedAt, Expected: l.runtimes.Of(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
 	}
 	return w
 }
@@ -131,3 +132,12 @@
 	}
 	w.Late = ses.late
 }
+
+// teamLimits copies quotas and use of the teams that have tasks waiting.
+func teamLimits(s *State, waiting []*lease.Task) (quota, use func(string) resource.Vector) {
+	quotas, uses := make(map[string]resource.Vector), make(map[string]resource.Vector)
+	for _, t := range waiting {
+		quotas[t.Team], uses[t.Team] = s.quota(t.Team), s.Tasks.TeamUse(t.Team)
+	}
+	return func(team string) resource.Vector { return quotas[team] }, func(team string) resource.Vector { return uses[team] }
+}
--- a/interference/model.go
+++ b/interference/model.go
@@ -130,3 +130,13 @@
 	k.add(e.Mean)
 	m.all.add(e.Mean)
 }
+
+// cautious is how many standard deviations the upper cost is above the mean.
+const cautious = 1.0
+
+// Cost returns what a task is expected to cost, and a bound that it exceeds
+// only rarely, as the placement asks for it.
+func (m *Model) Cost(service, market, job string, load float64) (mean, upper float64) {
+	e := m.Predict(service, market+"/"+job, load)
+	return e.Mean, e.Upper(cautious)
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -17,7 +17,7 @@
 	// 2,700 would cost 50 times as much for a placement hardly better.
 	sampled = 32
 	// urgentEvictions bounds what may give way to one urgent task.
-	urgentEvictions = 3
+	urgentEvictions = 8
 	// hurryFactor of the run time: a task with less slack may cost the
 	// service more, in the measure that the preset weighs throughput.
 	hurryFactor = 1.0
@@ -124,8 +124,7 @@
 
 func (p *planner) placeOne(t *lease.Task) {
 	if p.neverFits(t.Need) {
-		p.plan.SetAside = append(p.plan.SetAside, lease.SetAsideTask{Task: t.ID,
-			Reason: "no worker is large enough for it; declare less or add a larger worker"})
+		p.setAside(t)
 		return
 	}
 	if !p.withinQuota(t) {
@@ -140,6 +139,12 @@
 	}
 }
 
+// setAside takes a task that can never run out of the queue, with the reason.
+func (p *planner) setAside(t *lease.Task) {
+	p.plan.SetAside = append(p.plan.SetAside, lease.SetAsideTask{Task: t.ID,
+		Reason: "no worker is large enough for it; declare less or add a larger worker"})
+}
+
 func (p *planner) neverFits(need resource.Vector) bool {
 	for _, b := range p.biggest {
 		if need.Fits(b) {
