--- a/interference/model.go
+++ b/interference/model.go
@@ -7,16 +7,20 @@
 // when it was taken, the uncertain ones most (a diagonal Kalman filter).
 package interference
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+)
 
 // Bands is the number of load bands.
 const Bands = 4
 
 // Tuning of the filter. Variances are of logarithms of slowdowns.
 const (
-	priorVar = 0.09   // of a pair never seen
-	noiseVar = 0.02   // of one measurement of a 99th percentile
-	driftVar = 0.0002 // added at each measurement: old knowledge fades
+	priorVar = 0.09    // of a pair never seen
+	noiseVar = 0.02    // of one measurement of a 99th percentile
+	driftVar = 0.00002 // added at each measurement: old knowledge fades
 	maxMean  = 3.0
 )
 
@@ -74,9 +78,7 @@
 func (m *Model) Predict(service, job string, load float64) Estimate {
 	for b := Band(load); b >= 0; b-- {
 		if e := m.pairs[pair{service, job, b}]; e != nil {
-			out := *e
-			out.Var += float64(Band(load)-b) * driftVar * 50
-			return out
+			return extrapolate(*e, float64(Band(load)-b))
 		}
 	}
 	if k := m.kinds[job]; k != nil {
@@ -85,6 +87,22 @@
 	return Estimate{Mean: m.all.value, Var: priorVar}
 }
 
+// Growth of a cost from one load band to the next, as long as the higher one
+// was not measured.
+const (
+	bandGrowth = 0.5    // of the mean
+	bandVar    = 0.0002 // added to the variance besides
+)
+
+// extrapolate carries an estimate to a higher band. What costs almost nothing
+// under a lower load is expected to cost little under a higher one.
+func extrapolate(e Estimate, bands float64) Estimate {
+	grown := e.Mean * bandGrowth * bands
+	e.Mean += grown
+	e.Var += grown*grown + bands*bandVar
+	return e
+}
+
 // Observe takes one measurement: the service's slowdown against running alone,
 // its load, and the count of each job's tasks on the worker, all at the time
 // the measurement was taken.
@@ -94,15 +112,17 @@
 	}
 	band := Band(load)
 	predicted, total := 0.0, noiseVar
-	for job, n := range jobs {
+	names := slices.Sorted(maps.Keys(jobs)) // sums of floats depend on their order
+	for _, job := range names {
+		n := jobs[job]
 		e := m.at(service, job, load)
 		e.Var += driftVar
 		predicted += float64(n) * e.Mean
 		total += float64(n*n) * e.Var
 	}
 	miss := math.Log(slowdown) - predicted
-	for job, n := range jobs {
-		m.correct(m.pairs[pair{service, job, band}], job, float64(n), miss, total)
+	for _, job := range names {
+		m.correct(m.pairs[pair{service, job, band}], job, float64(jobs[job]), miss, total)
 	}
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -20,7 +20,7 @@
 	urgentEvictions = 8
 	// hurryFactor of the run time: a task with less slack may cost the
 	// service more, in the measure that the preset weighs throughput.
-	hurryFactor = 1.0
+	hurryFactor = 2.0
 )
 
 // Learned is the policy in use: it places by learned cost and the preset's
@@ -242,12 +242,17 @@
 	if left == noSlackBound || float64(left) > hurryFactor*float64(run) {
 		return bound * (2 - w.Preset.TailWeight)
 	}
-	return bound + (1-w.Preset.TailWeight)*hurryBonus
+	return bound + math.Log(leeway(w.Preset))
 }
 
-// hurryBonus is the logarithmic slowdown that a task short of time may cost
-// where only throughput counts.
-const hurryBonus = 2.0
+// leeway is the factor by which a preset's bound may be passed for the sake of
+// batch work: by tasks short of time when they are placed, and by a worker's
+// slowdown before something is evicted. Both use the same one, else what was
+// placed in a hurry would be evicted at once, and placed again.
+func leeway(p market.Preset) float64 { return 1 + (1-p.TailWeight)*maxLeeway }
+
+// maxLeeway is for a preset under which only throughput counts.
+const maxLeeway = 2.0
 
 func (p *planner) withinShare(t *lease.Task, w *Worker) bool {
 	if t.Class == market.ClassContinuous || t.Urgent || w.Service == "" {
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -16,8 +16,8 @@
 	// moveCost is the time in milliseconds that a checkpoint, a stop and a
 	// start elsewhere take. What ends sooner is not worth moving.
 	moveCost = 30_000
-	// hysteresis is the factor above the preset's bound at which relief
-	// begins; it ends at the bound itself.
+	// hysteresis is the factor above the tolerated slowdown at which relief
+	// begins, so that a worker just at it is left alone.
 	hysteresis = 1.05
 )
 
@@ -97,7 +97,7 @@
 			p.evacuate(w)
 			continue
 		}
-		if w.Service == "" || w.Late < lateReports || w.Slowdown <= w.Preset.MaxSlowdown*p.tolerance(w) {
+		if w.Service == "" || w.Late < lateReports || w.Slowdown <= w.Preset.MaxSlowdown*leeway(w.Preset)*hysteresis {
 			continue
 		}
 		p.relieve(w)
@@ -112,11 +112,6 @@
 	}
 }
 
-// tolerance widens the bound where the preset weighs throughput.
-func (p *planner) tolerance(w *Worker) float64 {
-	return hysteresis + (1-w.Preset.TailWeight)*2
-}
-
 // relieve evicts the task that buys most relief for the work lost, if the
 // tasks are what slows the service down at all.
 func (p *planner) relieve(w *Worker) {
--- a/score/score.go
+++ b/score/score.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sort"
 
 	"github.com/waxwinghaven/waxwinghaven/placement"
@@ -125,7 +127,8 @@
 	}
 	var points []point
 	total := 0.0
-	for b, requests := range buckets {
+	for _, b := range slices.Sorted(maps.Keys(buckets)) {
+		requests := buckets[b]
 		for i := range samplesPerBucket * 50 {
 			z := quantileOfNormal((float64(i) + 0.5) / (samplesPerBucket * 50))
 			points = append(points, point{math.Exp(float64(b)/100 + latencySigma*z), requests})
--- a/score/world.go
+++ b/score/world.go
@@ -195,8 +195,8 @@
 	for _, b := range w.boxes {
 		b.load = w.s.load(w.now, w.rng)
 		jobs, sum := make(map[string]int), 0.0
-		for id := range w.tasks.On(b.name) {
-			k := w.truth[id].kind
+		for _, o := range w.tasks.Orders(b.name) {
+			k := w.truth[o.Task].kind
 			jobs["m/"+k.job.Name]++
 			sum += k.cost[interference.Band(b.load)]
 		}
