Placement: act on what is felt, not on a noisy measurement alone

Cause: in the latency-weighted preset the bound is 1.1 and a measured p99 is off by 8% or more, so two measurements in a row above it happen by chance on some worker every few minutes. Change: relief begins at the geometric mean of the measured slowdown and of the one the model expects.

--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -97,13 +97,20 @@
 			p.evacuate(w)
 			continue
 		}
-		if w.Service == "" || w.Late < lateReports || w.Slowdown <= w.Preset.MaxSlowdown*leeway(w.Preset)*hysteresis {
+		if w.Service == "" || w.Late < lateReports || p.felt(i) <= w.Preset.MaxSlowdown*leeway(w.Preset)*hysteresis {
 			continue
 		}
 		p.relieve(w)
 	}
 }
 
+// felt is the slowdown to act on: the measured one, which is noisy, and the one
+// that the model expects of what runs there, at half weight each. Acting on the
+// measurement alone evicts for noise; the model alone would never be corrected.
+func (p *planner) felt(i int) float64 {
+	return math.Sqrt(p.s.Workers[i].Slowdown * math.Exp(p.pressure(i)))
+}
+
 func (p *planner) evacuate(w *Worker) {
 	for _, r := range w.Running {
 		if r.Evictable {
