--- a/control/leader.go
+++ b/control/leader.go
@@ -38,6 +38,7 @@
 	model    *interference.Model
 	baseline *interference.Baseline
 	runtimes *lease.RunTimes
+	holdings map[string]*holding // by agent
 }
 
 func newLeader(r *Replica) *leader {
@@ -49,6 +50,7 @@
 func (l *leader) reset(term uint64) {
 	l.term, l.keeper = term, lease.NewKeeper(l.r.set.Control.Lease.Duration, time.Now())
 	l.sessions = make(map[string]*session)
+	l.holdings = make(map[string]*holding)
 	if l.model == nil {
 		l.model, l.baseline = interference.NewModel(), interference.NewBaseline()
 	}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/interference"
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/membership"
@@ -89,12 +90,12 @@
 		Costs: l.model, Seed: s.Index, MaxPlacements: maxPlacements, RunTime: l.runtimes.Of}
 	snap.Quota, snap.TeamUse = teamLimits(s, snap.Waiting)
 	for _, m := range s.Members.Members {
-		snap.Workers = append(snap.Workers, l.worker(s, m, snap.Now))
+		snap.Workers = append(snap.Workers, l.worker(s, m))
 	}
 	return snap
 }
 
-func (l *leader) worker(s *State, m *membership.Member, now int64) placement.Worker {
+func (l *leader) worker(s *State, m *membership.Member) placement.Worker {
 	room := s.room(m.Agent)
 	w := placement.Worker{Agent: m.Agent, Boot: m.Boot, DataCentre: m.DataCentre, Rack: m.Rack, Open: room.Open, Evacuate: m.Evacuate,
 		Total: room.Total, Free: room.Total.Sub(s.Tasks.Reserved(m.Agent)), Preset: market.DefaultPreset}
@@ -105,14 +106,53 @@
 		w.Service = m.Market + "/" + m.Service
 	}
 	l.measured(m, &w)
-	for _, t := range s.Tasks.On(m.Agent) {
+	held := l.heldBy(s, m.Agent)
+	w.Running, w.BatchUsed = held.running, held.batchUsed
+	w.Pressure = l.pressure(held, &w)
+	return w
+}
+
+// holding is what an agent holds, as the placement sees it.
+type holding struct {
+	version   uint64
+	running   []placement.Running
+	batchUsed int64 // milli CPU
+
+	pressure float64
+	band     int       // of the load that pressure is for
+	asked    time.Time // when pressure was last asked of the model
+}
+
+// pressureAge is how long a worker's pressure is kept although the model learns
+// on: costs change by the minute, passes come ten times a second.
+const pressureAge = 5 * time.Second
+
+func (l *leader) pressure(h *holding, w *placement.Worker) float64 {
+	band := interference.Band(w.Load)
+	if h.asked.IsZero() || h.band != band || time.Since(h.asked) > pressureAge {
+		h.pressure, h.band, h.asked = placement.Pressure(l.model, w), band, time.Now()
+	}
+	return h.pressure
+}
+
+// heldBy returns what an agent holds, made anew only when it has changed: a
+// pass looks at every worker, but few of them have changed since the last.
+func (l *leader) heldBy(s *State, agent string) *holding {
+	version := s.Tasks.Version(agent)
+	if h, ok := l.holdings[agent]; ok && h.version == version {
+		return h
+	}
+	tasks := s.Tasks.On(agent)
+	h := &holding{version: version, running: make([]placement.Running, 0, len(tasks))}
+	for _, t := range tasks {
 		if t.Class == market.ClassBatch {
-			w.BatchUsed += t.Need.MilliCPU
+			h.batchUsed += t.Need.MilliCPU
 		}
-		w.Running = append(w.Running, placement.Running{Task: t.ID, Attempt: t.Attempt, Market: t.Market, Job: t.Job, Need: t.Need,
-			Elapsed: now - t.PlacedAt, Expected: l.runtimes.Of(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
+		h.running = append(h.running, placement.Running{Task: t.ID, Attempt: t.Attempt, Market: t.Market, Job: t.Job, Need: t.Need,
+			Started: t.PlacedAt, Expected: l.runtimes.Of(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
 	}
-	return w
+	l.holdings[agent] = h
+	return h
 }
 
 // measured adds the last report of a member and counts how long it is late.
--- a/lease/state.go
+++ b/lease/state.go
@@ -31,11 +31,12 @@
 	reserved map[string]resource.Vector
 	byTeam   map[string]resource.Vector
 	waiting  *queues
+	versions map[string]uint64
 }
 
 type submitted struct {
-	Submit `msgpack:"s"`
-	At     int64 `msgpack:"a"`
+	What Submit `msgpack:"w"`
+	At   int64  `msgpack:"a"` // log clock, milliseconds
 }
 
 // NewState returns the empty state.
@@ -57,6 +58,7 @@
 	s.reserved = make(map[string]resource.Vector)
 	s.byTeam = make(map[string]resource.Vector)
 	s.waiting = newQueues()
+	s.versions = make(map[string]uint64)
 	for _, t := range s.Tasks {
 		s.index(t)
 	}
@@ -74,6 +76,7 @@
 		s.byAgent[t.Agent][t.ID] = t
 		s.reserved[t.Agent] = s.reserved[t.Agent].Add(t.Need)
 		s.byTeam[t.Team] = s.byTeam[t.Team].Add(t.Need)
+		s.versions[t.Agent]++
 	case t.Phase == Waiting:
 		s.waiting.add(t)
 	}
@@ -85,6 +88,7 @@
 		delete(s.byAgent[t.Agent], t.ID)
 		s.reserved[t.Agent] = s.reserved[t.Agent].Sub(t.Need)
 		s.byTeam[t.Team] = s.byTeam[t.Team].Sub(t.Need)
+		s.versions[t.Agent]++
 		if len(s.byAgent[t.Agent]) == 0 {
 			delete(s.byAgent, t.Agent)
 			delete(s.reserved, t.Agent)
@@ -106,13 +110,16 @@
 // WaitingHeads returns copies of the oldest n waiting tasks of each job.
 func (s *State) WaitingHeads(n int) []*Task { return s.waiting.heads(n) }
 
+// Version changes whenever the tasks on an agent do.
+func (s *State) Version(agent string) uint64 { return s.versions[agent] }
+
 // On returns the tasks that hold room on an agent. The map must not be changed.
 func (s *State) On(agent string) map[string]*Task { return s.byAgent[agent] }
 
 // ApplySubmit makes the tasks of a submission. job is the job as it is in force.
 func (s *State) ApplySubmit(c Submit, job *market.Job, now int64) (first string, err error) {
 	if old, ok := s.Submissions[c.ID]; ok {
-		if old.Submit != c {
+		if old.What != c {
 			return "", refusal.New(refusal.ChangeReused, "give every new submission an id of its own", "submission id %q was used for another one", c.ID)
 		}
 		return taskID(c.ID, 0), nil
--- a/load/load.go
+++ b/load/load.go
@@ -213,9 +213,15 @@
 	err := r.pick(n).DoTimeout(q, p, sendTimeout)
 	s.took = float64(time.Since(start)) / float64(time.Millisecond)
 	s.read(p, err)
+	if r.o.Timeout > 0 && s.outcome == header.Done && s.took > float64((r.o.Timeout+lateSlack).Milliseconds()) {
+		s.reason = "too-late" // of no use to the caller any more
+	}
 	return s
 }
 
+// lateSlack is what an answer may be over its time for the way back.
+const lateSlack = 50 * time.Millisecond
+
 func (s *sample) read(p *fasthttp.Response, err error) {
 	switch {
 	case err != nil && header.NeverSent(err):
--- a/market/validate.go
+++ b/market/validate.go
@@ -146,5 +146,9 @@
 	if err := CheckName("team", t.Name); err != nil {
 		return err
 	}
-	return checkSize(t.MilliCPU, t.MemoryMB)
+	// A quota spans many workers, so it has no bound but zero.
+	if t.MilliCPU < 0 || t.MemoryMB < 0 {
+		return invalid("give 0 for no bound, or more", "the quota of %q is less than nothing", t.Name)
+	}
+	return nil
 }
--- a/placement/baseline.go
+++ b/placement/baseline.go
@@ -55,7 +55,7 @@
 func newest(w *Worker) (Running, bool) {
 	best, ok := Running{}, false
 	for _, r := range w.Running {
-		if r.Evictable && !r.Urgent && (!ok || r.Elapsed < best.Elapsed) {
+		if r.Evictable && !r.Urgent && (!ok || r.Started > best.Started) {
 			best, ok = r, true
 		}
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -267,12 +267,21 @@
 	if c, ok := p.pressed[i]; ok {
 		return c
 	}
-	w, sum := &p.workers[i], 0.0
+	w := &p.workers[i]
+	if w.Pressure < 0 {
+		w.Pressure = Pressure(p.s.Costs, w)
+	}
+	p.pressed[i] = w.Pressure
+	return w.Pressure
+}
+
+// Pressure returns the summed cost of what runs on a worker.
+func Pressure(costs Costs, w *Worker) float64 {
+	sum := 0.0
 	for _, r := range w.Running {
-		mean, _ := p.s.Costs.Cost(w.Service, r.Market, r.Job, w.Load)
+		mean, _ := costs.Cost(w.Service, r.Market, r.Job, w.Load)
 		sum += mean
 	}
-	p.pressed[i] = sum
 	return sum
 }
 
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -147,7 +147,7 @@
 // worthMoving excludes what ends sooner than the move pays, and what would
 // miss its deadline for it.
 func (p *planner) worthMoving(r Running) bool {
-	left := r.Expected - r.Elapsed
+	left := r.Expected - (p.s.Now - r.Started)
 	if r.Urgent || left < 2*moveCost {
 		return false
 	}
--- a/placement/types.go
+++ b/placement/types.go
@@ -11,17 +11,16 @@
 
 // Running is an attempt on a worker.
 type Running struct {
-	Task    string
-	Attempt uint32
-	Market  string
-	Job     string
-	Need    resource.Vector
-	// Elapsed and Expected are milliseconds since the attempt's start, and of
-	// the whole run as far as known.
-	Elapsed, Expected int64
-	Deadline          int64 // log clock, milliseconds; 0 means none
-	Urgent            bool
-	Evictable         bool // placed, and not already asked to stop
+	Task      string
+	Attempt   uint32
+	Market    string
+	Job       string
+	Need      resource.Vector
+	Started   int64 // log clock, milliseconds
+	Expected  int64 // milliseconds of the whole run, as far as known
+	Deadline  int64 // log clock, milliseconds; 0 means none
+	Urgent    bool
+	Evictable bool // placed, and not already asked to stop
 }
 
 // Worker is one worker at the time of the snapshot.
@@ -41,7 +40,10 @@
 	// above the preset's bound.
 	Slowdown float64
 	Late     int
-	Running  []Running
+	Running  []Running // shared between snapshots; not to be changed
+	// Pressure is the summed cost of Running, or negative when it is to be
+	// asked of Costs.
+	Pressure float64
 }
 
 // Costs estimates what a task costs the service beside it, as the logarithm of
--- a/score/world.go
+++ b/score/world.go
@@ -359,7 +359,7 @@
 func (w *world) view(s *placement.Snapshot, b *box) placement.Worker {
 	room := w.room(b.name)
 	v := placement.Worker{Agent: b.name, Boot: room.Boot, Open: room.Open, Total: room.Total, Free: room.Total.Sub(w.tasks.Reserved(b.name)),
-		Service: "m/s", Preset: w.s.preset(w.now), Load: b.seen.load, Slowdown: b.seen.slowdown, Late: b.late}
+		Service: "m/s", Preset: w.s.preset(w.now), Load: b.seen.load, Slowdown: b.seen.slowdown, Late: b.late, Pressure: -1}
 	if w.oracle {
 		v.Load, v.Slowdown, v.Late = b.load, b.slowdown, 9
 	}
@@ -367,7 +367,7 @@
 		t := w.tasks.Tasks[o.Task]
 		v.BatchUsed += t.Need.MilliCPU
 		v.Running = append(v.Running, placement.Running{Task: t.ID, Attempt: t.Attempt, Market: "m", Job: t.Job, Need: t.Need,
-			Elapsed: w.now - t.PlacedAt, Expected: s.RunTime(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
+			Started: t.PlacedAt, Expected: s.RunTime(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
 	}
 	return v
 }
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -64,6 +64,7 @@
 	mu      sync.Mutex
 	runs    map[string]int
 	record  *os.File
+	slots   chan struct{} // what runs at once; the rest queues inside
 	Worker  *Server
 	client  *transport.Client
 }
@@ -71,7 +72,7 @@
 // NewUpstream returns an instance that is not yet running.
 func NewUpstream(o UpstreamOptions) *Upstream {
 	host, _, _ := net.SplitHostPort(o.Address)
-	return &Upstream{opts: o, runs: make(map[string]int), Worker: NewServer(NewWorker(o.Capacity)), client: transport.NewClient(nil, host)}
+	return &Upstream{opts: o, runs: make(map[string]int), slots: make(chan struct{}, max(o.Slots, 1)), Worker: NewServer(NewWorker(o.Capacity)), client: transport.NewClient(nil, host)}
 }
 
 // Runs returns how often each token was run.
@@ -189,9 +190,11 @@
 	if ms, err := ctx.QueryArgs().GetUint("ms"); err == nil {
 		wait = time.Duration(ms) * time.Millisecond
 	}
+	u.slots <- struct{}{}
 	if wait > 0 {
 		time.Sleep(wait)
 	}
+	<-u.slots
 	body := u.body(ctx, token)
 	switch Fault(u.Fault.Load()) {
 	case FaultError:
