--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -21,7 +21,8 @@
 // cluster is three replicas in this process, each on a loopback address of its
 // own, with real sockets and disks.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
+	tick     string
 	dir      string
 	net      int
 	replicas [3]*Replica
@@ -33,11 +34,16 @@
 
 var nextNet = os.Getpid() % 150
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
+	t.Helper()
+	return newClusterAt(t, "20ms")
+}
+
+func newClusterAt(t testing.TB, tick string) *cluster {
 	t.Helper()
 	logrus.SetOutput(io.Discard)
 	nextNet++
-	c := &cluster{t: t, dir: t.TempDir(), net: nextNet, cut: make(map[string]bool)}
+	c := &cluster{t: t, tick: tick, dir: t.TempDir(), net: nextNet, cut: make(map[string]bool)}
 	transport.SetFault(c.isCut)
 	for i := range c.replicas {
 		c.start(i)
@@ -72,8 +78,8 @@
 
 func (c *cluster) start(i int) {
 	c.t.Helper()
-	text := fmt.Sprintf("[instance]\nname=\"r%d\"\ndata_centre=\"dc\"\nip=%q\n[peers]\ncontrol=[\"%s:7101\",\"%s:7101\",\"%s:7101\"]\n[control]\nport=7101\noperator_port=7102\ndata_folder=%q\ntick=\"20ms\"\nlease=\"1s\"\nsnapshot_entries=100\n",
-		i, c.ip(i), c.ip(0), c.ip(1), c.ip(2), filepath.Join(c.dir, fmt.Sprint(i)))
+	text := fmt.Sprintf("[instance]\nname=\"r%d\"\ndata_centre=\"dc\"\nip=%q\n[peers]\ncontrol=[\"%s:7101\",\"%s:7101\",\"%s:7101\"]\n[control]\nport=7101\noperator_port=7102\ndata_folder=%q\ntick=%q\nlease=\"1s\"\nsnapshot_entries=100\n",
+		i, c.ip(i), c.ip(0), c.ip(1), c.ip(2), filepath.Join(c.dir, fmt.Sprint(i)), c.tick)
 	set, err := settings.Parse("test", text)
 	if err != nil {
 		c.t.Fatal(err)
