--- a/agent/ledger.go
+++ b/agent/ledger.go
@@ -142,9 +142,14 @@
 func (l *Ledger) Jobs() map[string]int {
 	out := make(map[string]int)
 	for _, t := range l.report {
-		if t.Running {
-			out[t.Job]++
+		if !t.Running {
+			continue
+		}
+		job := t.Job
+		if t.Throttled {
+			job += worker.ThrottledSuffix
 		}
+		out[job]++
 	}
 	return out
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -39,6 +39,9 @@
 	baseline *interference.Baseline
 	runtimes *lease.RunTimes
 	holdings map[string]*holding // by agent
+	// throttled tasks run slower until they are released or end. It is not
+	// committed: a new leader starts without and throttles again if need be.
+	throttled map[string]uint32 // task to attempt
 }
 
 func newLeader(r *Replica) *leader {
@@ -51,6 +54,7 @@
 	l.term, l.keeper = term, lease.NewKeeper(l.r.set.Control.Lease.Duration, time.Now())
 	l.sessions = make(map[string]*session)
 	l.holdings = make(map[string]*holding)
+	l.throttled = make(map[string]uint32)
 	if l.model == nil {
 		l.model, l.baseline = interference.NewModel(), interference.NewBaseline()
 	}
@@ -244,6 +248,7 @@
 			a.Markets = s.Market.Since(req.Revision)
 		}
 		orders := s.Tasks.Orders(req.Member.Agent)
+		a.Throttle = r.leader.throttledOf(orders)
 		if lease.Digest(orders) != req.Digest {
 			a.Changed, a.Orders = true, orders
 		}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -34,10 +34,11 @@
 	plan := placement.Learned{}.Plan(snap)
 	l.mu.Unlock()
 	metrics.GetOrCreateHistogram(`waxwinghaven_plan_seconds`).UpdateDuration(start)
+	l.throttle(plan)
 	if len(plan.Placements)+len(plan.Evictions)+len(plan.SetAside) == 0 {
 		return
 	}
-	v, err := l.r.propose(Command{Plan: &plan})
+	v, err := l.r.propose(Command{Plan: &plan.Plan})
 	if err != nil {
 		logrus.Warnf("control: Could not commit a plan: %v.", err)
 		return
@@ -45,6 +46,50 @@
 	l.countPlan(v.(lease.PlanResult))
 }
 
+// throttle remembers which tasks are to run slower; their agents learn it with
+// the next renewal. A worker where it was done must be late anew before more is.
+func (l *leader) throttle(d placement.Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range d.Throttle {
+		l.throttled[a.Task] = a.Number
+		delete(l.holdings, a.Agent)
+		if ses := l.sessions[a.Agent]; ses != nil {
+			ses.late = 0
+		}
+	}
+	for _, a := range d.Release {
+		delete(l.throttled, a.Task)
+		delete(l.holdings, a.Agent)
+	}
+	metrics.GetOrCreateCounter(`waxwinghaven_throttles_total`).Add(len(d.Throttle))
+}
+
+// forgetThrottled drops the throttles of attempts that have ended.
+func (l *leader) forgetThrottled(s *State) {
+	for id, attempt := range l.throttled {
+		if t := s.Tasks.Tasks[id]; t == nil || !t.Holds() || t.Attempt != attempt {
+			delete(l.throttled, id)
+		}
+	}
+}
+
+// throttledOf returns which of these orders are to run slower.
+func (l *leader) throttledOf(orders []lease.Order) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.throttled) == 0 {
+		return nil
+	}
+	var out []string
+	for _, o := range orders {
+		if l.throttled[o.Task] == o.Attempt {
+			out = append(out, o.Task)
+		}
+	}
+	return out
+}
+
 func (l *leader) countPlan(res lease.PlanResult) {
 	count := func(name string, n int) { metrics.GetOrCreateCounter(name).Add(n) }
 	count(`waxwinghaven_placements_total{result="placed"}`, res.Placed)
@@ -86,6 +131,7 @@
 
 func (l *leader) build(s *State) *placement.Snapshot {
 	l.runtimes.Update(s.Tasks)
+	l.forgetThrottled(s)
 	snap := &placement.Snapshot{Now: max(s.Clock, time.Now().UnixMilli()), Waiting: s.Tasks.WaitingHeads(headsPerJob),
 		Costs: l.model, Seed: s.Index, MaxPlacements: maxPlacements, RunTime: l.runtimes.Of}
 	snap.Quota, snap.TeamUse = teamLimits(s, snap.Waiting)
@@ -149,7 +195,7 @@
 			h.batchUsed += t.Need.MilliCPU
 		}
 		h.running = append(h.running, placement.Running{Task: t.ID, Attempt: t.Attempt, Market: t.Market, Job: t.Job, Need: t.Need,
-			Started: t.PlacedAt, Expected: l.runtimes.Of(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
+			Started: t.PlacedAt, Expected: l.runtimes.Of(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed, Throttled: l.throttled[t.ID] == t.Attempt})
 	}
 	l.holdings[agent] = h
 	return h
--- a/control/schedule_bench_test.go
+++ b/control/schedule_bench_test.go
@@ -84,7 +84,7 @@
 func pass(l *leader, s *State, index *uint64) int {
 	plan := placement.Learned{}.Plan(l.build(s))
 	*index++
-	v, _ := s.Apply(*index, Command{Now: 1_000_000, Plan: &plan})
+	v, _ := s.Apply(*index, Command{Now: 1_000_000, Plan: &plan.Plan})
 	return v.(lease.PlanResult).Placed
 }
 
--- a/placement/baseline.go
+++ b/placement/baseline.go
@@ -14,7 +14,7 @@
 func (FirstFit) Name() string { return "first-fit" }
 
 // Plan implements Policy.
-func (FirstFit) Plan(s *Snapshot) lease.Plan { return simplePlan(s, func(n int) int { return 0 }) }
+func (FirstFit) Plan(s *Snapshot) Decision { return simplePlan(s, func(n int) int { return 0 }) }
 
 // Random is a yardstick: any worker with room.
 type Random struct{}
@@ -23,7 +23,7 @@
 func (Random) Name() string { return "random" }
 
 // Plan implements Policy.
-func (Random) Plan(s *Snapshot) lease.Plan {
+func (Random) Plan(s *Snapshot) Decision {
 	rng := rand.New(rand.NewPCG(s.Seed, 2))
 	return simplePlan(s, rng.IntN)
 }
@@ -36,7 +36,7 @@
 func (Reactive) Name() string { return "reactive" }
 
 // Plan implements Policy.
-func (Reactive) Plan(s *Snapshot) lease.Plan {
+func (Reactive) Plan(s *Snapshot) Decision {
 	p := simplePlan(s, func(n int) int { return 0 })
 	for i := range s.Workers {
 		w := &s.Workers[i]
@@ -64,7 +64,7 @@
 
 // simplePlan places each task on the first worker that has room, looking from
 // where start says.
-func simplePlan(s *Snapshot, start func(n int) int) lease.Plan {
+func simplePlan(s *Snapshot, start func(n int) int) Decision {
 	p := newPlanner(s)
 	for _, t := range inOrder(s) {
 		if len(p.plan.Placements) >= s.MaxPlacements || len(p.open) == 0 {
--- a/placement/place.go
+++ b/placement/place.go
@@ -31,7 +31,7 @@
 func (Learned) Name() string { return "learned" }
 
 // Plan implements Policy.
-func (Learned) Plan(s *Snapshot) lease.Plan {
+func (Learned) Plan(s *Snapshot) Decision {
 	p := newPlanner(s)
 	p.placeAll()
 	p.relieveAll()
@@ -47,7 +47,7 @@
 	biggest []resource.Vector
 	use     map[string]resource.Vector
 	pressed map[int]float64 // worker index to summed cost of its tasks
-	plan    lease.Plan
+	plan    Decision
 }
 
 func newPlanner(s *Snapshot) *planner {
@@ -275,12 +275,23 @@
 	return w.Pressure
 }
 
+// throttledCost is the part of a task's cost that is left when it is throttled.
+const throttledCost = 0.5
+
+// costOf returns what one running task is expected to cost.
+func costOf(costs Costs, w *Worker, r Running) float64 {
+	mean, _ := costs.Cost(w.Service, r.Market, r.Job, w.Load)
+	if r.Throttled {
+		mean *= throttledCost
+	}
+	return mean
+}
+
 // Pressure returns the summed cost of what runs on a worker.
 func Pressure(costs Costs, w *Worker) float64 {
 	sum := 0.0
 	for _, r := range w.Running {
-		mean, _ := costs.Cost(w.Service, r.Market, r.Job, w.Load)
-		sum += mean
+		sum += costOf(costs, w, r)
 	}
 	return sum
 }
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -89,18 +89,20 @@
 	p.plan.Evictions = append(p.plan.Evictions, lease.Eviction{Task: r.Task, Attempt: r.Attempt})
 }
 
-// relieveAll evicts where a service has been late for several reports.
+// relieveAll acts where a service has been late for several reports, and lets
+// throttled tasks go on where it no longer is.
 func (p *planner) relieveAll() {
 	for i := range p.s.Workers {
 		w := &p.s.Workers[i]
-		if w.Evacuate {
+		switch {
+		case w.Evacuate:
 			p.evacuate(w)
-			continue
-		}
-		if w.Service == "" || w.Late < lateReports || p.felt(i) <= w.Preset.MaxSlowdown*leeway(w.Preset)*hysteresis {
-			continue
+		case w.Service == "":
+		case w.Late >= lateReports && p.felt(i) > w.Preset.MaxSlowdown*leeway(w.Preset)*hysteresis:
+			p.relieve(w)
+		case w.Late == 0:
+			p.release(i)
 		}
-		p.relieve(w)
 	}
 }
 
@@ -119,27 +121,60 @@
 	}
 }
 
-// relieve evicts the task that buys most relief for the work lost, if the
-// tasks are what slows the service down at all.
+// relieve takes the next step against the task that buys most relief for the
+// work lost, if the tasks are what slows the service down at all: a throttle
+// first, an eviction if it is throttled already.
 func (p *planner) relieve(w *Worker) {
 	best, bestValue := -1, 0.0
 	for i, r := range w.Running {
 		if !r.Evictable {
 			return // wait for the effect of the last eviction
 		}
-		if !p.worthMoving(r) {
+		if r.Urgent || p.needsSpeed(w, r) {
 			continue
 		}
-		relief, _ := p.s.Costs.Cost(w.Service, r.Market, r.Job, w.Load)
+		relief := costOf(p.s.Costs, w, r)
 		if value := relief / (1 + lostWork(r)/1e6); relief > minRelief && value > bestValue {
 			best, bestValue = i, value
 		}
 	}
-	if best >= 0 {
-		p.evict(w.Running[best])
+	if best < 0 {
+		return
+	}
+	switch r := w.Running[best]; {
+	case !r.Throttled:
+		p.plan.Throttle = append(p.plan.Throttle, Attempt{r.Task, r.Attempt, w.Agent})
+	case p.worthMoving(r):
+		p.evict(r)
+	}
+}
+
+// needsSpeed reports whether a task would miss its deadline at the throttled
+// speed, under a preset that does not weigh tail latency alone.
+func (p *planner) needsSpeed(w *Worker, r Running) bool {
+	if r.Deadline == 0 || w.Preset.TailWeight == 1 {
+		return false
+	}
+	left := max(r.Expected-(p.s.Now-r.Started), moveCost)
+	return p.s.Now+int64(float64(left)/throttledSpeed) > r.Deadline
+}
+
+// release lets one throttled task go on at full speed, if the service is
+// expected to bear it or the task needs it.
+func (p *planner) release(i int) {
+	w := &p.s.Workers[i]
+	bound := math.Log(w.Preset.MaxSlowdown * leeway(w.Preset))
+	for _, r := range w.Running {
+		if r.Throttled && (p.pressure(i)+costOf(p.s.Costs, w, r) <= bound || p.needsSpeed(w, r)) {
+			p.plan.Release = append(p.plan.Release, Attempt{r.Task, r.Attempt, w.Agent})
+			return
+		}
 	}
 }
 
+// throttledSpeed is the part of its speed at which a throttled task runs.
+const throttledSpeed = 0.5
+
 // minRelief is the logarithmic slowdown below which an eviction buys nothing
 // that can be measured.
 const minRelief = 0.02
--- a/placement/types.go
+++ b/placement/types.go
@@ -21,6 +21,7 @@
 	Deadline  int64 // log clock, milliseconds; 0 means none
 	Urgent    bool
 	Evictable bool // placed, and not already asked to stop
+	Throttled bool // runs at a part of its speed
 }
 
 // Worker is one worker at the time of the snapshot.
@@ -70,8 +71,23 @@
 	MaxPlacements int
 }
 
-// Policy makes a plan from a snapshot.
+// Decision is what a pass decided. The plan is committed; throttling is not,
+// since losing it with a leader harms nothing.
+type Decision struct {
+	lease.Plan
+	Throttle []Attempt // to slow down
+	Release  []Attempt // throttled, to run at full speed again
+}
+
+// Attempt names a running attempt and where it runs.
+type Attempt struct {
+	Task   string
+	Number uint32
+	Agent  string
+}
+
+// Policy decides from a snapshot.
 type Policy interface {
 	Name() string
-	Plan(s *Snapshot) lease.Plan
+	Plan(s *Snapshot) Decision
 }
--- a/proof/tasks_test.go
+++ b/proof/tasks_test.go
@@ -228,11 +228,12 @@
 	opCommitExpired
 	opSnapshot
 	opRepeat
+	opThrottle
 	opKinds
 )
 
 var weights = [opKinds]int{opStep: 30, opRenew: 25, opRenewDelayed: 5, opDeliverDelayed: 4, opSubmit: 4, opPlace: 10, opEvict: 4, opCancel: 1,
-	opFreeze: 2, opCut: 2, opBoot: 1, opAgentRestart: 2, opNewLeader: 1, opExpire: 8, opCommitExpired: 6, opSnapshot: 1, opRepeat: 8}
+	opFreeze: 2, opCut: 2, opBoot: 1, opAgentRestart: 2, opNewLeader: 1, opExpire: 8, opCommitExpired: 6, opSnapshot: 1, opRepeat: 8, opThrottle: 3}
 
 func genOp() gopter.Gen {
 	var kinds []any
@@ -287,6 +288,8 @@
 		s.commitExpired()
 	case opSnapshot:
 		s.state.Tasks.Rebuild()
+	case opThrottle:
+		s.throttle(h, o.A)
 	case opRepeat:
 		s.repeat()
 	}
@@ -304,6 +307,16 @@
 	tell()
 }
 
+// throttle slows one of a host's tasks down, or lets all run at full speed.
+func (s *system) throttle(h *host, n int) {
+	orders := s.state.Tasks.Orders(h.name)
+	if n%2 == 0 || len(orders) == 0 {
+		h.ledger.Throttle(nil)
+		return
+	}
+	h.ledger.Throttle([]string{orders[n%len(orders)].Task})
+}
+
 // repeat commits a report or plan once more, as after a lost answer.
 func (s *system) repeat() {
 	if len(s.sent) > 0 {
@@ -316,6 +329,7 @@
 func (s *system) finish() {
 	for _, h := range s.hosts {
 		h.frozen, h.cut = false, false
+		h.ledger.Throttle(nil)
 	}
 	for range 3000 {
 		s.now += stepMS
--- a/score/scenario.go
+++ b/score/scenario.go
@@ -41,20 +41,19 @@
 
 // scenario is one deployment's day, drawn from a seed.
 type scenario struct {
-	name      string
-	workers   int
-	capacity  resource.Vector
-	kept      int64 // milli CPU that the service keeps
-	racks     int
-	centres   int
-	peak      [2]int64 // hours of the busiest time
-	kinds     []*kind
-	arrivals  []arrival
-	presets   []presetAt
-	failing   window // a worker that fails everything
-	lost      []window
-	cancels   []arrival
-	urgentNum int
+	name     string
+	workers  int
+	capacity resource.Vector
+	kept     int64 // milli CPU that the service keeps
+	racks    int
+	centres  int
+	peak     [2]int64 // hours of the busiest time
+	kinds    []*kind
+	arrivals []arrival
+	presets  []presetAt
+	failing  window // a worker that fails everything
+	lost     []window
+	cancels  []arrival
 }
 
 type presetAt struct {
--- a/score/score.go
+++ b/score/score.go
@@ -31,6 +31,7 @@
 	BatchDeadlines int     `json:"batch_deadlines"`
 	BatchMet       int     `json:"batch_deadlines_met"`
 	Evictions      int     `json:"evictions"`
+	Throttles      int     `json:"throttles"`
 	LostHours      float64 `json:"lost_core_hours"`
 	Urgent         float64 `json:"longest_urgent_start_s"`
 }
@@ -107,6 +108,7 @@
 		out.BatchDeadlines += r.BatchDeadlines
 		out.BatchMet += r.BatchMet
 		out.Evictions += r.Evictions
+		out.Throttles += r.Throttles
 	}
 	return out
 }
@@ -149,7 +151,7 @@
 
 // WriteTable prints the rows as a tab-separated table.
 func WriteTable(w io.Writer, rows []Row) {
-	fmt.Fprintln(w, "DEPLOYMENT\tPOLICY\tPEAK P99\tDAY P99\tDAY P99.9\tBATCH CORE H\tOF ORACLE\tMISSED\tMISSED IN BATCH TIME\tEVICTIONS\tLOST CORE H\tURGENT START S")
+	fmt.Fprintln(w, "DEPLOYMENT\tPOLICY\tPEAK P99\tDAY P99\tDAY P99.9\tBATCH CORE H\tOF ORACLE\tMISSED\tMISSED IN BATCH TIME\tEVICTIONS\tTHROTTLES\tLOST CORE H\tURGENT START S")
 	best := make(map[string]float64)
 	for _, r := range rows {
 		if r.Policy == "oracle" {
@@ -157,7 +159,7 @@
 		}
 	}
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.0f\t%.1f%%\t%d of %d\t%d of %d\t%d\t%.1f\t%.1f\n", r.Deployment, r.Policy, r.PeakP99, r.P99, r.P999, r.DoneHours,
-			100*r.DoneHours/best[r.Deployment], r.Deadlines-r.Met, r.Deadlines, r.BatchDeadlines-r.BatchMet, r.BatchDeadlines, r.Evictions, r.LostHours, r.Urgent)
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.0f\t%.1f%%\t%d of %d\t%d of %d\t%d\t%d\t%.1f\t%.1f\n", r.Deployment, r.Policy, r.PeakP99, r.P99, r.P999, r.DoneHours,
+			100*r.DoneHours/best[r.Deployment], r.Deadlines-r.Met, r.Deadlines, r.BatchDeadlines-r.BatchMet, r.BatchDeadlines, r.Evictions, r.Throttles, r.LostHours, r.Urgent)
 	}
 }
--- a/score/world.go
+++ b/score/world.go
@@ -11,6 +11,7 @@
 	"github.com/waxwinghaven/waxwinghaven/membership"
 	"github.com/waxwinghaven/waxwinghaven/placement"
 	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/worker"
 )
 
 // Times of the mechanism around the decisions, in milliseconds.
@@ -21,6 +22,8 @@
 	moveCost   = 30 * second // work lost by a checkpoint and a start elsewhere
 	saveEvery  = 10 * minute // checkpoints that a task makes by itself
 	passes     = 4           // scheduling passes within one step
+
+	throttledPart = 0.5 // of speed and cost, as the worker's throttle is
 )
 
 // box is one worker.
@@ -48,6 +51,7 @@
 type progress struct {
 	kind  *kind
 	left  int64 // milliseconds of work
+	slow  bool  // throttled: half the speed, half the cost
 	saved int64 // of left, at the last checkpoint
 }
 
@@ -180,7 +184,7 @@
 	for id := range w.tasks.On(name) {
 		p := w.truth[id]
 		w.res.LostHours += w.hours(id, p.saved-p.left)
-		p.left = p.saved
+		p.left, p.slow = p.saved, false
 	}
 	w.tasks.ApplyAgentLost(name, m.Boot, w.now)
 }
@@ -197,8 +201,12 @@
 		jobs, sum := make(map[string]int), 0.0
 		for _, o := range w.tasks.Orders(b.name) {
 			k := w.truth[o.Task].kind
-			jobs["m/"+k.job.Name]++
-			sum += k.cost[interference.Band(b.load)]
+			cost, name := k.cost[interference.Band(b.load)], "m/"+k.job.Name
+			if w.truth[o.Task].slow {
+				cost, name = cost*throttledPart, name+worker.ThrottledSuffix
+			}
+			jobs[name]++
+			sum += cost
 		}
 		b.slowdown = math.Exp(sum)
 		w.samples = append(w.samples, weighted{b.slowdown, b.load})
@@ -249,7 +257,11 @@
 		b.failed++
 		w.end(b, o, lease.OutcomeFailed)
 	default:
-		p.left -= step
+		if p.slow {
+			p.left -= int64(float64(step) * throttledPart)
+		} else {
+			p.left -= step
+		}
 		if (w.now-t.PlacedAt)%saveEvery == 0 {
 			p.saved = p.left
 		}
@@ -263,7 +275,7 @@
 	w.res.Evictions++
 	w.res.LostHours += w.hours(o.Task, moveCost)
 	p.left += moveCost
-	p.saved = p.left
+	p.saved, p.slow = p.left, false
 	w.end(b, o, lease.OutcomeStopped)
 }
 
@@ -303,7 +315,8 @@
 	w.times.Update(w.tasks)
 	for pass := range passes {
 		plan := w.policy.Plan(w.snapshot(uint64(pass)))
-		w.tasks.ApplyPlan(plan, lease.Limits{Room: w.room, Quota: noQuota}, w.now)
+		w.throttle(plan)
+		w.tasks.ApplyPlan(plan.Plan, lease.Limits{Room: w.room, Quota: noQuota}, w.now)
 		w.noteUrgent(pass)
 		if len(w.pending) == 0 {
 			return
@@ -323,6 +336,23 @@
 	}
 }
 
+// throttle takes effect at once, and a worker where it did must be late again
+// before more is done there.
+func (w *world) throttle(d placement.Decision) {
+	for _, a := range d.Throttle {
+		w.truth[a.Task].slow = true
+		w.res.Throttles++
+		for _, b := range w.boxes {
+			if b.name == a.Agent {
+				b.late = 0
+			}
+		}
+	}
+	for _, a := range d.Release {
+		w.truth[a.Task].slow = false
+	}
+}
+
 func (w *world) noteUrgent(pass int) {
 	for id, came := range w.pending {
 		t := w.tasks.Tasks[id]
@@ -367,7 +397,7 @@
 		t := w.tasks.Tasks[o.Task]
 		v.BatchUsed += t.Need.MilliCPU
 		v.Running = append(v.Running, placement.Running{Task: t.ID, Attempt: t.Attempt, Market: "m", Job: t.Job, Need: t.Need,
-			Started: t.PlacedAt, Expected: s.RunTime(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed})
+			Started: t.PlacedAt, Expected: s.RunTime(t), Deadline: t.Deadline, Urgent: t.Urgent, Evictable: t.Phase == lease.Placed, Throttled: w.truth[t.ID].slow})
 	}
 	return v
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -32,7 +33,11 @@
 // attempt is one task attempt on the worker.
 type attempt struct {
 	worker.TaskReport
-	start, from, work int64 // milliseconds
+	start int64 // milliseconds, as all of these
+	begun int64 // progress at the start
+	since int64 // when from was true
+	from  int64 // progress at since
+	work  int64 // progress at the end
 }
 
 // Worker runs tasks by letting time pass. Its methods take the time of its own
@@ -84,19 +89,51 @@
 	for _, st := range s.Stop {
 		w.stop(st, now)
 	}
+	w.throttle(s.Throttle, now)
 	for _, st := range s.Start {
 		w.start(st, now)
 	}
 	return w.Report(now)
 }
 
+// throttledSpeed is the part of its speed at which a throttled task runs.
+const throttledSpeed = 0.5
+
+// throttle slows the named tasks down and lets all others run at full speed.
+func (w *Worker) throttle(tasks []string, now int64) {
+	for ref, a := range w.tasks {
+		slow := slices.Contains(tasks, ref.Task)
+		if a.Running && slow != a.Throttled {
+			a.from, a.since, a.Throttled = a.progress(now), now, slow
+		}
+	}
+}
+
+// progress is the work done up to now, in milliseconds of full speed.
+func (a *attempt) progress(now int64) int64 {
+	speed := 1.0
+	if a.Throttled {
+		speed = throttledSpeed
+	}
+	return min(a.from+int64(float64(now-a.since)*speed), a.work)
+}
+
+// doneAt is when the attempt ends by itself at its present speed.
+func (a *attempt) doneAt() int64 {
+	left := a.work - a.from
+	if a.Throttled {
+		left = int64(float64(left) / throttledSpeed)
+	}
+	return a.since + left
+}
+
 // advance ends what ended by itself up to now, and what the lease ended.
 func (w *Worker) advance(now int64) {
 	for _, a := range w.tasks {
 		if !a.Running {
 			continue
 		}
-		doneAt := a.start + a.work - a.from
+		doneAt := a.doneAt()
 		switch {
 		case doneAt <= now && doneAt <= w.until:
 			w.end(a, doneAt, lease.OutcomeDone, "")
@@ -118,7 +155,7 @@
 
 func (w *Worker) end(a *attempt, at int64, o lease.Outcome, reason string) {
 	a.Running, a.Outcome, a.Reason = false, o, reason
-	w.Intervals = append(w.Intervals, Interval{a.Task, a.Attempt, a.start, at, a.from, a.from + at - a.start})
+	w.Intervals = append(w.Intervals, Interval{a.Task, a.Attempt, a.start, at, a.begun, a.progress(at)})
 }
 
 func (w *Worker) start(s worker.Start, now int64) {
@@ -126,7 +163,7 @@
 		return // a duplicate, or older than one it knows of
 	}
 	w.fence[s.Task] = s.Attempt
-	a := &attempt{TaskReport: worker.TaskReport{Task: s.Task, Attempt: s.Attempt, Job: s.Market + "/" + s.Job, Need: s.Need}, start: now, work: s.RunTimeMS}
+	a := &attempt{TaskReport: worker.TaskReport{Task: s.Task, Attempt: s.Attempt, Job: s.Market + "/" + s.Job, Need: s.Need}, start: now, since: now, work: s.RunTimeMS}
 	w.tasks[worker.Ref{Task: s.Task, Attempt: s.Attempt}] = a
 	switch {
 	case !w.used().Add(s.Need).Fits(w.Capacity):
@@ -135,7 +172,8 @@
 	case w.FailAll:
 		a.Outcome, a.Reason = lease.OutcomeFailed, "this worker fails everything"
 	default:
-		a.from, _ = strconv.ParseInt(s.Checkpoint, 10, 64)
+		a.begun, _ = strconv.ParseInt(s.Checkpoint, 10, 64)
+		a.from = a.begun
 		a.Running = true
 	}
 }
@@ -163,7 +201,7 @@
 	}
 	w.end(a, now, lease.OutcomeStopped, "stopped")
 	if s.Checkpoint {
-		a.Checkpoint = strconv.FormatInt(a.from+now-a.start, 10)
+		a.Checkpoint = strconv.FormatInt(a.progress(now), 10)
 	}
 }
 
@@ -212,7 +250,7 @@
 	out := append([]Interval(nil), w.Intervals...)
 	for _, a := range w.tasks {
 		if a.Running {
-			out = append(out, Interval{a.Task, a.Attempt, a.start, now, a.from, a.from + now - a.start})
+			out = append(out, Interval{a.Task, a.Attempt, a.start, now, a.begun, a.progress(now)})
 		}
 	}
 	for i := range out {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -44,6 +44,10 @@
 	Checkpoint bool   `json:"checkpoint"`
 }
 
+// ThrottledSuffix marks a throttled task's job in measurements: it costs the
+// service less, and is learned by itself.
+const ThrottledSuffix = "~throttled"
+
 // Ref names one attempt.
 type Ref struct {
 	Task    string `json:"task"`
@@ -56,9 +60,11 @@
 	Boot string `json:"boot"`
 	// UntilMS is the end of the lease on the worker's own clock. The worker
 	// never shortens it, and does nothing of a message past it.
-	UntilMS  int64    `json:"until_ms"`
-	Start    []Start  `json:"start,omitempty"`
-	Stop     []Stop   `json:"stop,omitempty"`
+	UntilMS int64   `json:"until_ms"`
+	Start   []Start `json:"start,omitempty"`
+	Stop    []Stop  `json:"stop,omitempty"`
+	// Throttle names the tasks that are to run at a part of their speed; all
+	// others run at full speed.
 	Throttle []string `json:"throttle,omitempty"`
 	Forget   []Ref    `json:"forget,omitempty"`
 }
@@ -70,6 +76,7 @@
 	Job        string          `json:"job"` // market/job
 	Need       resource.Vector `json:"need"`
 	Running    bool            `json:"running"`
+	Throttled  bool            `json:"throttled,omitempty"`
 	Outcome    lease.Outcome   `json:"outcome,omitempty"`
 	Checkpoint string          `json:"checkpoint,omitempty"`
 	Reason     string          `json:"reason,omitempty"`
