--- a/proof/processes_test.go
+++ b/proof/processes_test.go
@@ -417,3 +417,88 @@
 		f.t.Error("no attempt was lost: the failure was not caused")
 	}
 }
+
+// All control replicas die. Entries go on serving lookups with what they have.
+// After cut_off_after they refuse the market whose preset says so, as not run and
+// with a time to come back; a booking with a key is refused at once, since no
+// majority can confirm the key. When the replicas are back, so is everything.
+func TestEntryWithoutControlServesWhatItMay(t *testing.T) {
+	f := newFleet(t, "1ms")
+	f.run("entry-9", "waxwinghavend", "--settings", f.settings("entry-9", f.front(9), "[entry]\nport=7105\nhealth_port=7106\nsync=\"100ms\"\ncut_off_after=\"1s\"\n"))
+	alone := load.Options{Requests: 50, Concurrency: 4, Method: "GET", Addresses: []string{f.entry(9)}}
+	f.wait("the entry serves", func() bool { return f.load(alone).Outcomes["done"] == 50 })
+	for i := 1; i <= 3; i++ {
+		f.end(fmt.Sprint("front-", i), syscall.SIGKILL)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if res := f.load(alone); res.Outcomes["done"] != 50 {
+		t.Errorf("without control: %v", res.Outcomes)
+	}
+	if b := f.book("nobody-confirms", 9); b.outcome != "not-run" || b.reason != "key-unconfirmed" || f.ran()["nobody-confirms"] != 0 {
+		t.Errorf("a keyed booking without control: %+v", b)
+	}
+	for i := 1; i <= 3; i++ {
+		f.startFront(i)
+	}
+	f.wait("the replicas are back", func() bool { _, err := f.ops.Markets(); return err == nil })
+	f.change(market.Change{Verb: market.PutPreset, Market: "vault", Preset: &market.Preset{Name: "strict", MaxSlowdown: 2, BatchShare: 1, CutOff: market.CutOffRefuse}})
+	f.change(market.Change{Verb: market.UsePreset, Market: "vault", Name: "strict"})
+	f.wait("strict is in force and serves", func() bool { return f.load(alone).Outcomes["done"] == 50 && f.inForce("entry-9") })
+	for i := 1; i <= 3; i++ {
+		f.end(fmt.Sprint("front-", i), syscall.SIGKILL)
+	}
+	f.wait("the cut off entry refuses", func() bool { return f.load(alone).Outcomes["not-run cut-off"] == 50 })
+}
+
+// inForce reports whether an instance has acknowledged the newest revision.
+func (f *fleet) inForce(name string) bool {
+	statuses, _ := f.ops.Statuses()
+	var newest uint64
+	for _, s := range statuses {
+		newest = max(newest, s.Revision)
+	}
+	for _, s := range statuses {
+		for _, i := range s.Instances {
+			if i.Name == name && i.Revision == newest {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// An upstream says that it is leaving, another dies without a word, while
+// lookups go on. Neither gets a request a few seconds later, and the renders
+// that their workers ran are all done in the end.
+func TestLeavingAndDeadUpstreamsGetNothing(t *testing.T) {
+	f := newFleet(t, "1ms")
+	s := lease.Submit{ID: "moved", Market: "vault", Job: "render", Count: 9, IssuedMS: time.Now().UnixMilli()}
+	if _, err := f.ops.Submit(s); err != nil {
+		t.Fatal(err)
+	}
+	f.wait("renders run", func() bool { return len(f.intervals()) == 9 })
+	resp, err := http.Get("http://" + f.back(1) + ":7107/standin/leave")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	f.end("upstream-2", syscall.SIGKILL)
+	time.Sleep(3 * time.Second)
+	before := f.ran()
+	res := f.load(load.Options{Requests: 600, Concurrency: 6, Method: "POST"})
+	if res.Outcomes["done"] != 600 {
+		t.Errorf("outcomes: %v", res.Outcomes)
+	}
+	for _, i := range []int{1, 2} {
+		b, _ := os.ReadFile(f.record(i))
+		for _, token := range strings.Fields(string(b)) {
+			if _, mine := res.Tokens[token]; mine && before[token] == 0 {
+				t.Fatalf("upstream %d got %s", i, token)
+			}
+		}
+	}
+	f.wait("all renders are done", func() bool {
+		tasks, err := f.ops.Tasks(operator.TaskQuery{ID: s.ID, Phase: string(lease.Done), Limit: s.Count})
+		return err == nil && len(tasks) == s.Count
+	})
+}
--- a/proof/session_test.go
+++ b/proof/session_test.go
@@ -112,7 +112,7 @@
 	s.place("night/0", 1)
 	s.operator(control.Command{Plan: &lease.Plan{Placements: []lease.Placement{{Task: "night/0", Agent: "a0", Boot: s.hosts[0].worker.Boot, Attempt: 1}}}})
 	s.round(1)
-	s.scene("its agent is silent for longer than its lease; the worker has stopped it by itself")
+	s.scene("its agent falls silent; the work ends there, but nobody hears of it before the lease is over")
 	s.now += 1200
 	s.round(0)
 	s.now += 1300
