--- /dev/null
+++ b/agent/announce_test.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/admission"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/settings"
+)
+
+func testAgent(t *testing.T) *Agent {
+	t.Helper()
+	set, err := settings.Parse("test", "[instance]\nname=\"a\"\ndata_centre=\"dc\"\nip=\"127.0.0.1\"\n[peers]\ncontrol=[\"127.0.0.1:7101\"]\n[agent]\nport=7103\nlocal_port=7104\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := New(set, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func (g *Agent) arriveNow(t *testing.T) admission.Verdict {
+	t.Helper()
+	return g.gate.Arrive(&admission.Ticket{Deadline: time.Now().Add(time.Second), Ready: make(chan struct{})}, time.Now())
+}
+
+// An upstream says that it is leaving. Whatever the entries still send is refused
+// from this moment as not run: the promise does not wait for news to reach them.
+// An upstream that falls silent is taken for gone, and is served again after its
+// next heartbeat; one whose agent drains is not.
+func TestAgentRefusesForItsUpstreamAtOnce(t *testing.T) {
+	g := testAgent(t)
+	a := Announcement{Market: "m", Service: "s", Address: "127.0.0.1:9", Slots: 2, Connections: 2}
+	now := time.Now()
+	if v := g.arriveNow(t); v.Code != refusal.NoUpstream {
+		t.Errorf("before the first announcement: %+v", v)
+	}
+	g.announced(a, now)
+	if v := g.arriveNow(t); v.Decision != admission.Admit {
+		t.Errorf("announced: %+v", v)
+	}
+	leaving := a
+	leaving.Leaving = true
+	g.announced(leaving, now)
+	if v := g.arriveNow(t); v.Decision != admission.Refuse || v.Code != refusal.Leaving {
+		t.Errorf("leaving: %+v", v)
+	}
+	g.announced(a, now)
+	g.expireUpstream(now.Add(settings.DefaultAnnounceTimeout + 1))
+	if v := g.arriveNow(t); v.Code != refusal.NoUpstream {
+		t.Errorf("silent: %+v", v)
+	}
+	g.announced(a, now)
+	g.withdraw()
+	g.announced(a, now)
+	if v := g.arriveNow(t); v.Code != refusal.Leaving {
+		t.Errorf("draining: %+v", v)
+	}
+}
+
+// Announcements that offer nonsense are refused with what is wrong.
+func TestBadAnnouncementsAreRefused(t *testing.T) {
+	good := Announcement{Market: "m", Service: "s", Address: "127.0.0.1:9", Slots: 1, Connections: 1}
+	if err := good.validate(); err != nil {
+		t.Fatal(err)
+	}
+	less := -1
+	for name, spoil := range map[string]func(*Announcement){
+		"market": func(a *Announcement) { a.Market = "" }, "service": func(a *Announcement) { a.Service = "A b" },
+		"address": func(a *Announcement) { a.Address = "host:80" }, "worker": func(a *Announcement) { a.Worker = "x" },
+		"slots": func(a *Announcement) { a.Slots = 0 }, "connections": func(a *Announcement) { a.Connections = 1 << 30 },
+		"running": func(a *Announcement) { a.Running = &less }, "capacity": func(a *Announcement) { a.Capacity.MemoryMB = -5 },
+	} {
+		a := good
+		spoil(&a)
+		if err := a.validate(); !refusal.Is(err, refusal.Invalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -114,7 +114,9 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		for _, m := range s.Members.Members {
-			if mv, ok := l.expired(m); ok {
+			if m.Phase == membership.Down {
+				l.keeper.Reopen(m.Agent) // its end is committed
+			} else if mv, ok := l.expired(m); ok {
 				moves = append(moves, mv)
 			}
 		}
@@ -127,9 +129,11 @@
 		logrus.WithFields(logrus.Fields{"agent": mv.Agent, "phase": mv.Phase, "reason": mv.Reason}).Warn("control: A member changes its phase.")
 	}
 	if _, err := l.r.propose(Command{Moves: moves}); err != nil {
+		// The outcome may be unknown: the moves can still be committed. So
+		// the leases stay closed, and the next watch proposes them again.
 		logrus.Warnf("control: Could not commit %d membership moves: %v.", len(moves), err)
+		return
 	}
-	l.reopen(moves)
 	l.wake()
 }
 
@@ -142,20 +146,12 @@
 }
 
 func (l *leader) expired(m *membership.Member) (membership.Move, bool) {
-	if m.Phase == membership.Down || !l.keeper.Close(m.Agent, time.Now()) {
+	if !l.keeper.Close(m.Agent, time.Now()) {
 		return membership.Move{}, false
 	}
 	return membership.Move{Agent: m.Agent, Boot: m.Boot, Phase: membership.Down, Reason: "its lease ended without a renewal"}, true
 }
 
-func (l *leader) reopen(moves []membership.Move) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, mv := range moves {
-		l.keeper.Reopen(mv.Agent)
-	}
-}
-
 // grant extends the lease of an agent, or refuses while its end is committed.
 func (l *leader) grant(req *Renew) error {
 	l.mu.Lock()
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/settings"
@@ -32,7 +33,7 @@
 	cut      map[string]bool // isolated IP numbers
 }
 
-var nextNet = os.Getpid() % 150
+var nextNet = os.Getpid() % 200
 
 func newCluster(t testing.TB) *cluster {
 	t.Helper()
@@ -61,7 +62,9 @@
 	return c
 }
 
-func (c *cluster) ip(i int) string { return fmt.Sprintf("127.7.%d.%d", c.net, i+1) }
+func (c *cluster) ip(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 110+os.Getpid()/200%100, c.net, i+1)
+}
 
 // isCut isolates replicas from each other, not from the test.
 func (c *cluster) isCut(from, to string) bool {
@@ -183,6 +186,10 @@
 	}
 	c.inForceEverywhere(1)
 	old := c.leader()
+	renewal := Renew{Member: membership.Member{Agent: "a", Address: "127.0.0.1:1", Boot: "b"}}
+	if _, err := c.replicas[old].onRenew(renewal); err != nil {
+		t.Fatalf("a renewal before the cut: %v", err)
+	}
 	c.isolate(old, true)
 	lost := market.Change{ID: "lost", Base: 1, Verb: market.PutTeam, Team: &market.Team{Name: "lost"}}
 	if _, err := c.replicas[old].propose(Command{Change: &lost}); err == nil {
@@ -198,7 +205,7 @@
 	if _, err := c.replicas[old].onSync(Sync{}); err == nil {
 		t.Fatal("the cut off leader served news as current")
 	}
-	if _, err := c.replicas[old].onRenew(Renew{}); err == nil {
+	if _, err := c.replicas[old].onRenew(renewal); err == nil {
 		t.Fatal("the cut off leader granted a lease")
 	}
 	c.isolate(old, false)
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -67,8 +67,9 @@
 	return true
 }
 
-// Reopen lets an agent renew again, once the end of its lease is committed or
-// the attempt to commit it has failed.
+// Reopen lets an agent renew again. It may be called only when the end of its
+// lease is seen to be committed: as long as that is not known, it may still be,
+// and a renewal granted meanwhile would be for attempts that are given away.
 func (k *Keeper) Reopen(agent string) {
 	if h := k.leases[agent]; h != nil {
 		h.closing = false
--- /dev/null
+++ b/quorum/node_test.go
@@ -0,0 +1,70 @@
+package quorum
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+)
+
+// loneNode is a cluster of one with a real disk.
+func loneNode(t *testing.T) (*Node, *Disk, chan error) {
+	t.Helper()
+	disk, err := OpenDisk(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := NewNode(Options{Disk: disk, Machine: &counter{}, Sender: busEnd{&bus{}, 0}, TickEvery: 5 * time.Millisecond, SnapshotEntries: 1 << 30})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(cancel)
+	if err := n.Bootstrap(ctx, Replica{ID: disk.Stored().ID, Name: "r"}); err != nil {
+		t.Fatal(err)
+	}
+	return n, disk, ended
+}
+
+// A write to the disk fails. The replica ends at once and says why; the caller of
+// the change is told that the outcome is unknown. Going on would acknowledge
+// changes that the next restart has forgotten.
+func TestFailingDiskEndsTheReplica(t *testing.T) {
+	n, disk, ended := loneNode(t)
+	if _, err := n.Propose(context.Background(), []byte("kept")); err != nil {
+		t.Fatal(err)
+	}
+	n.call(context.Background(), func() { disk.wal.Close() })
+	if _, err := n.Propose(context.Background(), []byte("lost")); !errors.Is(err, ErrUnknown) {
+		t.Fatalf("the change: %v", err)
+	}
+	if err := <-ended; err == nil {
+		t.Fatal("the replica ended without an error")
+	}
+	if _, err := n.Propose(context.Background(), nil); !errors.Is(err, ErrStopped) {
+		t.Fatalf("afterwards: %v", err)
+	}
+}
+
+// The disk is nearly full. Changes are refused with the remedy; reads go on; when
+// there is room again, so do changes.
+func TestFullDiskRefusesChangesOnly(t *testing.T) {
+	n, _, _ := loneNode(t)
+	ctx := context.Background()
+	n.call(ctx, func() { n.fullSeen = true; n.core.now = 1 })
+	if _, err := n.Propose(ctx, []byte("x")); !errors.Is(err, ErrDiskFull) {
+		t.Fatalf("on a full disk: %v", err)
+	}
+	if err := n.Barrier(ctx); err != nil {
+		t.Fatalf("a read on a full disk: %v", err)
+	}
+	for range 400 { // the room is looked up again every few ticks
+		if _, err := n.Propose(ctx, []byte("x")); err == nil {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("changes are refused for ever")
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -237,6 +237,8 @@
 			writeJSON(ctx, w.Sync(m, now))
 		case "/worker/intervals":
 			writeJSON(ctx, s.wallIntervals(w, now))
+		case "/worker/fail":
+			w.FailAll = ctx.QueryArgs().GetBool("on")
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
