Never 'not run' after a try that may have run; keys with every changing method

Found by reading, then red in TestRetriesAndWhatIsToldOfThem: a lookup that broke off at one upstream and was refused by the next was told 'not run', though the first may have run it. The outcome is now that of all tries together. Also: a PUT or DELETE with an Idempotency-Key was treated as if it had none, and would have been retried; keys now count with every method but GET, HEAD and OPTIONS, and nothing with a key is retried on an unknown outcome. A read that times out in the middle of an answer now keeps its slot until the upstream's own count says that it ended.

--- a/agent/proxy.go
+++ b/agent/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"strconv"
 	"time"
 
@@ -170,7 +171,10 @@
 
 // mayStillRun reports whether the upstream may go on with a request that ended
 // here with this error. A connection that the upstream closed has ended.
-func mayStillRun(err error) bool { return err == fasthttp.ErrTimeout }
+func mayStillRun(err error) bool {
+	var timeout net.Error
+	return !header.NeverSent(err) && (err == fasthttp.ErrTimeout || (errors.As(err, &timeout) && timeout.Timeout()))
+}
 
 func (g *Agent) answer(ctx *fasthttp.RequestCtx, c *call) {
 	if c.err != nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,12 +31,14 @@
 
 // exchange is one caller's request on its way.
 type exchange struct {
-	ctx      *fasthttp.RequestCtx
-	route    routing.Route
-	deadline time.Time
-	id       string
-	tried    []string
-	resp     *fasthttp.Response // the last agent's answer, if any
+	ctx        *fasthttp.RequestCtx
+	route      routing.Route
+	deadline   time.Time
+	id         string
+	tried      []string
+	resp       *fasthttp.Response // the last agent's answer, if any
+	keyed      bool               // runs under an Idempotency-Key
+	mayHaveRun bool               // an earlier try's outcome is unknown
 }
 
 // verdict is what is known of a request after a try.
@@ -69,10 +71,11 @@
 	if v, ok := e.prepare(x); !ok {
 		return v
 	}
-	if key := x.ctx.Request.Header.Peek(header.Key); len(key) > 0 && !isSafe(x.ctx) {
+	if key := x.ctx.Request.Header.Peek(header.Key); len(key) > 0 && !isReadOnly(x.ctx) {
+		x.keyed = true
 		return e.handleKeyed(x, string(key))
 	}
-	if x.route.Service.KeyRequired && !isSafe(x.ctx) {
+	if x.route.Service.KeyRequired && !isIdempotent(x.ctx) {
 		return verdict{outcome: header.NotRun, code: refusal.KeyRequired}
 	}
 	return e.send(x)
@@ -110,13 +113,14 @@
 	return min(time.Duration(ms)*time.Millisecond, s.Timeout()), nil
 }
 
-// isSafe reports whether HTTP calls the method idempotent.
-func isSafe(ctx *fasthttp.RequestCtx) bool {
-	switch string(ctx.Method()) {
-	case fasthttp.MethodGet, fasthttp.MethodHead, fasthttp.MethodPut, fasthttp.MethodDelete, fasthttp.MethodOptions:
-		return true
-	}
-	return false
+// isReadOnly reports whether HTTP calls the method safe.
+func isReadOnly(ctx *fasthttp.RequestCtx) bool {
+	return ctx.IsGet() || ctx.IsHead() || ctx.IsOptions()
+}
+
+// isIdempotent reports whether HTTP calls the method idempotent.
+func isIdempotent(ctx *fasthttp.RequestCtx) bool {
+	return isReadOnly(ctx) || ctx.IsPut() || ctx.IsDelete()
 }
 
 // send tries agents until one has done the request, nothing more may be tried,
@@ -130,18 +134,29 @@
 			e.mu.Unlock()
 			return v
 		}
+		x.mayHaveRun = x.mayHaveRun || v.outcome == header.Unknown
 		if !e.mayRetry(x, v) {
-			return v
+			return x.overall(v)
 		}
 		refusal.CountRetry(part, v.code)
 	}
 }
 
+// overall is what is known of all tries together. The last may certainly not have
+// run, but if an earlier one broke off, the request may have run there: "not run"
+// would be a lie.
+func (x *exchange) overall(last verdict) verdict {
+	if x.mayHaveRun {
+		last.outcome = header.Unknown
+	}
+	return last
+}
+
 // mayRetry allows a second try of what certainly was not run, and of what may
 // be run twice without harm. A non-idempotent request of unknown outcome is
 // never sent again: it may have been run.
 func (e *Entry) mayRetry(x *exchange, v verdict) bool {
-	repeatable := isSafe(x.ctx) && x.route.Service.Retry != market.RetryNever
+	repeatable := isIdempotent(x.ctx) && !x.keyed && x.route.Service.Retry != market.RetryNever
 	if v.outcome == header.Unknown && !repeatable {
 		return false
 	}
--- /dev/null
+++ b/entry/retry_test.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/header"
+	"github.com/waxwinghaven/waxwinghaven/market"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/settings"
+)
+
+// script is what the agents answer, one word a try, whichever of them is asked.
+type script struct {
+	mu    sync.Mutex
+	words []string
+	tries int
+}
+
+func (s *script) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.words[min(s.tries, len(s.words)-1)]
+	s.tries++
+	return w
+}
+
+func (s *script) serve(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.SetBytesV(header.ID, ctx.Request.Header.Peek(header.ID))
+	switch s.next() {
+	case "done":
+		ctx.Response.Header.Set(header.OutcomeName, string(header.Done))
+		ctx.SetBodyString("own")
+	case "not-run":
+		ctx.Response.Header.Set(header.OutcomeName, string(header.NotRun))
+		ctx.Response.Header.Set(header.Reason, string(refusal.Overloaded))
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	case "mixed":
+		ctx.Response.Header.Set(header.ID, "somebody-else")
+		ctx.Response.Header.Set(header.OutcomeName, string(header.Done))
+		ctx.SetBodyString("another's")
+	case "cut":
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { c.Close() })
+	}
+}
+
+// entryWith returns an entry whose service has three agents that play a script.
+func entryWith(t *testing.T, s *script, retry market.RetryRule) *Entry {
+	t.Helper()
+	set, err := settings.Parse("test", "[instance]\nname=\"e\"\ndata_centre=\"dc\"\nip=\"127.0.0.1\"\n[peers]\ncontrol=[\"127.0.0.1:1\"]\n[entry]\nport=7105\nhealth_port=7106\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := New(set, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var members []*membership.Member
+	for _, name := range []string{"a", "b", "c"} {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go fasthttp.Serve(ln, s.serve)
+		members = append(members, &membership.Member{Agent: name, Address: ln.Addr().String(), DataCentre: "dc", Market: "m", Service: "s", Slots: 8, Phase: membership.Up, Revision: 1})
+	}
+	svc := &market.Service{Name: "s", PathPrefix: "/s", TimeoutMS: 5000, Retry: retry}
+	e.table.Update(1, 1, []*market.View{{Market: market.Market{Name: "m"}, Revision: 1, Services: map[string]*market.Service{"s": svc}}}, members)
+	return e
+}
+
+// Agents refuse, break off, or answer to somebody else. A caller is told "not run"
+// only if no try can have run: a lookup that broke off at one upstream and was
+// refused by the next may have run at the first. A booking is sent again only
+// after a certain "not run". Another's answer reaches nobody.
+func TestRetriesAndWhatIsToldOfThem(t *testing.T) {
+	cases := []struct {
+		name    string
+		method  string
+		retry   market.RetryRule
+		words   []string
+		outcome header.Outcome
+		tries   int
+	}{
+		{"a lookup is tried again", "GET", market.RetrySafe, []string{"cut", "done"}, header.Done, 2},
+		{"refused after it may have run", "GET", market.RetrySafe, []string{"cut", "not-run"}, header.Unknown, 3},
+		{"refused everywhere", "GET", market.RetrySafe, []string{"not-run"}, header.NotRun, 3},
+		{"never again", "GET", market.RetryNever, []string{"cut", "done"}, header.Unknown, 1},
+		{"a booking that broke off", "POST", market.RetrySafe, []string{"cut", "done"}, header.Unknown, 1},
+		{"a booking that was refused", "POST", market.RetrySafe, []string{"not-run", "done"}, header.Done, 2},
+		{"refused, then broke off", "POST", market.RetrySafe, []string{"not-run", "cut", "done"}, header.Unknown, 2},
+		{"another's answer", "POST", market.RetrySafe, []string{"mixed", "done"}, header.Unknown, 1},
+	}
+	for _, c := range cases {
+		s := &script{words: c.words}
+		e := entryWith(t, s, c.retry)
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod(c.method)
+		ctx.Request.SetRequestURI("/s/1")
+		ctx.Request.Header.SetHost("x")
+		e.serve(&ctx)
+		got := header.Outcome(ctx.Response.Header.Peek(header.OutcomeName))
+		if got != c.outcome || s.tries != c.tries {
+			t.Errorf("%s: %s after %d tries, want %s after %d", c.name, got, s.tries, c.outcome, c.tries)
+		}
+		if body := string(ctx.Response.Body()); body == "another's" || (got == header.Done && body != "own") {
+			t.Errorf("%s: the caller got %q", c.name, body)
+		}
+	}
+}
