--- a/agent/agent.go
+++ b/agent/agent.go
@@ -212,6 +212,11 @@
 		case <-tick.C:
 			g.expireUpstream(time.Now())
 			g.renew()
+			if len(g.ledger.Ends()) > 0 {
+				// The worker just confirmed a stop or an end. Somebody may
+				// be waiting for the room, so it is told at once.
+				g.renew()
+			}
 		}
 	}
 }
--- a/control/client.go
+++ b/control/client.go
@@ -30,7 +30,7 @@
 // this package's are.
 func (c *Client) Call(path string, timeout time.Duration, req, resp any) error {
 	deadline := time.Now().Add(timeout)
-	for {
+	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		addr := c.current()
 		err := c.rpc.Call(addr, path, min(time.Until(deadline), callTimeout), req, resp)
 		if err == nil {
@@ -41,7 +41,7 @@
 			return err
 		}
 		refusal.CountRetry(c.part, e.Code)
-		time.Sleep(refusal.Spread(retryPause))
+		time.Sleep(refusal.Spread(pause))
 	}
 }
 
@@ -49,7 +49,10 @@
 	// callTimeout bounds one try, so that a replica that is cut off silently
 	// costs one try and not the whole time.
 	callTimeout = 2 * time.Second
-	retryPause  = 20 * time.Millisecond
+	// The pause between tries doubles and is spread, so that thousands of
+	// agents do not fall on the replicas together while they elect a leader.
+	firstPause   = 20 * time.Millisecond
+	longestPause = 400 * time.Millisecond
 	// leastTry is the time below which another try would only time out and
 	// hide the reason of the last one.
 	leastTry = 200 * time.Millisecond
--- a/control/state.go
+++ b/control/state.go
@@ -93,7 +93,7 @@
 
 func (s *State) move(moves []membership.Move, index uint64) {
 	for _, mv := range moves {
-		if s.Members.ApplyMove(mv, index) && mv.Phase == membership.Down {
+		if s.Members.ApplyMove(mv, index, s.Clock) && mv.Phase == membership.Down {
 			s.Tasks.ApplyAgentLost(mv.Agent, mv.Boot, s.Clock)
 		}
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -48,11 +48,13 @@
 	Phase    Phase  `msgpack:"p" json:"phase"`
 	Reason   string `msgpack:"e,omitempty" json:"reason,omitempty"`
 	Revision uint64 `msgpack:"i" json:"revision"` // log index of the last change
+	// DownSince is on the log's clock, in milliseconds; 0 when not down.
+	DownSince int64 `msgpack:"t,omitempty" json:"down_since_ms,omitempty"`
 }
 
 // announced is the part of a member that its own announcement decides.
 func (m Member) announced() Member {
-	m.Phase, m.Reason, m.Revision = "", "", 0
+	m.Phase, m.Reason, m.Revision, m.DownSince = "", "", 0, 0
 	return m
 }
 
@@ -96,7 +98,7 @@
 // whose tasks are lost, or "".
 func (s *State) ApplyAnnounce(m Member, index uint64) (lostBoot string) {
 	old := s.Members[m.Agent]
-	m.Phase, m.Reason, m.Revision = Up, "", index
+	m.Phase, m.Reason, m.Revision, m.DownSince = Up, "", index, 0
 	if m.Withdrawn {
 		m.Phase, m.Reason = Leaving, "the upstream withdrew"
 	}
@@ -112,14 +114,33 @@
 	return ""
 }
 
-// ApplyMove changes a member's phase and reports whether it did.
-func (s *State) ApplyMove(mv Move, index uint64) bool {
+// forgetAfter is how long a member that is down stays known, in milliseconds of
+// the log's clock. Instances are replaced under new names, 170 a day at the size
+// designed for; without this the list would grow for ever.
+const forgetAfter = 24 * 3600 * 1000
+
+// forget drops the members that have been down for long.
+func (s *State) forget(now int64) {
+	for agent, m := range s.Members {
+		if m.Phase == Down && m.DownSince > 0 && now-m.DownSince > forgetAfter {
+			delete(s.Members, agent)
+		}
+	}
+}
+
+// ApplyMove changes a member's phase and reports whether it did. now is the
+// log's clock in milliseconds.
+func (s *State) ApplyMove(mv Move, index uint64, now int64) bool {
+	s.forget(now)
 	m := s.Members[mv.Agent]
 	if m == nil || m.Boot != mv.Boot || m.Phase == mv.Phase {
 		return false
 	}
 	next := *m
-	next.Phase, next.Reason, next.Revision = mv.Phase, mv.Reason, index
+	next.Phase, next.Reason, next.Revision, next.DownSince = mv.Phase, mv.Reason, index, 0
+	if mv.Phase == Down {
+		next.DownSince = now
+	}
 	s.Members[mv.Agent] = &next
 	return true
 }
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,66 @@
+package membership
+
+import "testing"
+
+// Instances are replaced under new names day after day. The ones that went down
+// are forgotten after a day, but not before: an operator looks for them. A stale
+// move, made for a boot that is gone, changes nobody.
+func TestDownMembersAreForgottenAfterADay(t *testing.T) {
+	s := NewState()
+	for _, name := range []string{"old", "new"} {
+		s.ApplyAnnounce(Member{Agent: name, Boot: "b2"}, 1)
+	}
+	if s.ApplyMove(Move{Agent: "old", Boot: "b1", Phase: Down}, 2, 1000) {
+		t.Fatal("a move for another boot took effect")
+	}
+	if !s.ApplyMove(Move{Agent: "old", Boot: "b2", Phase: Down}, 3, 1000) {
+		t.Fatal("the move took no effect")
+	}
+	s.ApplyMove(Move{Agent: "new", Boot: "b2", Phase: Quarantined}, 4, forgetAfter)
+	if s.Members["old"] == nil {
+		t.Fatal("forgotten too early")
+	}
+	s.ApplyMove(Move{Agent: "new", Boot: "b2", Phase: Up}, 5, forgetAfter+1001)
+	if s.Members["old"] != nil || s.Members["new"] == nil {
+		t.Fatalf("after a day: %v", s.Members)
+	}
+}
+
+// A quarantined worker announces itself again and again, as all do. That must not
+// bring it back; a new boot does, since it may have been repaired.
+func TestAnnouncementEndsNoQuarantine(t *testing.T) {
+	s := NewState()
+	s.ApplyAnnounce(Member{Agent: "a", Boot: "b1"}, 1)
+	s.ApplyMove(Move{Agent: "a", Boot: "b1", Phase: Quarantined}, 2, 0)
+	s.ApplyAnnounce(Member{Agent: "a", Boot: "b1"}, 3)
+	if s.Members["a"].Phase != Quarantined {
+		t.Fatal("a repeated announcement ended the quarantine")
+	}
+	if lost := s.ApplyAnnounce(Member{Agent: "a", Boot: "b2"}, 4); lost != "b1" || s.Members["a"].Phase != Up {
+		t.Fatalf("after a restart: %v, lost %q", s.Members["a"].Phase, lost)
+	}
+}
+
+// One member of ten fails everything and is quarantined; when all fail, as in a
+// bad release, nobody is: there is no better peer to turn to.
+func TestQuarantineComparesWithPeers(t *testing.T) {
+	for _, c := range []struct {
+		failing, want int
+	}{{1, 1}, {10, 0}, {4, 2}} {
+		s, health := NewState(), make(map[string]*Health)
+		for i := range 10 {
+			name := string(rune('a' + i))
+			s.ApplyAnnounce(Member{Agent: name, Boot: "b", Market: "m", Service: "s"}, 1)
+			health[name] = &Health{}
+			if i < c.failing {
+				health[name].Note(0, 100)
+			} else {
+				health[name].Note(100, 0)
+			}
+		}
+		got := s.Quarantine(func(agent string) *Health { return health[agent] })
+		if len(got) != c.want {
+			t.Errorf("%d of 10 failing: %d quarantined, want %d", c.failing, len(got), c.want)
+		}
+	}
+}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -33,26 +33,32 @@
 // fleet is a whole system as separate processes on loopback addresses: three
 // fronts (entry and control), three backs (agent), three upstreams.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	dir   string
 	bin   string
 	net   int
 	procs map[string]*exec.Cmd
 	work  string // time that a request takes
+	renew string // the agents' interval
 	ops   *operator.Client
 }
 
 // fleetNet makes the addresses of each fleet its own, also beside other runs.
 var fleetNet = os.Getpid() % 200
 
-func newFleet(t *testing.T, work string) *fleet {
+func newFleet(t testing.TB, work string) *fleet {
+	t.Helper()
+	return newFleetRenewing(t, work, "100ms")
+}
+
+func newFleetRenewing(t testing.TB, work, renew string) *fleet {
 	t.Helper()
 	bin, err := binaries()
 	if err != nil {
 		t.Fatal(err)
 	}
 	fleetNet++
-	f := &fleet{t: t, dir: t.TempDir(), bin: bin, net: fleetNet, procs: make(map[string]*exec.Cmd), work: work}
+	f := &fleet{t: t, dir: t.TempDir(), bin: bin, net: fleetNet, procs: make(map[string]*exec.Cmd), work: work, renew: renew}
 	t.Cleanup(f.killAll)
 	for i := 1; i <= 3; i++ {
 		f.startFront(i)
@@ -87,8 +93,9 @@
 }
 
 func (f *fleet) startBack(i int) {
-	f.run(fmt.Sprint("back-", i), "waxwinghavend", "--settings",
-		f.settings(fmt.Sprint("back-", i), f.back(i), "[agent]\nport=7103\nlocal_port=7104\nrenew=\"100ms\"\nannounce_timeout=\"1s\"\n"))
+	roles := fmt.Sprintf("[agent]\nport=7103\nlocal_port=7104\nrenew=%q\nannounce_timeout=\"1s\"\n", f.renew)
+	name := fmt.Sprint("back-", i)
+	f.run(name, "waxwinghavend", "--settings", f.settings(name, f.back(i), roles))
 }
 
 func (f *fleet) startUpstream(i int) {
--- a/score/world.go
+++ b/score/world.go
@@ -163,7 +163,7 @@
 	}
 	for _, mv := range w.members.Quarantine(w.health) {
 		w.index++
-		w.members.ApplyMove(mv, w.index)
+		w.members.ApplyMove(mv, w.index, w.now)
 	}
 }
 
@@ -180,7 +180,7 @@
 func (w *world) lose(name string) {
 	m := w.members.Members[name]
 	w.index++
-	w.members.ApplyMove(membership.Move{Agent: name, Boot: m.Boot, Phase: membership.Down}, w.index)
+	w.members.ApplyMove(membership.Move{Agent: name, Boot: m.Boot, Phase: membership.Down}, w.index, w.now)
 	for id := range w.tasks.On(name) {
 		p := w.truth[id]
 		w.res.LostHours += w.hours(id, p.saved-p.left)
