--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"sync"
@@ -32,6 +33,7 @@
 // Agent is the process beside one upstream and one worker.
 type Agent struct {
 	set    *settings.Settings
+	tls    *tls.Config // nil for plain links
 	rpc    *transport.Client
 	plain  *transport.Client // to the upstream and the worker, on the same instance
 	ctl    *control.Client
@@ -57,12 +59,12 @@
 }
 
 // New returns an agent that is not yet running.
-func New(set *settings.Settings, keys *transport.Keys) (*Agent, error) {
-	tlsConfig, err := transport.LoadTLS(keys)
+func New(set *settings.Settings) (*Agent, error) {
+	tlsConfig, err := transport.LoadTLS(transport.KeysOf(set))
 	if err != nil {
 		return nil, err
 	}
-	g := &Agent{set: set, rpc: transport.NewClient(tlsConfig, set.Instance.IP), plain: transport.NewClient(nil, set.Instance.IP),
+	g := &Agent{set: set, tls: tlsConfig, rpc: transport.NewClient(tlsConfig, set.Instance.IP), plain: transport.NewClient(nil, set.Instance.IP),
 		meter: newMeter(), gate: admission.NewGate(), markets: make(map[string]*market.View), started: time.Now(), ledger: NewLedger()}
 	g.ctl = control.NewClient(part, g.rpc, set.Peers.Control, spreadStart(set.Instance.Name))
 	g.server = transport.NewHTTPServer(part, g.serveEntry, set.Agent.MaxBody)
@@ -81,10 +83,6 @@
 // Run serves until the context ends, then refuses what comes, finishes what is
 // in progress, and tells the control that it leaves.
 func (g *Agent) Run(ctx context.Context) error {
-	tlsConfig, err := transport.LoadTLS(KeysOf(g.set))
-	if err != nil {
-		return err
-	}
 	ln, err := transport.Listen(g.set.Address(g.set.Agent.Port))
 	if err != nil {
 		return err
@@ -97,7 +95,7 @@
 	serveCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	eg, ctx := errgroup.WithContext(ctx)
-	eg.Go(func() error { return transport.ServeHTTP(serveCtx, g.server, transport.Secure(part, ln, tlsConfig)) })
+	eg.Go(func() error { return transport.ServeHTTP(serveCtx, g.server, transport.Secure(part, ln, g.tls)) })
 	eg.Go(func() error {
 		return transport.ServeHTTP(serveCtx, transport.NewHTTPServer("announce", g.serveLocal, localBody), local)
 	})
@@ -111,14 +109,6 @@
 	return eg.Wait()
 }
 
-// KeysOf returns the key files that the settings name, or nil.
-func KeysOf(set *settings.Settings) *transport.Keys {
-	if set.TLS == nil {
-		return nil
-	}
-	return &transport.Keys{Authority: set.TLS.Authority, Certificate: set.TLS.Certificate, Key: set.TLS.Key}
-}
-
 // drain closes the gate, so that entries turn elsewhere at once, and waits for
 // the requests in progress and for one renewal that carries the news.
 func (g *Agent) drain() {
--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g, err := New(set, nil)
+	g, err := New(set)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/control/operator.go
+++ b/control/operator.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"net"
 	"sort"
@@ -48,15 +47,11 @@
 
 func (r *Replica) serveOperators(ctx context.Context, ln net.Listener) error {
 	routes := r.operatorRoutes()
-	keys, err := transport.LoadTLS(keysOf(r.set))
-	if err != nil {
-		return err
-	}
-	server := transport.NewHTTPServer("operator", func(q *fasthttp.RequestCtx) { r.serveOperator(routes, keys, q) }, maxOperatorBody)
-	return transport.ServeHTTP(ctx, server, transport.Secure("operator", ln, keys))
+	server := transport.NewHTTPServer("operator", func(q *fasthttp.RequestCtx) { r.serveOperator(routes, q) }, maxOperatorBody)
+	return transport.ServeHTTP(ctx, server, transport.Secure("operator", ln, r.tls))
 }
 
-func (r *Replica) serveOperator(routes map[string]operatorRoute, keys *tls.Config, q *fasthttp.RequestCtx) {
+func (r *Replica) serveOperator(routes map[string]operatorRoute, q *fasthttp.RequestCtx) {
 	switch string(q.Path()) {
 	case "/healthz":
 		q.SetBodyString("ok\n")
@@ -70,7 +65,7 @@
 		metrics.WritePrometheus(q, true)
 		return
 	}
-	if keys != nil && !transport.HasRole(q, transport.RoleOperator) {
+	if r.tls != nil && !transport.HasRole(q, transport.RoleOperator) {
 		writeError(q, refusal.New(refusal.Forbidden, "use a key made with --role operator", "this key may not operate the system"))
 		return
 	}
--- a/control/replica.go
+++ b/control/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"time"
 
@@ -25,6 +26,7 @@
 // Replica is one control replica.
 type Replica struct {
 	set     *settings.Settings
+	tls     *tls.Config // nil for plain links
 	self    quorum.Replica
 	disk    *quorum.Disk
 	node    *quorum.Node
@@ -39,7 +41,7 @@
 
 // New opens the data folder and returns a replica that is not yet running.
 func New(set *settings.Settings) (*Replica, error) {
-	keys, err := transport.LoadTLS(keysOf(set))
+	keys, err := transport.LoadTLS(transport.KeysOf(set))
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{set: set, disk: disk, machine: NewMachine(), rollout: rollout.NewTable(),
+	r := &Replica{set: set, tls: keys, disk: disk, machine: NewMachine(), rollout: rollout.NewTable(),
 		client: transport.NewClient(keys, set.Instance.IP), server: transport.NewServer(part, keys)}
 	r.self = quorum.Replica{ID: disk.Stored().ID, Name: set.Instance.Name,
 		Address: set.Address(set.Control.Port), Operator: set.Address(set.Control.OperatorPort)}
@@ -63,14 +65,6 @@
 	return r, nil
 }
 
-// keysOf returns the key files that the settings name, or nil.
-func keysOf(set *settings.Settings) *transport.Keys {
-	if set.TLS == nil {
-		return nil
-	}
-	return &transport.Keys{Authority: set.TLS.Authority, Certificate: set.TLS.Certificate, Key: set.TLS.Key}
-}
-
 func (r *Replica) routes() {
 	control := transport.RoleControl
 	r.server.Handle(PathQuorum, handle(r.onQuorum), control)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,14 +60,14 @@
 	g, ctx := errgroup.WithContext(ctx)
 	ended := ctx
 	if set.Entry != nil {
-		e, err := entry.New(set, agent.KeysOf(set))
+		e, err := entry.New(set)
 		if err != nil {
 			return err
 		}
 		ended = runThenEnd(g, ended, e.Run)
 	}
 	if set.Agent != nil {
-		a, err := agent.New(set, agent.KeysOf(set))
+		a, err := agent.New(set)
 		if err != nil {
 			return err
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,8 +47,8 @@
 }
 
 // New returns an entry that is not yet running.
-func New(set *settings.Settings, keys *transport.Keys) (*Entry, error) {
-	tlsConfig, err := transport.LoadTLS(keys)
+func New(set *settings.Settings) (*Entry, error) {
+	tlsConfig, err := transport.LoadTLS(transport.KeysOf(set))
 	if err != nil {
 		return nil, err
 	}
--- a/entry/retry_test.go
+++ b/entry/retry_test.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e, err := New(set, nil)
+	e, err := New(set)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/transport/keys.go
+++ b/transport/keys.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/settings"
 )
 
 // Role is what a key allows its holder to do.
@@ -112,6 +113,14 @@
 	return Error.Wrap(os.WriteFile(filepath.Join(dir, name+".key"), secret, 0o600))
 }
 
+// KeysOf returns the key files that the settings name, or nil.
+func KeysOf(set *settings.Settings) *Keys {
+	if set.TLS == nil {
+		return nil
+	}
+	return &Keys{Authority: set.TLS.Authority, Certificate: set.TLS.Certificate, Key: set.TLS.Key}
+}
+
 // LoadTLS returns a configuration for both ends of a link. Nil keys give nil:
 // the links are then plain.
 func LoadTLS(k *Keys) (*tls.Config, error) {
