--- /dev/null
+++ b/interference/model_test.go
@@ -0,0 +1,78 @@
+package interference
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// Three jobs share workers in changing company, and only the sum of their costs is
+// ever measured, with noise. The model must still tell which of them is noisy, or
+// the wrong task would be moved; and when a job changes, it must follow.
+func TestCostsAreToldApartAndFollowed(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	truth := map[string]float64{"noisy": 0.10, "quiet": 0.002, "middling": 0.03}
+	m := NewModel()
+	learn := func(n int) {
+		for range n {
+			jobs, sum := map[string]int{}, 0.0
+			for name, cost := range truth {
+				if k := rng.IntN(4); k > 0 {
+					jobs[name], sum = k, sum+float64(k)*cost
+				}
+			}
+			m.Observe("s", 0.6, jobs, math.Exp(sum+0.08*rng.NormFloat64()))
+		}
+	}
+	check := func(when string) {
+		t.Helper()
+		for name, cost := range truth {
+			if e := m.Predict("s", name, 0.6); math.Abs(e.Mean-cost) > 0.02 || e.Var > priorVar/4 {
+				t.Errorf("%s: %s costs %.3f, learned %.3f with variance %.4f", when, name, cost, e.Mean, e.Var)
+			}
+		}
+	}
+	learn(400)
+	check("at first")
+	truth["quiet"] = 0.08
+	learn(800)
+	check("after a change")
+}
+
+// A job never seen beside a service is judged by what it cost elsewhere, one never
+// seen at all by the others, and a load never seen by the next lower one, each less
+// certain than what was measured.
+func TestUnseenPairsFallBack(t *testing.T) {
+	m := NewModel()
+	for range 100 {
+		m.Observe("s1", 0.3, map[string]int{"noisy": 1}, math.Exp(0.1))
+	}
+	seen, elsewhere := m.Predict("s1", "noisy", 0.3), m.Predict("s2", "noisy", 0.3)
+	if math.Abs(elsewhere.Mean-seen.Mean) > 0.03 || elsewhere.Var <= seen.Var || elsewhere.Seen != 0 {
+		t.Errorf("elsewhere %+v, seen %+v", elsewhere, seen)
+	}
+	if never := m.Predict("s1", "other", 0.3); never.Var <= elsewhere.Var {
+		t.Errorf("never seen %+v", never)
+	}
+	if higher := m.Predict("s1", "noisy", 0.9); higher.Mean <= seen.Mean || higher.Var <= seen.Var {
+		t.Errorf("at a higher load %+v, seen %+v", higher, seen)
+	}
+}
+
+// The yardstick is the service alone under the same load; until that was measured,
+// the best time seen stands in, and a first measurement says nothing.
+func TestSlowdownIsAgainstRunningAlone(t *testing.T) {
+	b := NewBaseline()
+	if got := b.Slowdown("s", 0.3, 10, false); got != 0 {
+		t.Errorf("the first measurement: %v", got)
+	}
+	if got := b.Slowdown("s", 0.3, 20, false); got < 1.9 || got > 2 {
+		t.Errorf("against the best seen: %v", got)
+	}
+	for range minAlone {
+		b.Slowdown("s", 0.3, 8, true)
+	}
+	if got := b.Slowdown("s", 0.3, 16, false); got != 2 {
+		t.Errorf("against alone: %v", got)
+	}
+}
