A request without time left is not begun

Found by reading: an entry that was frozen sends a negative time, and the agent took that for no deadline and gave it 30 s. Begun that late, a keyed request whose record had expired meanwhile could run a second time. TestRequestWithoutTimeLeftIsNotBegun was red (the request was begun), now green. Ran: go test ./agent ./entry.

--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"github.com/waxwinghaven/waxwinghaven/admission"
+	"github.com/waxwinghaven/waxwinghaven/header"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/settings"
 )
@@ -61,6 +63,25 @@
 	}
 }
 
+// An entry was frozen between its caller's request and its own. What it then sends
+// has no time left; begun anyway, it would run after its caller was told "unknown"
+// and, with a key that was forgotten meanwhile, a second time.
+func TestRequestWithoutTimeLeftIsNotBegun(t *testing.T) {
+	g := testAgent(t)
+	g.announced(Announcement{Market: "m", Service: "s", Address: "127.0.0.1:9", Slots: 2, Connections: 2}, time.Now())
+	for _, left := range []string{"0", "-90000000"} {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.Set(header.ID, "x")
+		ctx.Request.Header.Set(header.Service, "m/s")
+		ctx.Request.Header.Set(header.TimeLeft, left)
+		g.serveEntry(&ctx)
+		h := &ctx.Response.Header
+		if string(h.Peek(header.OutcomeName)) != string(header.NotRun) || string(h.Peek(header.Reason)) != string(refusal.DeadlinePassed) {
+			t.Errorf("%s ms left: %s %s", left, h.Peek(header.OutcomeName), h.Peek(header.Reason))
+		}
+	}
+}
+
 // Announcements that offer nonsense are refused with what is wrong.
 func TestBadAnnouncementsAreRefused(t *testing.T) {
 	good := Announcement{Market: "m", Service: "s", Address: "127.0.0.1:9", Slots: 1, Connections: 1}
--- a/agent/proxy.go
+++ b/agent/proxy.go
@@ -43,9 +43,11 @@
 	g.forward(ctx, t.Deadline)
 }
 
+// deadlineOf returns when the entry's caller gives up. An entry that was frozen
+// sends a time that has passed already, and such a request must not be begun.
 func deadlineOf(ctx *fasthttp.RequestCtx) time.Time {
 	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(header.TimeLeft)))
-	if err != nil || ms < 0 {
+	if err != nil {
 		return time.Now().Add(defaultTime)
 	}
 	return time.Now().Add(time.Duration(ms) * time.Millisecond)
--- a/entry/request.go
+++ b/entry/request.go
@@ -126,6 +126,9 @@
 // send tries agents until one has done the request, nothing more may be tried,
 // or the time is up.
 func (e *Entry) send(x *exchange) verdict {
+	if time.Until(x.deadline) <= 0 {
+		return verdict{outcome: header.NotRun, code: refusal.DeadlinePassed}
+	}
 	for {
 		v := e.try(x)
 		if v.outcome == header.Done {
