Control: keep listening until the leadership is handed over

By reading: the server stopped with the context, so the answers that show who has caught up no longer arrived while a leader that had just taken changes handed over. Also: status and team tables in a fixed order. Ran: go test ./control.

--- a/cmd/waxwinghaven/cluster.go
+++ b/cmd/waxwinghaven/cluster.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -96,7 +98,8 @@
 		}
 		revision, rows := newest(statuses)
 		fmt.Fprintln(w, "\nINSTANCE\tREVISION\tSTATE\tLAST HEARD")
-		for key, i := range rows {
+		for _, key := range slices.Sorted(maps.Keys(rows)) {
+			i := rows[key]
 			state := "in force"
 			switch {
 			case i.Silent > silentAfter:
--- a/cmd/waxwinghaven/market.go
+++ b/cmd/waxwinghaven/market.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -122,7 +124,8 @@
 	}
 	return c.show(teams, func(w *tabwriter.Writer) {
 		fmt.Fprintln(w, "TEAM\tMILLI-CPU\tMEMORY MB")
-		for _, t := range teams.ByName {
+		for _, name := range slices.Sorted(maps.Keys(teams.ByName)) {
+			t := teams.ByName[name]
 			fmt.Fprintf(w, "%s\t%d\t%d\n", t.Name, t.MilliCPU, t.MemoryMB)
 		}
 	})
--- a/control/replica.go
+++ b/control/replica.go
@@ -102,8 +102,10 @@
 	// A part that fails ends the others: half a replica would look alive.
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return r.node.Run(nodeCtx) })
-	g.Go(func() error { return r.server.Serve(ctx, ln) })
-	g.Go(func() error { return r.serveOperators(ctx, operators) })
+	// The servers go on until the leadership is handed over: the answers of
+	// the other replicas come in through them.
+	g.Go(func() error { return r.server.Serve(nodeCtx, ln) })
+	g.Go(func() error { return r.serveOperators(nodeCtx, operators) })
 	g.Go(func() error { return r.leader.run(ctx) })
 	g.Go(func() error { return r.join(ctx) })
 	g.Go(func() error {
