--- a/cmd/waxwinghaven/scale.go
+++ b/cmd/waxwinghaven/scale.go
@@ -84,12 +84,7 @@
 		{Verb: market.PutJob, Market: "scale", Job: job("long", time.Hour)}, {Verb: market.PutJob, Market: "scale", Job: job("short", 2*time.Second)},
 	}
 	for _, ch := range changes {
-		base, err := client.Base(ch.Market)
-		if err != nil {
-			return err
-		}
-		ch.ID, ch.Base = operator.NewID(), base
-		if _, err := client.Change(ch); err != nil {
+		if _, err := client.ChangeNow(ch); err != nil {
 			return err
 		}
 	}
@@ -119,12 +114,8 @@
 func (r scaleRun) rollout(client *operator.Client, agents *standin.Agents) error {
 	var took []float64
 	for i := range 10 {
-		base, err := client.Base("scale")
-		if err != nil {
-			return err
-		}
 		start := time.Now()
-		a, err := client.Change(market.Change{ID: operator.NewID(), Base: base, Verb: market.PutPreset, Market: "scale",
+		a, err := client.ChangeNow(market.Change{Verb: market.PutPreset, Market: "scale",
 			Preset: &market.Preset{Name: fmt.Sprint("p", i), BatchShare: 1, MaxSlowdown: 100}})
 		if err != nil {
 			return err
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -182,12 +182,7 @@
 		{Verb: market.UsePreset, Market: "demo", Name: "night"},
 	}
 	for _, ch := range changes {
-		base, err := client.Base(ch.Market)
-		if err != nil {
-			return err
-		}
-		ch.ID, ch.Base = operator.NewID(), base
-		if _, err := client.Change(ch); err != nil {
+		if _, err := client.ChangeNow(ch); err != nil {
 			return err
 		}
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -129,6 +129,16 @@
 	return a, c.call(http.MethodPost, "/v1/changes", &ch, &a)
 }
 
+// ChangeNow sends a new change based on what is in force now.
+func (c *Client) ChangeNow(ch market.Change) (market.Answer, error) {
+	base, err := c.Base(ch.Market)
+	if err != nil {
+		return market.Answer{}, err
+	}
+	ch.ID, ch.Base = NewID(), base
+	return c.Change(ch)
+}
+
 // Base returns the present revision that a change to a market builds on.
 func (c *Client) Base(marketName string) (uint64, error) {
 	if marketName == "" {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -179,12 +179,7 @@
 
 func (f *fleet) change(c market.Change) {
 	f.t.Helper()
-	base, err := f.ops.Base(c.Market)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	c.ID, c.Base = operator.NewID(), base
-	if _, err := f.ops.Change(c); err != nil {
+	if _, err := f.ops.ChangeNow(c); err != nil {
 		f.t.Fatal(err)
 	}
 }
