Slow senders hold nobody up

120 connections over six ports send half a request and wait: 300 of 300 lookups are done beside them, and all are closed by the processes.

--- a/proof/answers_test.go
+++ b/proof/answers_test.go
@@ -135,3 +135,30 @@
 	b, _ := io.ReadAll(c)
 	return string(b)
 }
+
+// Somebody opens connections to every port, sends half a request and waits. Callers
+// are served all the while, and the slow connections are closed by the processes.
+func TestSlowSendersHoldNobodyUp(t *testing.T) {
+	f := newFleet(t, "1ms")
+	var slow []net.Conn
+	for _, addr := range []string{f.front(1) + ":7101", f.front(1) + ":7102", f.entry(1), f.front(1) + ":7106", f.back(1) + ":7103", f.back(1) + ":7104"} {
+		for range 20 {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, "POST /vault/x HTTP/1.1\r\nHost: x\r\nContent-Le")
+			slow = append(slow, c)
+		}
+	}
+	if res := f.load(load.Options{Requests: 300, Concurrency: 6, Method: "GET"}); res.Outcomes["done"] != 300 {
+		t.Errorf("beside slow senders: %v", res.Outcomes)
+	}
+	for _, c := range slow {
+		c.SetReadDeadline(time.Now().Add(30 * time.Second))
+		if _, err := io.ReadAll(c); err != nil {
+			t.Fatalf("a slow connection to %s stayed open: %v", c.RemoteAddr(), err)
+		}
+	}
+}
