One place for connection pools that never send a request twice

Reading the whole change: the settings that keep the HTTP library from repeating a request by itself stood in transport, agent and the load tool; transport.NewHost is now the one place. The agent kept its upstream's address beside the pool that has it, and restored a Connection header that is stripped a moment later; both went. Behaviour is unchanged.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,7 +47,6 @@
 	withdrawn bool
 	gate      *admission.Gate
 	upstream  *fasthttp.HostClient
-	upAddr    string
 	markets   map[string]*market.View
 	revision  uint64
 
@@ -148,15 +147,11 @@
 // dialUpstream keeps one pool of connections to the upstream, bounded as the
 // upstream asked.
 func (g *Agent) dialUpstream(a Announcement) {
-	if g.upstream != nil && g.upAddr == a.Address && g.upstream.MaxConns == a.Connections {
+	if g.upstream != nil && g.upstream.Addr == a.Address && g.upstream.MaxConns == a.Connections {
 		return
 	}
-	g.upAddr = a.Address
-	g.upstream = &fasthttp.HostClient{
-		Addr: a.Address, Dial: g.plain.Dialer(), MaxConns: a.Connections, MaxIdleConnDuration: upstreamIdle,
-		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		StreamResponseBody: true, NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
-	}
+	g.upstream = transport.NewHost(a.Address, g.plain.Dialer(), a.Connections)
+	g.upstream.MaxIdleConnDuration, g.upstream.StreamResponseBody, g.upstream.DisablePathNormalizing = upstreamIdle, true, true
 }
 
 // upstreamIdle is shorter than the idle time of usual servers: a request sent
--- a/agent/answer.go
+++ b/agent/answer.go
@@ -32,12 +32,8 @@
 		resp.CloseBodyStream()
 		return err
 	}
-	closing := resp.ConnectionClose()
 	resp.CloseBodyStream()
 	resp.SetBodyRaw(body)
-	if !closing {
-		resp.Header.Del(fasthttp.HeaderConnection)
-	}
 	return nil
 }
 
--- a/load/load.go
+++ b/load/load.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/waxwinghaven/waxwinghaven/header"
 	"github.com/waxwinghaven/waxwinghaven/standin"
+	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
 // Bounds of a run.
@@ -134,15 +135,7 @@
 }
 
 func (r *runner) client(addr string) *fasthttp.HostClient {
-	return &fasthttp.HostClient{Addr: addr, MaxConns: r.o.Concurrency, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(a string) (net.Conn, error) {
-			d := net.Dialer{Timeout: time.Second}
-			if r.o.From != "" {
-				d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(r.o.From)}
-			}
-			return d.Dial("tcp", a)
-		}}
+	return transport.NewHost(addr, transport.NewClient(nil, r.o.From).Dialer(), r.o.Concurrency)
 }
 
 // run starts the workers and feeds them request numbers, paced if asked for.
--- a/score/world.go
+++ b/score/world.go
@@ -99,7 +99,7 @@
 		DataCentre: fmt.Sprint("dc", i%w.s.centres), Rack: fmt.Sprint("rack", i/3), Capacity: w.s.capacity, Market: "m", Service: "s"}, w.index)
 }
 
-// run plays the day and the evening after it, until what was begun has ended.
+// run plays one day. What is still running at its end is not counted as done.
 func (w *world) run() Row {
 	sort.Slice(w.s.arrivals, func(i, j int) bool { return w.s.arrivals[i].at < w.s.arrivals[j].at })
 	next := 0
--- a/transport/client.go
+++ b/transport/client.go
@@ -47,19 +47,25 @@
 	}
 }
 
-// Host returns the connection pool for one address. A call is sent once: what
-// may be repeated is decided by the caller, who knows what it asked for.
+// NewHost returns a connection pool that sends each request once. The library
+// would by itself send some a second time after a broken connection; what may be
+// repeated is decided by whoever knows what was asked for.
+func NewHost(addr string, dial fasthttp.DialFunc, conns int) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr: addr, Dial: dial, MaxConns: conns, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+}
+
+// Host returns the connection pool for one address.
 func (c *Client) Host(addr string) *fasthttp.HostClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.hosts[addr]
 	if h == nil {
-		h = &fasthttp.HostClient{
-			Addr: addr, Dial: c.Dialer(), IsTLS: c.tls != nil, TLSConfig: c.tls,
-			MaxConns: maxConns, MaxIdleConnDuration: idleTimeout, MaxIdemponentCallAttempts: 1,
-			RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			MaxResponseBodySize: maxBodyBytes, NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
-		}
+		h = NewHost(addr, c.Dialer(), maxConns)
+		h.IsTLS, h.TLSConfig = c.tls != nil, c.tls
+		h.MaxIdleConnDuration, h.MaxResponseBodySize, h.DisablePathNormalizing = idleTimeout, maxBodyBytes, true
 		c.hosts[addr] = h
 	}
 	return h
