Serving and filling tasks on different workers; the pace follows each reading once

Cause: filling tasks shared workers with serving ones, whose agents then slowed them down, several times for one reading. Ruled out: a lack of room (half of the jobs start within 35 ms).

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -214,25 +214,37 @@
 func (c *candidate) unheld() int64 { return c.free.MilliCPU }
 
 // Weights of the cost of a worker. They order workers whose load is alike; a
-// whole step of them outweighs any difference in load, which is at most 1.
+// whole step of them outweighs any difference in load, which is at most 2.
 const (
 	// farCost is for a worker on another rack than the data: the task takes
 	// RemoteFactor (1.5 where it was measured) times as long.
 	farCost = 1.0
-	// servingCost is for each serving task that a filling one would disturb,
-	// and the other way round.
-	servingCost = 0.1
+	// apartCost keeps filling tasks and serving ones on different workers. A
+	// filling task disturbs a serving one, which then slows it down, often to
+	// a stand: it is better off on any worker without.
+	apartCost = 3.0
+	// togetherGain draws serving tasks, and tasks that disturb nobody, to the
+	// workers that have serving tasks already, so that the others stay free
+	// for filling ones.
+	togetherGain = 0.5
 )
 
 // cost grows with the load of a worker, so that work spreads.
 func (c *candidate) cost(st *jobs.Step) float64 {
 	total := float64(max(c.worker.Capacity.MilliCPU, 1))
-	cost := (total - float64(c.free.MilliCPU) + float64(c.filling)) / total
+	filling := float64(c.filling) / total
+	cost := (total-float64(c.free.MilliCPU))/total + filling
 	if st.PreferredRack != "" && !c.worker.HasLabel(st.PreferredRack) {
 		cost += farCost
 	}
-	if st.Fills {
-		cost += servingCost * float64(c.serving)
+	switch {
+	case st.Fills && c.serving > 0:
+		cost += apartCost
+	case st.TargetMS > 0 && c.filling > 0:
+		cost += apartCost * filling
+	}
+	if !st.Fills && c.serving > 0 {
+		cost -= togetherGain
 	}
 	return cost
 }
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 )
@@ -18,6 +19,9 @@
 	// lowestPace is the share below which filling runs stand still.
 	lowestPace = 12
 	fullPace   = 100
+	// readingSpan is the time that a reading covers. Following readings that
+	// overlap would count the same disturbance several times.
+	readingSpan = 500 * time.Millisecond
 )
 
 // pacer decides how fast the filling runs beside serving ones may work. It is
@@ -25,14 +29,17 @@
 // back would be a second old.
 type pacer struct {
 	pace int
-	mu   sync.Mutex
-	set  map[runKey]int // by what was last asked for
+	// stepped is when the pace last followed a reading.
+	stepped time.Time
+	worst   float64 // highest tail against its target, of the last reading
+	mu      sync.Mutex
+	set     map[runKey]int // by what was last asked for
 }
 
 func newPacer() *pacer { return &pacer{pace: fullPace, set: make(map[runKey]int)} }
 
 // next returns the calls that a reading asks for.
-func (p *pacer) next(running []RunningRun, lookup func(jobs.Ref, uint32) (jobs.Order, bool)) []PaceCall {
+func (p *pacer) next(now time.Time, running []RunningRun, lookup func(jobs.Ref, uint32) (jobs.Order, bool)) []PaceCall {
 	worst := 0.0
 	var filling []RunningRun
 	for _, x := range running {
@@ -45,7 +52,11 @@
 			filling = append(filling, x)
 		}
 	}
-	p.step(worst)
+	p.worst = worst
+	if now.Sub(p.stepped) >= readingSpan {
+		p.stepped = now
+		p.step(worst)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var calls []PaceCall
--- a/runner/session.go
+++ b/runner/session.go
@@ -437,11 +437,11 @@
 
 // pace slows filling runs down that disturb serving ones.
 func (s *session) pace(running []RunningRun) {
-	for _, c := range s.pacer.next(running, s.lookup) {
+	for _, c := range s.pacer.next(time.Now(), running, s.lookup) {
 		go func() {
 			c.Target = s.target()
 			reply, err := s.r.worker.Pace(c)
-			l := logrus.WithFields(logrus.Fields{"task": c.Task.String(), "run": c.Run, "percent": c.Percent})
+			l := logrus.WithFields(logrus.Fields{"task": c.Task.String(), "run": c.Run, "percent": c.Percent, "tail_of_target": s.pacer.worst})
 			if err != nil || reply.Verdict != VerdictDone {
 				s.pacer.failed(c)
 				l.Warnf("runner: Could not set a run's pace: %v %v.", reply.Verdict, err)
