--- a/agent/agent.go
+++ b/agent/agent.go
@@ -65,7 +65,7 @@
 	}
 	g := &Agent{set: set, tls: tlsConfig, rpc: transport.NewClient(tlsConfig, set.Instance.IP), plain: transport.NewClient(nil, set.Instance.IP),
 		meter: newMeter(), gate: admission.NewGate(), markets: make(map[string]*market.View), started: time.Now(), ledger: NewLedger()}
-	g.ctl = control.NewClient(part, g.rpc, set.Contacts(), spreadStart(set.Instance.Name))
+	g.ctl = control.NewClient(part, g.rpc, set.Contacts, spreadStart(set.Instance.Name))
 	g.server = transport.NewHTTPServer(part, g.serveEntry, set.Agent.MaxBody)
 	return g, nil
 }
--- a/cmd/waxwinghavend/main.go
+++ b/cmd/waxwinghavend/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -10,6 +11,7 @@
 	"github.com/waxwinghaven/waxwinghaven/daemon"
 	"github.com/waxwinghaven/waxwinghaven/settings"
 	"github.com/waxwinghaven/waxwinghaven/version"
+	"golang.org/x/sync/errgroup"
 )
 
 func main() {
@@ -17,13 +19,22 @@
 	app.Version(version.String)
 	path := app.Flag("settings", "The TOML settings file.").Required().ExistingFile()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	hup := daemon.HangUps()
 	set, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(daemon.ExitSettings)
 	}
 	daemon.SetupLog(set.Log)
-	if err := daemon.Run(daemon.SignalContext(), set); err != nil {
+	ctx := daemon.SignalContext()
+	g, gctx := errgroup.WithContext(ctx)
+	reloadCtx, ended := context.WithCancel(context.Background())
+	g.Go(func() error { return daemon.Reload(reloadCtx, *path, set, hup) })
+	g.Go(func() error {
+		defer ended()
+		return daemon.Run(gctx, set)
+	})
+	if err := g.Wait(); err != nil {
 		logrus.Errorf("daemon: %v.", err)
 		os.Exit(daemon.ExitFailed)
 	}
--- a/control/client.go
+++ b/control/client.go
@@ -17,7 +17,7 @@
 	// contacts are the addresses from the settings, learned the replicas that
 	// were heard of since. Both are kept: the contacts may be gone, and so may
 	// everything that was learned, after a long cut.
-	contacts []string
+	contacts func() []string
 	learned  []string
 	mu       sync.Mutex
 	at       string
@@ -25,8 +25,10 @@
 }
 
 // NewClient returns a client for a process's part, which labels its counters.
-func NewClient(part string, rpc *transport.Client, peers []string, start int) *Client {
-	return &Client{part: part, rpc: rpc, contacts: peers, at: peers[start%len(peers)], next: start + 1}
+// contacts is asked again at each need, since settings may be reloaded.
+func NewClient(part string, rpc *transport.Client, contacts func() []string, start int) *Client {
+	first := contacts()
+	return &Client{part: part, rpc: rpc, contacts: contacts, at: first[start%len(first)], next: start + 1}
 }
 
 // Learn takes over the addresses of the replica set, as a replica told them.
@@ -43,7 +45,7 @@
 // are not among them. The caller holds the lock.
 func (c *Client) another(not string) string {
 	all := append([]string(nil), c.learned...)
-	for _, a := range c.contacts {
+	for _, a := range c.contacts() {
 		if !slices.Contains(all, a) {
 			all = append(all, a)
 		}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -37,8 +37,7 @@
 		return nil, err
 	}
 	rpc := transport.NewClient(tlsConfig, set.Instance.IP)
-	contacts := set.Contacts()
-	return &Jobs{ctl: control.NewClient(part, rpc, contacts, rand.IntN(len(contacts))), begun: time.Now()}, nil
+	return &Jobs{ctl: control.NewClient(part, rpc, set.Contacts, rand.IntN(len(set.Contacts()))), begun: time.Now()}, nil
 }
 
 // Run keeps the addresses of the control replicas up to date until the context
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -43,6 +44,9 @@
 	Entry    *Entry    `toml:"entry"`
 	Agent    *Agent    `toml:"agent"`
 	Platform *Platform `toml:"platform"`
+
+	text     string // that was read
+	contacts atomic.Pointer[[]string]
 }
 
 // Instance tells who and where the process is.
@@ -215,7 +219,7 @@
 
 // Parse checks the text of a settings file; path is for its messages.
 func Parse(path, text string) (*Settings, error) {
-	var s Settings
+	s := Settings{text: text}
 	md, err := toml.Decode(text, &s)
 	if err != nil {
 		return nil, Error.New("%s: %v", path, err)
@@ -342,8 +346,26 @@
 	return nil
 }
 
-// Contacts returns the addresses at which control replicas are first looked for.
+// Text returns what was read, so that a change of the file can be told.
+func (s *Settings) Text() string { return s.text }
+
+// Contacts returns the addresses at which control replicas are first looked for,
+// by the newest settings that were taken over.
 func (s *Settings) Contacts() []string {
+	if p := s.contacts.Load(); p != nil {
+		return *p
+	}
+	return s.readContacts()
+}
+
+// TakeOver puts those settings of a newer file in force that need no restart:
+// the first contacts.
+func (s *Settings) TakeOver(newer *Settings) {
+	list := newer.readContacts()
+	s.contacts.Store(&list)
+}
+
+func (s *Settings) readContacts() []string {
 	if len(s.Peers.Seeds) == 0 {
 		return s.Peers.Control
 	}
--- a/standin/agents.go
+++ b/standin/agents.go
@@ -51,7 +51,7 @@
 	var wg sync.WaitGroup
 	for i := range a.o.Count {
 		wg.Add(1)
-		client := control.NewClient("sessions", transport.NewClient(tlsConfig, "127.0.0.1"), a.o.Controls, i)
+		client := control.NewClient("sessions", transport.NewClient(tlsConfig, "127.0.0.1"), func() []string { return a.o.Controls }, i)
 		go func() {
 			defer wg.Done()
 			a.one(ctx, i, client)
