A rejected append is followed by empty ones until one is accepted

Cause: a follower that was frozen answered each heartbeat that had piled up with a rejection, and the leader sent the whole missing tail for each. The new test sends 10,000 entries for 200 missing ones without the change. Tests of the seeds' set and of replacing silent voters join it.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -28,6 +28,11 @@
 	lastContact uint64 // tick of the last answer in this term
 	snapshot    *Snapshot
 	offset      int // acknowledged bytes of snapshot
+	// probe is set after a rejected append until the replica accepts one.
+	// Nothing but empty appends is sent meanwhile: a replica that was frozen
+	// answers everything that piled up with a rejection each, and the whole
+	// tail of the log sent again for each took a leader over 200 MB.
+	probe bool
 }
 
 // pendingRead waits until a majority has echoed its round.
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -81,7 +81,7 @@
 		return resp
 	}
 	if t, ok := c.log.term(m.Index); !ok || t != m.LogTerm {
-		resp.Reject = true
+		resp.Reject, resp.Prev = true, m.Index
 		resp.Index = c.conflictHint(m.Index)
 		return resp
 	}
@@ -157,7 +157,11 @@
 	case m.Kind == MsgChunkResp:
 		c.onChunkResponse(m, p)
 	case m.Reject:
+		if p.probe && m.Prev != p.next-1 {
+			break // answers an append from before the last rejection
+		}
 		p.next = max(p.match, min(m.Index, p.next-1)) + 1
+		p.probe = true
 		c.sendAppend(m.From, p, false)
 	default:
 		c.onAck(m, p)
@@ -178,6 +182,7 @@
 		p.match = m.Index
 	}
 	p.next = max(p.next, p.match+1)
+	p.probe = false
 	if p.snapshot != nil && p.match >= p.snapshot.Index {
 		p.snapshot, p.offset = nil, 0
 	}
@@ -273,7 +278,7 @@
 		}
 		return
 	}
-	if contact || p.next <= c.log.last() {
+	if contact || (!p.probe && p.next <= c.log.last()) {
 		c.sendAppend(id, p, contact)
 	}
 }
@@ -286,7 +291,10 @@
 		c.sendChunk(id, p)
 		return
 	}
-	entries := c.log.slice(p.next, maxAppendBytes)
+	var entries []Entry
+	if !p.probe {
+		entries = c.log.slice(p.next, maxAppendBytes)
+	}
 	c.early = append(c.early, Message{Kind: MsgAppend, From: c.id, To: id, Term: c.term,
 		Index: p.next - 1, LogTerm: prevTerm, Commit: c.log.committed, Entries: entries, Round: c.round})
 	p.next += uint64(len(entries))
--- a/quorum/traps_test.go
+++ b/quorum/traps_test.go
@@ -251,3 +251,149 @@
 	}
 	w.fatalOnError(t)
 }
+
+// A follower is frozen while changes pass it by. Once it wakes it answers all the
+// heartbeats that piled up, each with a rejection. If each made the leader send
+// the whole missing tail again, the leader's memory and link would fill with
+// copies and its callers would wait behind them.
+func TestPiledUpRejectionsDoNotMultiplyTheTail(t *testing.T) {
+	w, l := settled(t, 3)
+	asleep := w.others(l)[0]
+	w.isolate(asleep)
+	const missing = 200
+	for range missing {
+		if _, _, err := l.core.Propose([]byte("a change")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.settle(3)
+	term := l.core.Status().Term
+	sent := 0
+	count := func(rd Ready) {
+		for _, m := range append(rd.Early, rd.Messages...) {
+			if m.To == asleep.disk.id {
+				sent += len(m.Entries)
+			}
+		}
+	}
+	has := asleep.core.Status().Last
+	for i := range 50 {
+		l.core.Step(Message{Kind: MsgAppendResp, From: asleep.disk.id, To: l.disk.id, Term: term, Reject: true,
+			Index: has, Prev: has + missing - uint64(i)})
+		count(l.core.Ready())
+	}
+	if sent > 0 {
+		t.Fatalf("%d entries were sent before the replica accepted any place in the log", sent)
+	}
+	l.core.Step(Message{Kind: MsgAppendResp, From: asleep.disk.id, To: l.disk.id, Term: term, Index: has})
+	count(l.core.Ready())
+	if sent < missing || sent > 2*missing {
+		t.Fatalf("%d entries were sent for %d missing ones", sent, missing)
+	}
+}
+
+// A machine of the replica set is replaced by an empty one at another address
+// under another name. The newcomer must take the place of the one that is gone:
+// left beside it, the set would have four voters of which one never answers, and
+// the next loss would stop all changes. A voter that answers is never taken out.
+func TestNewcomerReplacesASilentVoter(t *testing.T) {
+	three := Config{Voters: []Replica{{ID: 1, Name: "a", Address: "10.0.0.1:1"}, {ID: 2, Name: "b", Address: "10.0.0.2:1"}, {ID: 3, Name: "c", Address: "10.0.0.3:1"}}}
+	newcomer := Replica{ID: 9, Name: "d", Address: "10.0.0.9:1"}
+	cases := []struct {
+		name    string
+		learner Replica
+		silent  []uint64
+		removed uint64
+	}{
+		{"all answer", newcomer, nil, 0},
+		{"one is gone", newcomer, []uint64{2}, 2},
+		{"same address, empty disk", Replica{ID: 9, Name: "seed", Address: "10.0.0.3:1"}, nil, 3},
+		{"same name, other address", Replica{ID: 9, Name: "a", Address: "10.0.0.7:1"}, []uint64{2}, 1},
+	}
+	for _, c := range cases {
+		next := repairStep(three.WithLearner(c.learner), c.learner, c.silent)
+		if c.removed == 0 {
+			if !next.IsVoter(9) || len(next.Voters) != 4 {
+				t.Errorf("%s: %+v", c.name, next)
+			}
+			continue
+		}
+		if next.IsVoter(c.removed) || next.IsVoter(9) || len(next.Voters) != 2 {
+			t.Errorf("%s: voter %d was to go first: %+v", c.name, c.removed, next)
+		}
+	}
+}
+
+// After a planned replacement the newcomer is the fourth voter and the old one
+// goes silent for good. A set of four stands one loss like a set of three, but
+// the silent one is that loss already: it must go.
+func TestSurplusSilentVoterGoes(t *testing.T) {
+	four := Config{Voters: []Replica{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}}
+	if id, ok := surplusVoter(Status{Config: four, Silent: []uint64{3}}); !ok || id != 3 {
+		t.Errorf("voter 3 stays: %d %v", id, ok)
+	}
+	if _, ok := surplusVoter(Status{Config: four}); ok {
+		t.Error("a voter that answers was taken out")
+	}
+	if _, ok := surplusVoter(Status{Config: four.Without(4), Silent: []uint64{3}}); ok {
+		t.Error("a set of three gave up a voter that may come back")
+	}
+}
+
+// Three replicas start with empty disks and the same seeds. None of them alone
+// may acknowledge anything; any two must be able to.
+func TestSeedsFormOneSetAndNoneCommitsAlone(t *testing.T) {
+	set := Config{Voters: []Replica{{ID: 1}, {ID: 3}, {ID: 5}}}
+	cores := make(map[uint64]*Core)
+	for _, v := range set.Voters {
+		c := NewCore(v.ID, HardState{}, Snapshot{}, nil, rand.New(rand.NewSource(int64(v.ID))))
+		if err := c.BootstrapSet(set); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.BootstrapSet(set); err == nil {
+			t.Fatal("a set was formed twice")
+		}
+		cores[v.ID] = c
+	}
+	run := func(ids ...uint64) {
+		for range 6 * ElectionTicks {
+			for _, id := range ids {
+				c := cores[id]
+				c.Tick()
+				rd := c.Ready()
+				if n := len(rd.Entries); n > 0 {
+					c.Persisted(rd.Entries[n-1].Index, rd.Entries[n-1].Term)
+				}
+				for _, m := range append(rd.Early, rd.Messages...) {
+					for _, to := range ids {
+						if m.To == to {
+							cores[to].Step(m)
+						}
+					}
+				}
+			}
+		}
+	}
+	run(1)
+	if st := cores[1].Status(); st.Role == Leader || st.Commit > 0 {
+		t.Fatalf("one replica of three went ahead alone: %+v", st)
+	}
+	run(1, 3)
+	leaders, committed := 0, 0
+	for _, id := range []uint64{1, 3} {
+		st := cores[id].Status()
+		if st.Role == Leader {
+			leaders++
+		}
+		if st.Commit > 1 {
+			committed++
+		}
+	}
+	if leaders != 1 || committed == 0 {
+		t.Fatalf("%d leaders, %d of two replicas committed", leaders, committed)
+	}
+	outsider := NewCore(7, HardState{}, Snapshot{}, nil, rand.New(rand.NewSource(1)))
+	if outsider.BootstrapSet(set) == nil {
+		t.Fatal("a replica that is no seed formed a set")
+	}
+}
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -111,6 +111,7 @@
 	Round    uint64      `msgpack:"n,omitempty"` // leader's contact round, echoed by the answer
 	Chunk    *Chunk      `msgpack:"s,omitempty"`
 	Transfer bool        `msgpack:"x,omitempty"` // a vote asked for by the old leader itself
+	Prev     uint64      `msgpack:"p,omitempty"` // with a rejected append: the index it was to follow
 }
 
 // Read is a confirmed majority read: the state applied up to Index is current.
