--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,10 +52,12 @@
 	over     map[string]time.Time     // when a job was first seen to be over
 	started  time.Time
 	waiting  map[jobs.GroupKey]time.Time // since when; only run's goroutine uses it
+	stalled  map[jobs.Stop]time.Time     // when last reported
+	costs    *costs
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now()}
+	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts()}
 	d.reset(0)
 	return d
 }
@@ -65,6 +68,7 @@
 	d.offsets = make(map[string]time.Duration)
 	d.over = make(map[string]time.Time)
 	d.waiting = make(map[jobs.GroupKey]time.Time)
+	d.stalled = make(map[jobs.Stop]time.Time)
 }
 
 // leads notices a new leadership. What an older one knew of leases is void: the
@@ -126,7 +130,8 @@
 	d.r.machine.Read(func(s *State) {
 		d.noteWaiting(s.Jobs.Ready(), begun)
 		plan = dispatch.Next(dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Shunned: d.shunnedNow(begun),
-			Waited: func(g *jobs.Group) time.Duration { return begun.Sub(d.waiting[g.Key()]) }})
+			Waited: func(g *jobs.Group) time.Duration { return begun.Sub(d.waiting[g.Key()]) },
+			Costs:  d.costs, Stalled: d.stalledNow(begun)})
 	})
 	dispatchSeconds.UpdateDuration(begun)
 	if plan.Empty() {
@@ -175,6 +180,25 @@
 	return (time.Since(d.started) + list[len(list)/2]).Milliseconds()
 }
 
+// stalledFor is how long a report of a stalled run counts: two renewals.
+const stalledFor = 1500 * time.Millisecond
+
+// stalledNow returns the runs that were reported as stalled lately.
+func (d *dispatcher) stalledNow(now time.Time) []jobs.Stop {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []jobs.Stop
+	for st, at := range d.stalled {
+		if now.Sub(at) > stalledFor {
+			delete(d.stalled, st)
+			continue
+		}
+		out = append(out, st)
+	}
+	slices.SortFunc(out, func(a, b jobs.Stop) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+	return out
+}
+
 func (d *dispatcher) shunnedNow(now time.Time) map[string]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -200,6 +224,12 @@
 		e.RetryAfter = watchEvery
 		return e
 	}
+	for _, st := range req.Stalled {
+		d.stalled[st] = now
+	}
+	if len(req.Stalled) > 0 {
+		defer d.wake()
+	}
 	d.offsets[req.Worker] = time.Duration(req.WallMS)*time.Millisecond - now.Sub(d.started)
 	return nil
 }
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -187,7 +187,8 @@
 	if err := r.dispatcher.grant(req); err != nil {
 		return LeaseAnswer{}, err
 	}
-	return LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses()}, nil
+	return LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses(),
+		Costs: r.dispatcher.costs.observe(req.Readings)}, nil
 }
 
 // onOrders waits until something changes for a worker. It needs no majority's
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -71,7 +71,10 @@
 	WorkerRef
 	// WallMS is the agent's time of day, in milliseconds since 1970. The
 	// leader takes the median of many, so no jumped clock moves due times.
-	WallMS int64 `msgpack:"c"`
+	WallMS   int64     `msgpack:"c"`
+	Readings []Reading `msgpack:"r,omitempty"`
+	// Stalled are filling runs that were slowed to a stand for long.
+	Stalled []jobs.Stop `msgpack:"s,omitempty"`
 }
 
 // LeaseAnswer grants a term. It counts, on the worker's own clock, from a
@@ -79,6 +82,8 @@
 type LeaseAnswer struct {
 	TermMS   int64    `msgpack:"t"`
 	Replicas []string `msgpack:"r"`
+	// Costs concern the images that the readings named.
+	Costs []PairCost `msgpack:"c,omitempty"`
 }
 
 // OrdersRequest waits for what changed after a log index.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -17,14 +18,21 @@
 // much waits.
 const (
 	maxPlacements = 512
-	// fillFactor is how far filling tasks may be promised processors that
-	// others hold. Serving tasks use about half of what they ask for, so a
-	// worker full of them still leaves a third.
-	fillFactor = 1.0
-	// apartWait is how long a filling task waits for a worker without serving
-	// tasks. Beside one it is slowed down, often to a stand: renders that were
-	// let in at once earned 0.46 of their worth, kept apart 0.80. But where
-	// every worker serves it must not wait for ever.
+	// servingSlack is the part of the processors held by serving tasks that
+	// filling ones may count on. Serving tasks use 0.45 of what they ask for,
+	// and swing by half of that.
+	servingSlack = 0.3
+	// startWait is how long a job may have nothing at work before one task of
+	// it is let in however many fill the workers already. A job that gets
+	// nothing at all while others get everything is late for certain.
+	startWait = time.Second
+	// crowdFactor bounds that: filling tasks of this many times a worker's
+	// processors slow each other down by as much.
+	crowdFactor = 2.0
+	// apartWait is how long a filling task waits for a worker where it is not
+	// expected to disturb anybody. Beside a serving task that it disturbs it
+	// is slowed down to a stand, and holds its job up for longer than that.
+	// But where every worker is like this it must not wait for ever.
 	apartWait = 2500 * time.Millisecond
 )
 
@@ -41,6 +49,21 @@
 	// Waited returns how long a group has had tasks that could begin, nil for
 	// no time at all.
 	Waited func(*jobs.Group) time.Duration
+	// Costs tells whom filling tasks disturb, nil for nobody.
+	Costs Costs
+	// Stalled are filling runs that were slowed to a stand.
+	Stalled []jobs.Stop
+}
+
+// Costs is what is known of how filling tasks disturb serving ones. Images are
+// what tasks run; tasks of one image behave alike.
+type Costs interface {
+	// Cost returns the expected logarithm of the factor by which one filling
+	// task lengthens the tail of a serving one.
+	Cost(serving, filling string) float64
+	// Bound returns the logarithm of the factor that a serving task's tail may
+	// grow by and still be within its target.
+	Bound(serving string) float64
 }
 
 // planner is the working copy of one pass.
@@ -56,7 +79,11 @@
 	worker  *jobs.Worker
 	free    resource.Vector
 	filling int64 // processors promised to filling tasks
-	serving int
+	// serving and fillers count tasks by image; servingCPU is what serving
+	// ones hold.
+	serving    map[string]int
+	servingCPU int64
+	fillers    map[string]int
 }
 
 // request is a group in the order in which the pass serves it.
@@ -70,10 +97,11 @@
 func Next(in Input) jobs.Plan {
 	p := &planner{in: in}
 	requests := p.requests()
-	if len(requests) == 0 {
+	if len(requests) == 0 && len(in.Stalled) == 0 {
 		return p.plan
 	}
 	p.gather()
+	p.relieve()
 	for _, r := range requests {
 		if p.placed >= maxPlacements {
 			break
@@ -127,7 +155,8 @@
 		}
 		u := p.in.Jobs.Use(id)
 		p.workers[w.Service] = append(p.workers[w.Service],
-			&candidate{worker: w, free: w.Capacity.Sub(u.Held), filling: u.Filling, serving: u.Serving})
+			&candidate{worker: w, free: w.Capacity.Sub(u.Held), filling: u.Filling,
+				serving: copyCounts(u.Serving), servingCPU: u.ServingCPU, fillers: copyCounts(u.Fillers)})
 	}
 }
 
@@ -136,6 +165,7 @@
 	onWorker := make(map[string]int)
 	var taken []*candidate
 	st := r.group.Step()
+	running := r.group.Job().Active() > 0
 	for i := range r.group.Tasks {
 		t := &r.group.Tasks[i]
 		if t.Placed != nil {
@@ -146,7 +176,7 @@
 		if t := &r.group.Tasks[i]; t.Done || t.Placed != nil {
 			continue
 		}
-		c := p.choose(r, onWorker)
+		c := p.choose(r, onWorker, running || len(taken) > 0)
 		if c == nil {
 			break // the tasks of a step are alike: the next would not fit either
 		}
@@ -168,23 +198,33 @@
 	}
 }
 
-func (c *candidate) take(st *jobs.Step) {
-	c.free = c.free.Sub(held(st))
-	if st.Fills {
-		c.filling += st.Need.MilliCPU
-	}
-	if st.TargetMS > 0 {
-		c.serving++
-	}
+func copyCounts(m map[string]int) map[string]int {
+	out := make(map[string]int, len(m))
+	maps.Copy(out, m)
+	return out
 }
 
-func (c *candidate) giveBack(st *jobs.Step) {
-	c.free = c.free.Add(held(st))
-	if st.Fills {
-		c.filling -= st.Need.MilliCPU
+func (c *candidate) take(st *jobs.Step)     { c.add(st, 1) }
+func (c *candidate) giveBack(st *jobs.Step) { c.add(st, -1) }
+
+func (c *candidate) add(st *jobs.Step, n int64) {
+	need := held(st)
+	c.free.MilliCPU -= n * need.MilliCPU
+	c.free.MemoryMB -= n * need.MemoryMB
+	c.free.Accelerators -= n * need.Accelerators
+	switch {
+	case st.TargetMS > 0:
+		c.servingCPU += n * st.Need.MilliCPU
+		change(c.serving, st.Image, int(n))
+	case st.Fills:
+		c.filling += n * st.Need.MilliCPU
+		change(c.fillers, st.Image, int(n))
 	}
-	if st.TargetMS > 0 {
-		c.serving--
+}
+
+func change(m map[string]int, key string, n int) {
+	if m[key] += n; m[key] == 0 {
+		delete(m, key)
 	}
 }
 
@@ -198,39 +238,73 @@
 }
 
 // choose returns the best worker for one more task of a step, nil for none.
-func (p *planner) choose(r request, onWorker map[string]int) *candidate {
+func (p *planner) choose(r request, onWorker map[string]int, running bool) *candidate {
 	st := r.group.Step()
 	var best *candidate
 	bestCost := 0.0
 	for _, c := range p.workers[r.queue.Service] {
-		if !c.fits(st, r.waited) || (st.MaxPerWorker > 0 && onWorker[c.worker.ID] >= st.MaxPerWorker) {
+		if !p.fits(c, r, running) || (st.MaxPerWorker > 0 && onWorker[c.worker.ID] >= st.MaxPerWorker) {
 			continue
 		}
-		if cost := c.cost(st); best == nil || cost < bestCost {
+		if cost := p.cost(c, st); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
 	return best
 }
 
-// fits reports whether one more task of a step has room. Beside serving tasks a
-// filling one is let in only when it has waited for long.
-func (c *candidate) fits(st *jobs.Step, waited time.Duration) bool {
-	if st.Fills && c.serving > 0 && waited < apartWait {
+// fits reports whether one more task of a step has room.
+func (p *planner) fits(c *candidate, r request, running bool) bool {
+	st := r.group.Step()
+	if st.Label != "" && !c.worker.HasLabel(st.Label) {
 		return false
 	}
-	if st.Label != "" && !c.worker.HasLabel(st.Label) {
+	if !held(st).Fits(c.free) {
 		return false
 	}
-	if st.Fills && c.filling+st.Need.MilliCPU > int64(fillFactor*float64(c.unheld())) {
+	if !st.Fills {
+		return true
+	}
+	room := float64(c.free.MilliCPU) + servingSlack*float64(c.servingCPU)
+	if !running && r.waited > startWait {
+		room = max(room, crowdFactor*float64(c.worker.Capacity.MilliCPU))
+	}
+	if float64(c.filling+st.Need.MilliCPU) > room {
 		return false
 	}
-	return held(st).Fits(c.free)
+	return p.disturbance(c, st) <= 1 || r.waited > apartWait
+}
+
+// disturbance is the expected tail of the worst served task on a worker, with
+// one more filling task there, against what it stands: above 1 it would be over
+// its target. It is 0 where nobody serves.
+func (p *planner) disturbance(c *candidate, st *jobs.Step) float64 {
+	if p.in.Costs == nil {
+		return 0
+	}
+	worst := 0.0
+	for serving := range c.serving {
+		sum := p.in.Costs.Cost(serving, st.Image)
+		for filler, n := range c.fillers {
+			sum += float64(n) * p.in.Costs.Cost(serving, filler)
+		}
+		worst = max(worst, sum/p.in.Costs.Bound(serving))
+	}
+	return worst
 }
 
-// unheld is the processors that are left for filling tasks, counting serving
-// tasks at what they ask for.
-func (c *candidate) unheld() int64 { return c.free.MilliCPU }
+// disturbed is the same for a serving task that comes to a worker with filling
+// ones.
+func (p *planner) disturbed(c *candidate, st *jobs.Step) float64 {
+	if p.in.Costs == nil {
+		return 0
+	}
+	sum := 0.0
+	for filler, n := range c.fillers {
+		sum += float64(n) * p.in.Costs.Cost(st.Image, filler)
+	}
+	return sum / p.in.Costs.Bound(st.Image)
+}
 
 // Weights of the cost of a worker. They order workers whose load is alike; a
 // whole step of them outweighs any difference in load, which is at most 2.
@@ -238,10 +312,12 @@
 	// farCost is for a worker on another rack than the data: the task takes
 	// RemoteFactor (1.5 where it was measured) times as long.
 	farCost = 1.0
-	// apartCost keeps filling tasks and serving ones on different workers. A
-	// filling task disturbs a serving one, which then slows it down, often to
-	// a stand: it is better off on any worker without.
-	apartCost = 3.0
+	// disturbCost is for the disturbance expected, as a part of what the
+	// disturbed task stands.
+	disturbCost = 2.0
+	// besideCost is for a worker with serving tasks, whatever is known: the
+	// less that is known of a pair, the dearer it is to try.
+	besideCost = 0.3
 	// togetherGain draws serving tasks, and tasks that disturb nobody, to the
 	// workers that have serving tasks already, so that the others stay free
 	// for filling ones.
@@ -249,20 +325,19 @@
 )
 
 // cost grows with the load of a worker, so that work spreads.
-func (c *candidate) cost(st *jobs.Step) float64 {
+func (p *planner) cost(c *candidate, st *jobs.Step) float64 {
 	total := float64(max(c.worker.Capacity.MilliCPU, 1))
-	filling := float64(c.filling) / total
-	cost := (total-float64(c.free.MilliCPU))/total + filling
+	cost := (total - float64(c.free.MilliCPU) + float64(c.filling)) / total
 	if st.PreferredRack != "" && !c.worker.HasLabel(st.PreferredRack) {
 		cost += farCost
 	}
-	switch {
-	case st.Fills && c.serving > 0:
-		cost += apartCost
-	case st.TargetMS > 0 && c.filling > 0:
-		cost += apartCost * filling
+	if st.Fills && len(c.serving) > 0 {
+		cost += besideCost + disturbCost*p.disturbance(c, st)
+	}
+	if st.TargetMS > 0 {
+		cost += disturbCost * p.disturbed(c, st)
 	}
-	if !st.Fills && c.serving > 0 {
+	if !st.Fills && len(c.serving) > 0 {
 		cost -= togetherGain
 	}
 	return cost
--- a/interference/baseline.go
+++ b/interference/baseline.go
@@ -45,5 +45,14 @@
 	return latency / low
 }
 
+// Alone returns the mean latency of a service running alone, in milliseconds, 0
+// if it was not seen alone often enough.
+func (b *Baseline) Alone(service string, load float64) float64 {
+	if m := b.alone[pair{service: service, band: Band(load)}]; m != nil && m.n >= minAlone {
+		return m.value
+	}
+	return 0
+}
+
 // minAlone is how many measurements alone make a yardstick.
 const minAlone = 5
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -29,8 +29,12 @@
 	// Filling is the processors that filling runs would use if they could.
 	Filling int64
 	Runs    map[Ref]*Task
-	// Serving counts the runs that have a target for their tail latency.
-	Serving int
+	// Serving counts, by image, the runs that have a target for their tail
+	// latency, and ServingCPU sums up the processors that they hold.
+	Serving    map[string]int
+	ServingCPU int64
+	// Fillers counts the filling runs by image.
+	Fillers map[string]int
 }
 
 // NewState returns the empty state.
@@ -179,6 +183,9 @@
 	s.touched = append(s.touched, r.Worker)
 }
 
+// Active counts the job's runs that hold room.
+func (j *Job) Active() int { return j.active }
+
 // Live counts the jobs that are not over.
 func (s *State) Live() int { return s.live }
 
@@ -201,16 +208,14 @@
 func (s *State) take(ref Ref, t *Task) {
 	u := s.use[t.Placed.Worker]
 	if u == nil {
-		u = &Use{Runs: make(map[Ref]*Task)}
+		u = &Use{Runs: make(map[Ref]*Task), Serving: make(map[string]int), Fillers: make(map[string]int)}
 		s.use[t.Placed.Worker] = u
 	}
 	st := s.step(ref)
 	need, filling := heldBy(st)
 	u.Held, u.Filling = u.Held.Add(need), u.Filling+filling
 	u.Runs[ref] = t
-	if st.TargetMS > 0 {
-		u.Serving++
-	}
+	u.count(st, 1)
 }
 
 func (s *State) release(ref Ref, t *Task) {
@@ -219,14 +224,29 @@
 	need, filling := heldBy(st)
 	u.Held, u.Filling = u.Held.Sub(need), u.Filling-filling
 	delete(u.Runs, ref)
-	if st.TargetMS > 0 {
-		u.Serving--
-	}
+	u.count(st, -1)
 	if len(u.Runs) == 0 {
 		delete(s.use, t.Placed.Worker)
 	}
 }
 
+// count adds n to the runs of a step's kind.
+func (u *Use) count(st *Step, n int) {
+	var by map[string]int
+	switch {
+	case st.TargetMS > 0:
+		by = u.Serving
+		u.ServingCPU += int64(n) * st.Need.MilliCPU
+	case st.Fills:
+		by = u.Fillers
+	default:
+		return
+	}
+	if by[st.Image] += n; by[st.Image] == 0 {
+		delete(by, st.Image)
+	}
+}
+
 // heldBy returns what a run of a step takes from a worker's room, and the
 // processors it only fills.
 func heldBy(st *Step) (held resource.Vector, filling int64) {
@@ -238,6 +258,9 @@
 	return st.Need, 0
 }
 
+// Group returns the group that a task belongs to, nil if there is none.
+func (s *State) Group(ref Ref) *Group { return s.group(ref) }
+
 func (s *State) step(ref Ref) *Step { return &s.Jobs[ref.Job].Spec.Steps[ref.Step] }
 
 func (s *State) group(ref Ref) *Group {
--- a/runner/session.go
+++ b/runner/session.go
@@ -295,12 +295,14 @@
 // delayed or frozen in between only makes the lease shorter.
 func (s *session) renew(clockMS int64) {
 	req := control.LeaseRequest{WorkerRef: s.ref(), WallMS: time.Now().UnixMilli()}
+	req.Readings, req.Stalled = s.pacer.report(time.Now(), s.fillingImages)
 	var a control.LeaseAnswer
 	if err := s.r.ctl.Call(control.PathLease, controlTimeout, &req, &a); err != nil {
 		s.controlRefused("lease", err)
 		return
 	}
 	s.r.ctl.Learn(a.Replicas)
+	s.pacer.learn(a.Costs)
 	s.mu.Lock()
 	s.leaseEnd = max(s.leaseEnd, clockMS+a.TermMS)
 	close(s.lease)
@@ -437,15 +439,6 @@
 
 // pace slows filling runs down that disturb serving ones.
 func (s *session) pace(running []RunningRun) {
-	if logrus.IsLevelEnabled(logrus.DebugLevel) {
-		var rows []string
-		for _, x := range running {
-			if o, ok := s.lookup(x.Task, x.Run); ok {
-				rows = append(rows, fmt.Sprintf("%s %s %d %d %.0f %v %d %d", x.Task, o.Image, o.TargetMS, x.Percent, x.Figure, o.Fills, o.MilliCPU, s.pacer.pace))
-			}
-		}
-		logrus.WithField("rows", rows).Debug("runner: Reading.")
-	}
 	for _, c := range s.pacer.next(time.Now(), running, s.lookup) {
 		go func() {
 			c.Target = s.target()
@@ -461,6 +454,19 @@
 	}
 }
 
+// fillingImages returns the images of the filling runs at work.
+func (s *session) fillingImages() map[runKey]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[runKey]string)
+	for key, r := range s.runs {
+		if o := r.current(); o.Fills {
+			out[key] = o.Image
+		}
+	}
+	return out
+}
+
 // lookup returns the order behind a run that the worker lists.
 func (s *session) lookup(task jobs.Ref, run uint32) (jobs.Order, bool) {
 	s.mu.Lock()
