Jobs are served by what they can still come to, begin whole, and give way when overdue

Cause: past the room every job waited behind jobs that were late already; jobs that began with one task each held the room between them; and the pacer slowed filling runs for a served task's own swing and gave the pace back over seconds. Readings (trials): beside most filling images the served tail stays at its median; what disturbs comes in spurts, to ten times the target. Durations are learned by queue (declared ones are off by up to nine times). Ruled out by trials: refusing from 1.25 times the objective on (callers refused while workers had room), letting everything in after 2.5 s (all jobs late).

--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -26,7 +26,7 @@
 	case c.Put != nil:
 		return s.Queues.Apply(c.Put.Config), nil
 	case c.Submit != nil:
-		return nil, s.submitJob(c.Submit, index, now)
+		return nil, s.submitJob(c.Submit, index)
 	case c.Cancel != nil:
 		return nil, s.cancelJob(c.Cancel, index)
 	case c.Plan != nil:
@@ -77,7 +77,7 @@
 	return q.Host, q.Prefix, rest, nil
 }
 
-func (s *State) submitJob(c *SubmitJob, index uint64, now int64) error {
+func (s *State) submitJob(c *SubmitJob, index uint64) error {
 	host, prefix, id, err := s.findQueue(JobCall{c.Host, c.Path})
 	if err != nil {
 		return err
@@ -85,7 +85,7 @@
 	if !jobs.ValidID(id) {
 		return refusal.New(refusal.Invalid, "name the job by 16 hexadecimal digits", "%q is not a job's id", id)
 	}
-	return s.Jobs.ApplySubmit(jobs.Submit{ID: id, Host: host, Prefix: prefix, Spec: c.Spec}, index, now)
+	return s.Jobs.ApplySubmit(jobs.Submit{ID: id, Host: host, Prefix: prefix, Spec: c.Spec}, index, c.AtMS)
 }
 
 func (s *State) cancelJob(c *JobCall, index uint64) error {
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -54,10 +54,12 @@
 	waiting  map[jobs.GroupKey]time.Time // since when; only run's goroutine uses it
 	stalled  map[jobs.Stop]time.Time     // when last reported
 	costs    *costs
+	learned  *learned
+	inFlight map[string]int // submissions being committed, by host and path
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts()}
+	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(), learned: newLearned(), inFlight: make(map[string]int)}
 	d.reset(0)
 	return d
 }
@@ -98,6 +100,8 @@
 	defer leases.Stop()
 	due := time.NewTicker(duePoll)
 	defer due.Stop()
+	survey := time.NewTicker(surveyEvery)
+	defer survey.Stop()
 	forget := time.NewTicker(forgetEvery)
 	defer forget.Stop()
 	for {
@@ -108,6 +112,10 @@
 			if d.leads() {
 				d.expire()
 			}
+		case <-survey.C:
+			if d.leads() {
+				d.survey()
+			}
 		case <-forget.C:
 			if d.leads() {
 				d.forget()
@@ -129,9 +137,10 @@
 	var plan jobs.Plan
 	d.r.machine.Read(func(s *State) {
 		d.noteWaiting(s.Jobs.Ready(), begun)
-		plan = dispatch.Next(dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Shunned: d.shunnedNow(begun),
-			Waited: func(g *jobs.Group) time.Duration { return begun.Sub(d.waiting[g.Key()]) },
-			Costs:  d.costs, Stalled: d.stalledNow(begun)})
+		in := d.input(s)
+		in.Shunned, in.Stalled = d.shunnedNow(begun), d.stalledNow(begun)
+		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(d.waiting[g.Key()]) }
+		plan = dispatch.Next(in)
 	})
 	dispatchSeconds.UpdateDuration(begun)
 	if plan.Empty() {
@@ -150,6 +159,55 @@
 	}
 }
 
+// input is what every decision is made from.
+func (d *dispatcher) input(s *State) dispatch.Input {
+	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Costs: d.costs, Estimates: d.learned.estimates()}
+}
+
+// admit refuses a job that can't be in time. A job that is known, or may be in a
+// moment, is never refused: its caller lost an answer, and being told "not run"
+// now would be a lie.
+func (d *dispatcher) admit(c *SubmitJob) error {
+	if err := d.r.confirmedLeader(); err != nil {
+		return err
+	}
+	key := c.Host + c.Path
+	d.mu.Lock()
+	running := d.inFlight[key] > 0
+	d.inFlight[key]++
+	d.mu.Unlock()
+	c.AtMS = d.nowMS()
+	if running {
+		return nil
+	}
+	var v dispatch.Verdict
+	d.r.machine.Read(func(s *State) {
+		q, id := s.Queues.Config.Match(c.Host, c.Path)
+		if q == nil || s.Jobs.Jobs[id] != nil {
+			return
+		}
+		v = dispatch.Admit(d.input(s), q, &c.Spec)
+	})
+	if !v.Refuse {
+		return nil
+	}
+	d.submitted(c)
+	e := refusal.New(refusal.Overloaded, "hand it in again later", "the job would be done in %v, its objective is %v",
+		v.Expected.Round(time.Millisecond), v.Objective.Round(time.Millisecond))
+	e.RetryAfter = refusal.Spread(v.After)
+	return e
+}
+
+// submitted ends what admit began.
+func (d *dispatcher) submitted(c *SubmitJob) {
+	key := c.Host + c.Path
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.inFlight[key]--; d.inFlight[key] <= 0 {
+		delete(d.inFlight, key)
+	}
+}
+
 // noteWaiting keeps since when each group has had tasks that could begin. It is
 // this leader's own word: a new one counts anew.
 func (d *dispatcher) noteWaiting(ready []*jobs.Group, now time.Time) {
@@ -280,6 +338,9 @@
 // ended reacts to committed ends.
 func (d *dispatcher) ended(req RunEnds) {
 	for _, e := range req.Ends {
+		if e.Outcome == jobs.OutcomeDone && e.WorkMS > 0 {
+			d.r.machine.Read(func(s *State) { d.learned.note(s.Jobs, e) })
+		}
 		if e.Outcome == jobs.OutcomeRejected {
 			d.mu.Lock()
 			d.shunned[req.Worker] = time.Now().Add(shunTime)
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -50,7 +50,12 @@
 	if err := c.Spec.Validate(); err != nil {
 		return Empty{}, err
 	}
+	if err := r.dispatcher.admit(&c); err != nil {
+		r.logCall("submit", JobCall{c.Host, c.Path}, err)
+		return Empty{}, err
+	}
 	_, err := r.proposeJob(JobCommand{Submit: &c})
+	r.dispatcher.submitted(&c)
 	r.logCall("submit", JobCall{c.Host, c.Path}, err)
 	if err == nil {
 		logrus.WithFields(logrus.Fields{"job": c.Path, "steps": c.Spec.String()}).Info("control: Took a job in.")
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -26,6 +26,8 @@
 	Host string    `msgpack:"h"`
 	Path string    `msgpack:"p"`
 	Spec jobs.Spec `msgpack:"s"`
+	// AtMS is when the leader took the call, set by the leader.
+	AtMS int64 `msgpack:"a,omitempty"`
 }
 
 // JobCall names a job, or with nothing after the prefix a queue.
--- /dev/null
+++ b/control/survey.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// surveyEvery is the interval of the leader's line on how full the workers are.
+const surveyEvery = 2 * time.Second
+
+// survey logs how full the workers are and what waits, for whoever asks later
+// why a job was late or refused.
+func (d *dispatcher) survey() {
+	var workers, draining, serving, waitingTasks int
+	var capacity, held, servingCPU, filling int64
+	var live, groups int
+	d.r.machine.Read(func(s *State) {
+		for id, w := range s.Jobs.Workers {
+			workers++
+			if w.Draining {
+				draining++
+			}
+			u := s.Jobs.Use(id)
+			capacity += w.Capacity.MilliCPU
+			held += u.Held.MilliCPU
+			servingCPU += u.ServingCPU
+			filling += u.Filling
+			if u.ServingCPU > 0 {
+				serving++
+			}
+		}
+		ready := s.Jobs.Ready()
+		groups, live = len(ready), s.Jobs.Live()
+		for _, g := range ready {
+			waitingTasks += g.Waiting()
+		}
+	})
+	logrus.WithFields(logrus.Fields{"workers": workers, "draining": draining, "serving_workers": serving, "milli_cpu": capacity,
+		"held": held, "serving": servingCPU, "filling": filling, "live_jobs": live, "waiting_steps": groups, "waiting_tasks": waitingTasks}).
+		Info("control: How full the workers are.")
+}
--- /dev/null
+++ b/dispatch/admit.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/queues"
+)
+
+// Verdict is whether a job should be taken in.
+type Verdict struct {
+	Refuse bool
+	// After is when it is worth asking again.
+	After time.Duration
+	// Expected is when the job would be done, and Objective when it should.
+	Expected, Objective time.Duration
+}
+
+const (
+	// admitFactor is how far past its objective a job may be expected to end
+	// and still be taken: as long as it is worth anything to its caller.
+	// Refusing from 1.25 times on, callers were refused for nothing more often
+	// than they were spared a wait: the work ahead is known only roughly.
+	admitFactor = lateFactor
+	// longestAfter bounds the time to come back: the work ahead changes.
+	longestAfter = 5 * time.Second
+)
+
+// Admit tells whether a job can still meet its objective behind the work that is
+// accepted already. It answers the load of a burst beyond the room: taken all
+// in, every job waits longer than it may and none is in time.
+//
+// Only jobs that can still be in time count as ahead; the others give way.
+func Admit(in Input, q *queues.Queue, spec *jobs.Spec) Verdict {
+	if in.Estimates == nil || standing(spec) || spec.Repeat > 0 {
+		return Verdict{}
+	}
+	ahead := 0.0
+	filling := fills(spec)
+	for _, j := range in.Jobs.Jobs {
+		if j.Phase.Over() || j.Spec.Repeat > 0 || standing(&j.Spec) || fills(&j.Spec) != filling {
+			continue
+		}
+		other := in.Config.At(j.Host, j.Prefix)
+		if other == nil || other.Service != q.Service || other.Priority > q.Priority {
+			continue
+		}
+		f := in.Estimates.forecast(j, other, 0)
+		if f.outlook(age(j, in.NowMS)) <= Fresh {
+			ahead += f.work
+		}
+	}
+	room := float64(roomFor(in, q.Service, filling)) / 1000
+	if room <= 0 {
+		return Verdict{}
+	}
+	fresh := &jobs.Job{Host: q.Host, Prefix: q.Prefix, Spec: *spec}
+	f := in.Estimates.forecast(fresh, q, 0)
+	wait := ms(ahead / room)
+	v := Verdict{Expected: wait + max(f.remaining, ms(f.work/room)), Objective: f.deadline}
+	if v.Expected > ms(admitFactor*float64(f.deadline)/float64(time.Millisecond)) {
+		v.Refuse = true
+		v.After = min(v.Expected-v.Objective, longestAfter)
+	}
+	return v
+}
+
+func standing(s *jobs.Spec) bool {
+	for i := range s.Steps {
+		if s.Steps[i].Standing {
+			return true
+		}
+	}
+	return false
+}
+
+func fills(s *jobs.Spec) bool {
+	for i := range s.Steps {
+		if s.Steps[i].Fills {
+			return true
+		}
+	}
+	return false
+}
+
+func age(j *jobs.Job, nowMS int64) time.Duration {
+	return time.Duration(nowMS-j.AcceptedAt) * time.Millisecond
+}
+
+// roomFor returns the processors of a service, in thousandths, that jobs of a
+// kind can have: filling ones get what is not held, the others what is not held
+// by standing tasks.
+func roomFor(in Input, service string, filling bool) int64 {
+	total := int64(0)
+	for id, w := range in.Jobs.Workers {
+		if w.Service != service || w.Draining {
+			continue
+		}
+		u := in.Jobs.Use(id)
+		if filling {
+			total += w.Capacity.MilliCPU - u.Held.MilliCPU + int64(servingSlack*float64(u.ServingCPU))
+		} else {
+			total += w.Capacity.MilliCPU - u.ServingCPU
+		}
+	}
+	return total
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -21,19 +22,25 @@
 	// servingSlack is the part of the processors held by serving tasks that
 	// filling ones may count on. Serving tasks use 0.45 of what they ask for,
 	// and swing by half of that.
-	servingSlack = 0.3
-	// startWait is how long a job may have nothing at work before one task of
-	// it is let in however many fill the workers already. A job that gets
-	// nothing at all while others get everything is late for certain.
+	servingSlack = 0.5
+	// sparseUse is the part of a service's processors in use below which a
+	// job with nothing at work is let in however much its tasks may disturb:
+	// with that much room its caller can't be told that there is none.
+	sparseUse = 0.6
+	// startWait is how long a job may have nothing at work where use is
+	// sparse.
 	startWait = time.Second
 	// crowdFactor bounds that: filling tasks of this many times a worker's
 	// processors slow each other down by as much.
 	crowdFactor = 2.0
-	// apartWait is how long a filling task waits for a worker where it is not
-	// expected to disturb anybody. Beside a serving task that it disturbs it
-	// is slowed down to a stand, and holds its job up for longer than that.
-	// But where every worker is like this it must not wait for ever.
-	apartWait = 2500 * time.Millisecond
+	// wholeShare is the part of a step that has to fit before a filling job
+	// begins. Past the room, jobs that begin with a task each hold the room
+	// between them and none ends in time: of 54 renders one did.
+	wholeShare = 0.6
+	// overdueShare is the part of the filling room that jobs may have which
+	// are worth nothing to their callers any more. The rest is kept for jobs
+	// that come.
+	overdueShare = 0.7
 )
 
 // Input is what a plan is made from. Nothing of it is changed.
@@ -53,6 +60,8 @@
 	Costs Costs
 	// Stalled are filling runs that were slowed to a stand.
 	Stalled []jobs.Stop
+	// Estimates tells how long tasks will take, nil to go by acceptance only.
+	Estimates *Estimates
 }
 
 // Costs is what is known of how filling tasks disturb serving ones. Images are
@@ -70,6 +79,7 @@
 type planner struct {
 	in      Input
 	workers map[string][]*candidate // by service
+	sparse  map[string]bool         // services with much room, see sparseUse
 	plan    jobs.Plan
 	placed  int
 }
@@ -91,6 +101,10 @@
 	group  *jobs.Group
 	queue  *queues.Queue
 	waited time.Duration
+	// outlook and due order the requests of one priority. due is when the job
+	// should be done, in milliseconds since 1970.
+	outlook Outlook
+	due     int64
 }
 
 // Next returns the placements for what waits and fits.
@@ -123,14 +137,32 @@
 		if p.in.Waited != nil {
 			r.waited = p.in.Waited(g)
 		}
+		p.look(&r)
 		out = append(out, r)
 	}
 	sort.SliceStable(out, func(i, k int) bool { return before(out[i], out[k]) })
 	return out
 }
 
-// before orders by priority, then standing tasks, then by acceptance. A standing
-// task that is away is missed by its own users every second.
+// look judges what the job of a request can still come to. Standing tasks have no
+// end, and repeated jobs count from their due time.
+func (p *planner) look(r *request) {
+	j := r.group.Job()
+	if p.in.Estimates == nil || r.group.Step().Standing {
+		r.due = j.AcceptedAt
+		return
+	}
+	f := p.in.Estimates.forecast(j, r.queue, r.group.Occurrence())
+	from := max(j.AcceptedAt, r.group.DueAt())
+	r.outlook = f.outlook(time.Duration(p.in.NowMS-from) * time.Millisecond)
+	r.due = from + f.deadline.Milliseconds()
+}
+
+// before orders by priority, then standing tasks, then by what the jobs can still
+// come to, then by when they should be done. A standing task that is away is
+// missed by its own users every second. A job that can still be in time goes
+// before one that can't: else, past the room, each waits behind jobs that are
+// late already until it is late itself.
 func before(a, b request) bool {
 	if a.queue.Priority != b.queue.Priority {
 		return a.queue.Priority < b.queue.Priority
@@ -138,11 +170,19 @@
 	if sa, sb := a.group.Step().Standing, b.group.Step().Standing; sa != sb {
 		return sa
 	}
+	if a.outlook != b.outlook {
+		return a.outlook < b.outlook
+	}
+	if a.due != b.due {
+		return a.due < b.due
+	}
 	return a.group.Job().Seq < b.group.Job().Seq
 }
 
 func (p *planner) gather() {
 	p.workers = make(map[string][]*candidate)
+	p.sparse = make(map[string]bool)
+	capacity, used := make(map[string]int64), make(map[string]int64)
 	ids := make([]string, 0, len(p.in.Jobs.Workers))
 	for id := range p.in.Jobs.Workers {
 		ids = append(ids, id)
@@ -154,10 +194,15 @@
 			continue
 		}
 		u := p.in.Jobs.Use(id)
+		capacity[w.Service] += w.Capacity.MilliCPU
+		used[w.Service] += u.Held.MilliCPU
 		p.workers[w.Service] = append(p.workers[w.Service],
 			&candidate{worker: w, free: w.Capacity.Sub(u.Held), filling: u.Filling,
 				serving: copyCounts(u.Serving), servingCPU: u.ServingCPU, fillers: copyCounts(u.Fillers)})
 	}
+	for service, total := range capacity {
+		p.sparse[service] = float64(used[service]) < sparseUse*float64(total)
+	}
 }
 
 func (p *planner) place(r request) {
@@ -186,7 +231,7 @@
 		pl.Indexes = append(pl.Indexes, i)
 		pl.Workers = append(pl.Workers, c.worker.ID)
 	}
-	if st.Gang && len(pl.Indexes) < len(r.group.Tasks) {
+	if len(pl.Indexes) < p.least(r, running) {
 		for _, c := range taken {
 			c.giveBack(st)
 		}
@@ -198,6 +243,18 @@
 	}
 }
 
+// least is how many of a group's waiting tasks have to fit for any to be placed.
+func (p *planner) least(r request, running bool) int {
+	st := r.group.Step()
+	switch {
+	case st.Gang:
+		return len(r.group.Tasks)
+	case !st.Fills || running || p.sparse[r.queue.Service] || r.outlook == Begun:
+		return 1
+	}
+	return int(math.Ceil(wholeShare * float64(r.group.Waiting())))
+}
+
 func copyCounts(m map[string]int) map[string]int {
 	out := make(map[string]int, len(m))
 	maps.Copy(out, m)
@@ -266,13 +323,13 @@
 		return true
 	}
 	room := float64(c.free.MilliCPU) + servingSlack*float64(c.servingCPU)
-	if !running && r.waited > startWait {
-		room = max(room, crowdFactor*float64(c.worker.Capacity.MilliCPU))
+	if !running && r.waited > startWait && p.sparse[c.worker.Service] {
+		return float64(c.filling+st.Need.MilliCPU) <= crowdFactor*float64(c.worker.Capacity.MilliCPU)
 	}
-	if float64(c.filling+st.Need.MilliCPU) > room {
-		return false
+	if r.outlook == Overdue {
+		room *= overdueShare
 	}
-	return p.disturbance(c, st) <= 1 || r.waited > apartWait
+	return float64(c.filling+st.Need.MilliCPU) <= room && p.disturbance(c, st) <= 1
 }
 
 // disturbance is the expected tail of the worst served task on a worker, with
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -183,6 +183,29 @@
 	s.touched = append(s.touched, r.Worker)
 }
 
+// Group returns one step of one occurrence, or an empty group of a job that was
+// not taken in.
+func (j *Job) Group(occurrence, step int) *Group {
+	if i := occurrence*len(j.Spec.Steps) + step; i < len(j.Groups) {
+		return j.Groups[i]
+	}
+	return &Group{job: j, step: step, Tasks: make([]Task, j.Spec.Steps[step].Count)}
+}
+
+// Open counts the tasks that are not done, and those of them that are placed.
+func (g *Group) Open() (open, placed int) {
+	for i := range g.Tasks {
+		if g.Tasks[i].Done {
+			continue
+		}
+		open++
+		if g.Tasks[i].Placed != nil {
+			placed++
+		}
+	}
+	return open, placed
+}
+
 // Active counts the job's runs that hold room.
 func (j *Job) Active() int { return j.active }
 
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -153,8 +153,8 @@
 	Phase  Phase  `msgpack:"f"`
 	// Seq orders jobs by their acceptance: the log's index.
 	Seq uint64 `msgpack:"q"`
-	// AcceptedAt is when the leader took the job, on its wall clock, in
-	// milliseconds since 1970. It only orders work.
+	// AcceptedAt is when the leader took the job, by the median of many clocks,
+	// in milliseconds since 1970. It only orders work.
 	AcceptedAt int64    `msgpack:"a"`
 	Groups     []*Group `msgpack:"g"` // by occurrence, then step
 	remaining  int      // groups that are not done
@@ -254,6 +254,9 @@
 	Run        uint32  `msgpack:"r"`
 	Outcome    Outcome `msgpack:"o"`
 	Checkpoint string  `msgpack:"c,omitempty"`
+	// WorkMS is how long the run was at work at full pace from its beginning,
+	// 0 if that is not known.
+	WorkMS int64 `msgpack:"w,omitempty"`
 }
 
 // Order is what an agent is to do about one run.
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,23 +10,28 @@
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 )
 
-// Thresholds of the pacer. Tails are parts of the served run's target. The bound
-// on a run that is over its target because of filling ones is four seconds on
-// end; readings count every half second, and after overLimit of them nothing
-// fills any more, which leaves two seconds for readings that come late.
+// Thresholds of the pacer. Tails are parts of the served run's target. A tail
+// swings by itself up to the target (readings without filling runs: median 0.4,
+// one in ten above 0.6 to 1.0), and most filling runs leave it as it is; what
+// disturbs comes in spurts of a second or two, to ten times the target. So
+// nothing is slowed before a tail is too long, then it is slowed at once, and
+// tried again soon. The bound on a run that is over its target because of
+// filling ones is four seconds on end.
 const (
-	slowAbove  = 0.85
-	hurryUnder = 0.6
+	slowAbove = 0.95
+	calmUnder = 0.9
 	// farOver is a tail at which the suspects stop at once.
-	farOver = 2.0
+	farOver = 1.5
 	// overLimit is the readings in a row with a tail too long after which all
-	// filling runs stop, and not only the likely culprits.
-	overLimit = 4
-	// hurryStep is what filling runs get back with each calm reading, in
-	// percent: from 0 to 100 in 2.5 s.
-	hurryStep = 20
+	// filling runs stop, and not only the likely culprits: 1.5 s of the four.
+	overLimit = 3
+	// firstHold is how long a slowed image stays slowed. Each time it has to
+	// be slowed again soon after, the next one is twice as long.
+	firstHold   = 700 * time.Millisecond
+	longestHold = 4 * time.Second
+	soonAfter   = 4 * time.Second
 	// lowestPace is the share below which filling runs stand still.
-	lowestPace = 12
+	lowestPace = 30
 	fullPace   = 100
 	// readingSpan is the time that a reading covers. Following readings that
 	// overlap would count the same disturbance several times.
@@ -38,21 +45,28 @@
 	unknownCost = 0.15
 	// stallPace and stallTime tell a run that is held up for long: it is
 	// worth moving elsewhere.
-	stallPace = 25
-	stallTime = time.Second
+	stallPace = 50
+	stallTime = 1500 * time.Millisecond
 	// maxReadings bounds what is kept for the leader.
 	maxReadings = 16
 )
 
 type imagePair struct{ serving, filling string }
 
+// slowdown is what is remembered of a filling image that disturbed.
+type slowdown struct {
+	pace  int
+	since time.Time // when it was first slowed, of this row
+	until time.Time // when it is tried again
+	hold  time.Duration
+}
+
 // pacer decides how fast the filling runs beside serving ones may work. It is
 // pure. Only the agent sees a tail in time: a reading that went to the leader and
 // back would be a second old.
 type pacer struct {
 	mu       sync.Mutex
-	pace     map[string]int       // by filling image; missing means full
-	slowed   map[string]time.Time // since when an image is at stallPace or below
+	slowed   map[string]*slowdown // by filling image; missing means full pace
 	set      map[runKey]int       // by what was last asked for
 	costs    map[imagePair]float64
 	stepped  time.Time // when the pace last followed a reading
@@ -62,7 +76,7 @@
 }
 
 func newPacer() *pacer {
-	return &pacer{pace: make(map[string]int), slowed: make(map[string]time.Time), set: make(map[runKey]int), costs: make(map[imagePair]float64)}
+	return &pacer{slowed: make(map[string]*slowdown), set: make(map[runKey]int), costs: make(map[imagePair]float64)}
 }
 
 // served is what a reading says of one served image: its worst tail.
@@ -132,13 +146,13 @@
 }
 
 func (p *pacer) paceOf(image string) int {
-	if pace, ok := p.pace[image]; ok {
-		return pace
+	if d := p.slowed[image]; d != nil {
+		return d.pace
 	}
 	return fullPace
 }
 
-// step slows the likely culprits down fast and lets go slowly.
+// step slows the likely culprits down at once and tries them again soon.
 func (p *pacer) step(now time.Time, sc scene) {
 	p.worst = 0
 	for _, s := range sc.serving {
@@ -147,41 +161,53 @@
 	switch {
 	case p.worst > slowAbove:
 		p.over++
-		p.slow(sc)
-	case p.worst < hurryUnder:
+		p.slow(now, sc)
+	case p.worst < calmUnder:
 		p.over = 0
-		for image, pace := range p.pace {
-			if pace += hurryStep; pace >= fullPace {
-				delete(p.pace, image)
-			} else {
-				p.pace[image] = pace
-			}
-		}
+		p.letGo(now)
 	default:
 		p.over = 0
 	}
-	for image := range sc.count {
-		if p.paceOf(image) > stallPace {
-			delete(p.slowed, image)
-		} else if p.slowed[image].IsZero() {
-			p.slowed[image] = now
-		}
-	}
 }
 
-func (p *pacer) slow(sc scene) {
+func (p *pacer) slow(now time.Time, sc scene) {
+	images := p.suspects(sc)
 	if p.over >= overLimit {
-		for image := range sc.count {
-			p.pace[image] = 0
-		}
-		return
+		images = slices.Collect(maps.Keys(sc.count))
 	}
-	for _, image := range p.suspects(sc) {
+	for _, image := range images {
 		pace := p.paceOf(image) / 2
-		if pace < lowestPace || p.worst > farOver {
+		if pace < lowestPace || p.worst > farOver || p.over >= overLimit {
 			pace = 0
 		}
-		p.pace[image] = pace
+		d := p.slowed[image]
+		switch {
+		case d == nil:
+			d = &slowdown{since: now, hold: firstHold}
+			p.slowed[image] = d
+		case d.pace == fullPace:
+			d.hold = min(2*d.hold, longestHold)
+			d.since = now
+		}
+		d.pace, d.until = pace, now.Add(d.hold)
+	}
+}
+
+// letGo gives the images whose hold is over half of their pace back, then all of
+// it, and forgets those that went on well.
+func (p *pacer) letGo(now time.Time) {
+	for image, d := range p.slowed {
+		switch {
+		case now.Before(d.until):
+		case d.pace < fullPace/2:
+			d.pace = fullPace / 2
+			d.until = now.Add(readingSpan)
+		case d.pace < fullPace:
+			d.pace = fullPace
+			d.until = now.Add(soonAfter)
+		default:
+			delete(p.slowed, image)
+		}
 	}
 }
 
@@ -252,7 +278,7 @@
 	p.readings = nil
 	var stalled []jobs.Stop
 	for key, image := range images() {
-		if since, slow := p.slowed[image]; slow && now.Sub(since) >= stallTime && p.paceOf(image) <= stallPace {
+		if d := p.slowed[image]; d != nil && d.pace <= stallPace && now.Sub(d.since) >= stallTime {
 			stalled = append(stalled, jobs.Stop{Task: key.task, Run: key.run})
 		}
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -23,6 +23,8 @@
 	// unsure is set once a start went unanswered: it may still take effect.
 	unsure bool
 	since  time.Time
+	began  time.Time // when this life started it, zero if an earlier one did
+	slowed bool
 }
 
 func (r *run) signal() {
@@ -61,6 +63,23 @@
 	r.signal()
 }
 
+// workMS returns how long the run was at work at full pace from its beginning to
+// now, 0 if it resumed, was slowed down, or this life did not start it.
+func (r *run) workMS() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.began.IsZero() || r.slowed || r.ord.Checkpoint != "" {
+		return 0
+	}
+	return time.Since(r.began).Milliseconds()
+}
+
+func (r *run) setSlowed() {
+	r.mu.Lock()
+	r.slowed = true
+	r.mu.Unlock()
+}
+
 func (r *run) current() jobs.Order {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -151,6 +170,9 @@
 		startsTotal.Inc()
 		startSeconds.UpdateDuration(r.since)
 		logrus.WithFields(logrus.Fields{"task": o.Task.String(), "run": o.Run, "lease_end": end}).Info("runner: Started a run.")
+		r.mu.Lock()
+		r.began = time.Now()
+		r.mu.Unlock()
 		r.setStarted()
 	case VerdictLate:
 		// The lease in the call has ended on the worker's clock: nothing
--- a/runner/session.go
+++ b/runner/session.go
@@ -252,11 +252,13 @@
 		r := s.runs[key]
 		delete(s.runs, key)
 		s.mu.Unlock()
+		end := jobs.End{Task: f.Task, Run: f.Run, Outcome: f.Outcome, Checkpoint: f.Checkpoint}
 		if r != nil {
+			end.WorkMS = r.workMS()
 			r.setEnded()
 		}
 		logrus.WithFields(logrus.Fields{"task": f.Task.String(), "run": f.Run, "how": f.How, "n": f.Number}).Info("runner: A run ended.")
-		s.send(report{end: jobs.End{Task: f.Task, Run: f.Run, Outcome: f.Outcome, Checkpoint: f.Checkpoint}, number: f.Number, at: time.Now()})
+		s.send(report{end: end, number: f.Number, at: time.Now()})
 	}
 	return fresh
 }
@@ -439,7 +441,9 @@
 
 // pace slows filling runs down that disturb serving ones.
 func (s *session) pace(running []RunningRun) {
+	s.logReading(running)
 	for _, c := range s.pacer.next(time.Now(), running, s.lookup) {
+		s.noteSlowed(c)
 		go func() {
 			c.Target = s.target()
 			reply, err := s.r.worker.Pace(c)
@@ -454,6 +458,31 @@
 	}
 }
 
+// logReading writes what a worker shows of its runs, at the debug level only: it
+// comes several times a second.
+func (s *session) logReading(running []RunningRun) {
+	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	rows := make([]string, 0, len(running))
+	for _, x := range running {
+		if o, ok := s.lookup(x.Task, x.Run); ok {
+			rows = append(rows, fmt.Sprintf("%s image=%s target=%d percent=%d figure=%.0f fills=%v need=%d", x.Task, o.Image, o.TargetMS, x.Percent, x.Figure, o.Fills, o.MilliCPU))
+		}
+	}
+	logrus.WithField("runs", rows).Debug("runner: Read the worker.")
+}
+
+// noteSlowed keeps a slowed run from teaching how long its like take.
+func (s *session) noteSlowed(c PaceCall) {
+	s.mu.Lock()
+	r := s.runs[runKey{c.Task, c.Run}]
+	s.mu.Unlock()
+	if r != nil {
+		r.setSlowed()
+	}
+}
+
 // fillingImages returns the images of the filling runs at work.
 func (s *session) fillingImages() map[runKey]string {
 	s.mu.Lock()
