Tests of jobs, queues, dispatch and the runner; a busy loop and two bugs they found

Found by the new tests and mended: a worker that lists ends nobody can commit made the agent call it without a break (a busy loop while no control answers); a gang that did not fit left its job shown as begun; a job of 2^62 tasks repeated four times passed the bound on tasks by overflow.

--- /dev/null
+++ b/jobs/fuzz_test.go
@@ -0,0 +1,211 @@
+package jobs
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+var fuzzRuns = flag.Int("runs", 60, "sequences that the stateful fuzz plays")
+
+// player drives a state with random commands beside an oracle that knows only
+// what workers would have been told: which run of a task is where.
+type player struct {
+	*world
+	rng     *rand.Rand
+	running map[Ref]map[uint32]string // runs without a committed end, by task
+	done    map[Ref]bool
+	log     []string
+}
+
+func (p *player) note(format string, args ...any) {
+	p.log = append(p.log, fmt.Sprintf(format, args...))
+}
+
+func (p *player) pickJob() string { return fmt.Sprintf("%016x", p.rng.Intn(6)) }
+
+func (p *player) pickWorker() string { return fmt.Sprintf("w%d", p.rng.Intn(3)) }
+
+func (p *player) act() {
+	switch p.rng.Intn(10) {
+	case 0:
+		p.doSubmit()
+	case 1:
+		if p.rng.Intn(4) == 0 {
+			id := p.pickJob()
+			p.note("cancel %s", id)
+			p.ApplyCancel(id, p.next())
+		}
+	case 2:
+		if p.rng.Intn(5) == 0 {
+			p.doLose()
+		}
+	case 3, 4, 5, 6:
+		p.doPlan()
+	default:
+		p.doEnd()
+	}
+}
+
+func (p *player) doSubmit() {
+	id := p.pickJob()
+	a := step(1+p.rng.Intn(4), int64(500+p.rng.Intn(2500)))
+	a.Checkpointing, a.MaxPerWorker = p.rng.Intn(2) == 0, p.rng.Intn(3)
+	b := step(1+p.rng.Intn(3), int64(500+p.rng.Intn(2000)))
+	b.DependsOn, b.Gang, b.Fills = []int{0}, p.rng.Intn(3) == 0, p.rng.Intn(3) == 0
+	p.note("submit %s", id)
+	p.ApplySubmit(Submit{ID: id, Host: host, Prefix: prefix, Spec: Spec{Steps: []Step{a, b}}}, p.next(), 0)
+}
+
+func (p *player) doPlan() {
+	g := p.group(Ref{p.pickJob(), 0, p.rng.Intn(2), 0})
+	if g == nil {
+		return
+	}
+	pl := Placement{Job: g.job.ID, Step: g.step}
+	for i := range g.Tasks {
+		pl.Indexes = append(pl.Indexes, i)
+		pl.Workers = append(pl.Workers, p.pickWorker())
+	}
+	before := make([]uint32, len(g.Tasks))
+	for i := range g.Tasks {
+		before[i] = g.Tasks[i].Run
+	}
+	p.ApplyPlan(Plan{Placements: []Placement{pl}}, rules, p.next(), 0)
+	for i := range g.Tasks {
+		if r := g.Tasks[i].Placed; r != nil && r.Run > before[i] {
+			ref := g.ref(i)
+			p.note("placed %v run %d on %s", ref, r.Run, r.Worker)
+			if p.running[ref] == nil {
+				p.running[ref] = make(map[uint32]string)
+			}
+			p.running[ref][r.Run] = r.Worker
+		}
+	}
+}
+
+func (p *player) doEnd() {
+	var refs []Ref
+	for ref, runs := range p.running {
+		if len(runs) > 0 {
+			refs = append(refs, ref)
+		}
+	}
+	if len(refs) == 0 {
+		return
+	}
+	sortRefs(refs)
+	ref := refs[p.rng.Intn(len(refs))]
+	for run, worker := range p.running[ref] {
+		o := Outcome(1 + p.rng.Intn(5))
+		p.note("end %v run %d on %s: %v", ref, run, worker, o)
+		p.end(worker, ref, run, o, "saved")
+		if o == OutcomeDone {
+			p.done[ref] = true
+		}
+		delete(p.running[ref], run)
+		return
+	}
+}
+
+func sortRefs(refs []Ref) {
+	for i := range refs {
+		for k := i; k > 0 && refs[k].less(refs[k-1]); k-- {
+			refs[k], refs[k-1] = refs[k-1], refs[k]
+		}
+	}
+}
+
+func (p *player) doLose() {
+	id := p.pickWorker()
+	p.note("lose %s", id)
+	p.ApplyLost([]string{id}, p.next())
+	for _, runs := range p.running {
+		for run, worker := range runs {
+			if worker == id {
+				delete(runs, run)
+			}
+		}
+	}
+	p.register(id, "agent-"+id, fmt.Sprint(p.index))
+}
+
+// check compares the state with the oracle and with itself.
+func (p *player) check() error {
+	for ref, runs := range p.running {
+		if len(runs) > 1 {
+			return fmt.Errorf("%v has %d runs at once", ref, len(runs))
+		}
+	}
+	held := make(map[string]resource.Vector)
+	for _, j := range p.Jobs {
+		for _, g := range j.Groups {
+			for i := range g.Tasks {
+				if err := p.checkTask(g, i, held); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	for id, w := range p.Workers {
+		if u := p.Use(id); u.Held != held[id] || !u.Held.Fits(w.Capacity) {
+			return fmt.Errorf("%s holds %+v, its runs need %+v, it has %+v", id, u.Held, held[id], w.Capacity)
+		}
+	}
+	return nil
+}
+
+func (p *player) checkTask(g *Group, i int, held map[string]resource.Vector) error {
+	t, ref := &g.Tasks[i], g.ref(i)
+	if p.done[ref] && !t.Done {
+		return fmt.Errorf("%v was told to be done and is open again", ref)
+	}
+	if t.Placed == nil {
+		if len(p.running[ref]) > 0 {
+			return fmt.Errorf("%v may still run and its room is free", ref)
+		}
+		return nil
+	}
+	if p.running[ref][t.Placed.Run] != t.Placed.Worker {
+		return fmt.Errorf("%v holds room for a run that nobody was told of", ref)
+	}
+	for _, d := range g.Step().DependsOn {
+		if dep := g.job.Groups[d]; dep.done < len(dep.Tasks) {
+			return fmt.Errorf("%v was placed before step %d was done", ref, d)
+		}
+	}
+	if limit := g.Step().MaxPerWorker; limit > 0 && p.countOn(g, t.Placed.Worker) > limit {
+		return fmt.Errorf("%v has more than %d neighbours of its step", ref, limit)
+	}
+	need, _ := heldBy(g.Step())
+	held[t.Placed.Worker] = held[t.Placed.Worker].Add(need)
+	return nil
+}
+
+// Jobs, plans made from nothing, ends in any order, lost workers and
+// cancellations come at random. At no time may a task have two runs that were
+// not told to have ended, a worker more than it has, a step a task before the
+// one that it depends on is done, or a task that is done open again.
+func TestRandomCommandsKeepEveryTaskInOnePlace(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(7)
+	params.MinSuccessfulTests = *fuzzRuns
+	properties := gopter.NewProperties(params)
+	properties.Property("one run a task, no worker over its room", prop.ForAll(func(seed int64) (bool, error) {
+		p := &player{world: newWorld(t, "w0", "w1", "w2"), rng: rand.New(rand.NewSource(seed)), running: make(map[Ref]map[uint32]string), done: make(map[Ref]bool)}
+		for range 400 {
+			p.act()
+			if err := p.check(); err != nil {
+				t.Logf("seed %d:\n%v", seed, p.log)
+				return false, err
+			}
+		}
+		return true, nil
+	}, gen.Int64()))
+	properties.TestingRun(t)
+}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/resource"
 )
 
 // Rules are looked up in the configuration in force while a command is applied.
@@ -145,23 +146,38 @@
 	for k := range g.Tasks {
 		run = max(run, g.Tasks[k].Run)
 	}
+	if !s.gangFits(g, p, service) {
+		return 0
+	}
 	for i, k := range p.Indexes {
-		if k < 0 || k >= len(g.Tasks) || !g.Tasks[k].waits() || !s.Admits(g, p.Workers[i], service) {
-			s.undoGang(g)
-			return 0
-		}
 		s.place(g, k, p.Workers[i], run+1, index, now)
 	}
 	return len(p.Indexes)
 }
 
-// undoGang takes back the placements of a gang that does not fit as a whole.
-func (s *State) undoGang(g *Group) {
-	for k := range g.Tasks {
-		if g.Tasks[k].Placed != nil {
-			s.vacate(g.ref(k), &g.Tasks[k])
+// gangFits reports whether all members fit together, before any is placed.
+func (s *State) gangFits(g *Group, p *Placement, service string) bool {
+	need, _ := heldBy(g.Step())
+	members := make(map[string]int64)
+	seen := make(map[int]bool)
+	for i, k := range p.Indexes {
+		if k < 0 || k >= len(g.Tasks) || seen[k] || !s.Admits(g, p.Workers[i], service) {
+			return false
+		}
+		seen[k] = true
+		members[p.Workers[i]]++
+	}
+	for worker, n := range members {
+		u := s.Use(worker)
+		all := resource.Vector{MilliCPU: n * need.MilliCPU, MemoryMB: n * need.MemoryMB, Accelerators: n * need.Accelerators}
+		if !all.Add(u.Held).Fits(s.Workers[worker].Capacity) {
+			return false
+		}
+		if limit := g.Step().MaxPerWorker; limit > 0 && n > int64(limit) {
+			return false
 		}
 	}
+	return true
 }
 
 // Admits reports whether a worker may take one more task of a group.
--- /dev/null
+++ b/jobs/state_test.go
@@ -0,0 +1,408 @@
+package jobs
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+const (
+	host, prefix = "a.example", "/renders/"
+	idA, idB     = "00000000000000aa", "00000000000000bb"
+)
+
+var rules = Rules{
+	Service:     func(string, string) string { return "vault" },
+	MaxAttempts: func(string, string) int { return 3 },
+}
+
+// world is a state with a log index that rises with each command.
+type world struct {
+	*State
+	t     *testing.T
+	index uint64
+}
+
+func newWorld(t *testing.T, workers ...string) *world {
+	w := &world{State: NewState(), t: t}
+	for _, id := range workers {
+		w.register(id, "agent-"+id, "life-1")
+	}
+	return w
+}
+
+func (w *world) next() uint64 { w.index++; return w.index }
+
+func (w *world) register(id, agent, life string) Worker {
+	return w.ApplyRegister(Worker{ID: id, Agent: agent, Life: life, Service: "vault", Labels: []string{"a", "r1"},
+		Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 1000}}, w.next())
+}
+
+func (w *world) submit(id string, steps ...Step) {
+	w.t.Helper()
+	if err := w.ApplySubmit(Submit{ID: id, Host: host, Prefix: prefix, Spec: Spec{Payload: "p", Steps: steps}}, w.next(), 1000); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) place(job string, step int, index int, worker string) int {
+	placed, _ := w.ApplyPlan(Plan{Placements: []Placement{{Job: job, Step: step, Indexes: []int{index}, Workers: []string{worker}}}}, rules, w.next(), 0)
+	return placed
+}
+
+func (w *world) end(worker string, ref Ref, run uint32, o Outcome, checkpoint string) {
+	w.ApplyEnd(worker, End{Task: ref, Run: run, Outcome: o, Checkpoint: checkpoint}, rules, w.next())
+}
+
+func (w *world) phase(id string) Phase {
+	w.t.Helper()
+	p, err := w.Lookup(host, prefix, id)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return p
+}
+
+func step(count int, cpu int64) Step {
+	return Step{Count: count, Need: resource.Vector{MilliCPU: cpu, MemoryMB: 10}}
+}
+
+// A caller loses the answer to its job and hands it in again, a delayed copy
+// comes after the job was cancelled. The job must stay one, and what it is.
+func TestResendAfterTheCancelStartsNothing(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(idA, step(1, 100))
+	w.submit(idA, step(1, 100))
+	if w.Live() != 1 || len(w.Jobs) != 1 {
+		t.Fatalf("%d live of %d jobs", w.Live(), len(w.Jobs))
+	}
+	if !w.ApplyCancel(idA, w.next()) {
+		t.Fatal("the job is not known")
+	}
+	w.submit(idA, step(1, 100))
+	if w.phase(idA) != Cancelled || len(w.Ready()) != 0 || w.place(idA, 0, 0, "w1") != 0 {
+		t.Fatalf("the job is %v and something of it can start", w.phase(idA))
+	}
+	if w.ApplyCancel(idB, w.next()) {
+		t.Fatal("a job that nobody handed in was cancelled")
+	}
+	other := Submit{ID: idA, Host: host, Prefix: "/titles/", Spec: Spec{Steps: []Step{step(1, 1)}}}
+	if err := w.ApplySubmit(other, w.next(), 0); err == nil {
+		t.Fatal("another queue's job under the same id was taken for this one")
+	}
+}
+
+// A plan is made from a snapshot; by the time it is applied a step that it builds
+// on may have failed again, or its worker may be full or leaving.
+func TestPlanIsCheckedWhenItIsApplied(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	first, second := step(1, 1500), step(1, 1500)
+	second.DependsOn = []int{0}
+	w.submit(idA, first, second)
+	w.submit(idB, step(4, 1500))
+	if w.place(idA, 1, 0, "w1") != 0 {
+		t.Error("a step began before the one that it depends on")
+	}
+	if w.place(idA, 0, 0, "w1") != 1 || w.place(idA, 0, 0, "w2") != 0 {
+		t.Error("one task was placed on two workers")
+	}
+	if w.place(idB, 0, 0, "w1") != 1 || w.place(idB, 0, 1, "w1") != 0 {
+		t.Error("a worker was given more than it has")
+	}
+	leaving := *w.Workers["w2"]
+	leaving.Draining = true
+	w.ApplyRegister(leaving, w.next())
+	if w.place(idB, 0, 1, "w2") != 0 {
+		t.Error("a leaving worker was given a task")
+	}
+	if w.place(idB, 0, 1, "nobody") != 0 {
+		t.Error("an unknown worker was given a task")
+	}
+	w.end("w1", Ref{idA, 0, 0, 0}, 1, OutcomeDone, "")
+	if w.place(idA, 1, 0, "w1") != 1 {
+		t.Error("the second step can't begin")
+	}
+	w.end("w1", Ref{idA, 0, 1, 0}, 1, OutcomeDone, "")
+	if w.phase(idA) != Completed {
+		t.Errorf("the job is %v", w.phase(idA))
+	}
+}
+
+// A run is asked to stop; the room must stay taken until the worker says that it
+// has ended. Freed before, the next task would not fit beside it.
+func TestRoomIsHeldUntilTheEnd(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(idA, step(1, 3000))
+	w.submit(idB, step(1, 3000))
+	w.place(idA, 0, 0, "w1")
+	w.ApplyCancel(idA, w.next())
+	if w.place(idB, 0, 0, "w1") != 0 {
+		t.Fatal("the room of a run that is being stopped was given away")
+	}
+	if o := w.Orders("w1", 0); len(o) != 1 || !o[0].Stop {
+		t.Fatalf("the agent is told %+v", o)
+	}
+	w.end("w1", Ref{idA, 0, 0, 0}, 1, OutcomeStopped, "")
+	if w.place(idB, 0, 0, "w1") != 1 {
+		t.Fatal("the room was not freed")
+	}
+	if w.phase(idA) != Cancelled {
+		t.Fatalf("a cancelled job became %v", w.phase(idA))
+	}
+}
+
+// A worker is lost with a run on it. The task goes on elsewhere from its saved
+// progress under a higher number; the end of the old run, told late, must not
+// count, or the task would be done while its successor still runs.
+func TestLateEndOfALostRunIsIgnored(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	st := step(1, 1000)
+	st.Checkpointing = true
+	w.submit(idA, st)
+	ref := Ref{idA, 0, 0, 0}
+	w.place(idA, 0, 0, "w1")
+	w.end("w1", ref, 1, OutcomeStopped, "saved")
+	w.place(idA, 0, 0, "w1")
+	w.ApplyLost([]string{"w1"}, w.next())
+	if w.place(idA, 0, 0, "w2") != 1 {
+		t.Fatal("the task can't go on")
+	}
+	if o := w.Orders("w2", 0); len(o) != 1 || o[0].Run != 3 || o[0].Checkpoint != "saved" {
+		t.Fatalf("the next run is %+v", o)
+	}
+	w.end("w1", ref, 2, OutcomeDone, "")
+	if w.phase(idA) != Running || w.Use("w2").Held.MilliCPU != 1000 {
+		t.Fatal("a void run's end counted")
+	}
+	w.end("w2", ref, 3, OutcomeDone, "")
+	if w.phase(idA) != Completed {
+		t.Fatalf("the job is %v", w.phase(idA))
+	}
+}
+
+// A worker crashes and another incarnation registers from the same agent: what
+// the old one ran ended with it. A new life of the agent beside the same
+// incarnation takes the runs over, with a higher fencing token.
+func TestIncarnationsAndLives(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(idA, step(2, 1000))
+	w.place(idA, 0, 0, "w1")
+	before := w.Workers["w1"].Token
+	if same := w.register("w1", "agent-w1", "life-1"); same.Token != before {
+		t.Error("the token changed within one life")
+	}
+	next := w.register("w1", "agent-w1", "life-2")
+	if next.Token <= before || w.Use("w1").Held.MilliCPU != 1000 {
+		t.Errorf("token %d after %d, %d held", next.Token, before, w.Use("w1").Held.MilliCPU)
+	}
+	w.register("w9", "agent-w1", "life-3")
+	if w.Workers["w1"] != nil || w.Ready()[0].Waiting() != 2 {
+		t.Error("the old incarnation's run is still counted on")
+	}
+}
+
+func TestAttemptsAndStandingTasks(t *testing.T) {
+	w := newWorld(t, "w1")
+	standing := step(1, 100)
+	standing.Standing = true
+	w.submit(idA, step(1, 100))
+	w.submit(idB, standing)
+	for run := uint32(1); run <= 3; run++ {
+		if w.phase(idA).Over() || w.place(idA, 0, 0, "w1") != 1 || w.place(idB, 0, 0, "w1") != 1 {
+			t.Fatalf("run %d can't be placed", run)
+		}
+		w.end("w1", Ref{idA, 0, 0, 0}, run, OutcomeFailed, "")
+		w.end("w1", Ref{idB, 0, 0, 0}, run, OutcomeFailed, "")
+	}
+	if w.phase(idA) != Failed {
+		t.Errorf("after three failed runs the job is %v", w.phase(idA))
+	}
+	if w.phase(idB) != Running || len(w.Ready()) != 1 {
+		t.Error("a standing task is not restarted")
+	}
+	w.place(idB, 0, 0, "w1")
+	w.end("w1", Ref{idB, 0, 0, 0}, 4, OutcomeDone, "")
+	if w.phase(idB) != Running || len(w.Ready()) != 1 {
+		t.Error("a standing task that ended by itself is not restarted")
+	}
+}
+
+// Rejected and lost runs, and those broken by another member, were not the task's
+// fault and must not count as attempts: a job would fail without a cause.
+func TestOnlyFailedRunsCountAsAttempts(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(idA, step(1, 100))
+	for run := uint32(1); run <= 6; run++ {
+		w.place(idA, 0, 0, "w1")
+		w.end("w1", Ref{idA, 0, 0, 0}, run, []Outcome{OutcomeRejected, OutcomeLost, OutcomeStopped}[run%3], "")
+	}
+	if w.phase(idA) != Running {
+		t.Fatalf("the job is %v", w.phase(idA))
+	}
+}
+
+func TestGangIsPlacedWholeAndEndsTogether(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	gang := step(3, 2000)
+	gang.Gang, gang.Checkpointing = true, true
+	w.submit(idA, gang)
+	plan := func(workers ...string) int {
+		placed, _ := w.ApplyPlan(Plan{Placements: []Placement{{Job: idA, Indexes: []int{0, 1, 2}, Workers: workers}}}, rules, w.next(), 0)
+		return placed
+	}
+	if plan("w1", "w1", "w1") != 0 || w.Use("w1").Held.MilliCPU != 0 || w.Ready()[0].Waiting() != 3 {
+		t.Fatal("a gang that does not fit left something behind")
+	}
+	if w.place(idA, 0, 0, "w1") != 0 {
+		t.Fatal("a member was placed alone")
+	}
+	if plan("w1", "w1", "w2") != 3 {
+		t.Fatal("a gang that fits was not placed")
+	}
+	w.end("w2", Ref{idA, 0, 0, 2}, 1, OutcomeFailed, "half")
+	w.end("w1", Ref{idA, 0, 0, 0}, 1, OutcomeLost, "")
+	w.end("w1", Ref{idA, 0, 0, 1}, 1, OutcomeLost, "")
+	if plan("w2", "w1", "w1") != 3 {
+		t.Fatal("the gang can't be placed again")
+	}
+	for _, worker := range []string{"w1", "w2"} {
+		for _, o := range w.Orders(worker, 0) {
+			if o.Run != 2 || o.Checkpoint != "half" {
+				t.Fatalf("a member is to start as %+v", o)
+			}
+		}
+	}
+	w.end("w1", Ref{idA, 0, 0, 1}, 2, OutcomeDone, "")
+	if w.phase(idA) != Completed {
+		t.Fatalf("one member's end did not end the gang: %v", w.phase(idA))
+	}
+	w.end("w1", Ref{idA, 0, 0, 2}, 2, OutcomeDone, "")
+	w.end("w2", Ref{idA, 0, 0, 0}, 2, OutcomeDone, "")
+	if w.Use("w1").Held.MilliCPU != 0 || w.Use("w2").Held.MilliCPU != 0 {
+		t.Fatal("room is still held")
+	}
+}
+
+// A filling task takes no processors from the room, but its memory counts.
+func TestFillingTasksTakeMemoryOnly(t *testing.T) {
+	w := newWorld(t, "w1")
+	fill := step(3, 4000)
+	fill.Fills, fill.Need.MemoryMB = true, 400
+	w.submit(idA, fill)
+	for i, want := range []int{1, 1, 0} {
+		if got := w.place(idA, 0, i, "w1"); got != want {
+			t.Errorf("task %d: placed %d, want %d", i, got, want)
+		}
+	}
+	if u := w.Use("w1"); u.Held.MilliCPU != 0 || u.Filling != 8000 || u.Held.MemoryMB != 800 {
+		t.Errorf("held %+v, filling %d", u.Held, u.Filling)
+	}
+}
+
+func TestOccurrencesAreSeparate(t *testing.T) {
+	w := newWorld(t, "w1")
+	err := w.ApplySubmit(Submit{ID: idA, Host: host, Prefix: prefix, Spec: Spec{Steps: []Step{step(1, 100)}, Repeat: 2, StartAt: 5000, Every: 1000}}, w.next(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := w.Ready()
+	if len(ready) != 2 || ready[0].DueAt() != 5000 || ready[1].DueAt() != 6000 {
+		t.Fatalf("%d groups are ready", len(ready))
+	}
+	for k := range 2 {
+		p := Placement{Job: idA, Occurrence: k, Indexes: []int{0}, Workers: []string{"w1"}}
+		w.ApplyPlan(Plan{Placements: []Placement{p}}, rules, w.next(), 0)
+		if w.phase(idA) != Running {
+			t.Fatalf("before occurrence %d is done the job is %v", k, w.phase(idA))
+		}
+		w.end("w1", Ref{idA, k, 0, 0}, 1, OutcomeDone, "")
+	}
+	if w.phase(idA) != Completed {
+		t.Fatalf("the job is %v", w.phase(idA))
+	}
+}
+
+func TestForgetKeepsWhatStillHoldsRoom(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(idA, step(1, 100))
+	w.place(idA, 0, 0, "w1")
+	w.ApplyCancel(idA, w.next())
+	w.ApplyForget([]string{idA})
+	if w.Jobs[idA] == nil {
+		t.Fatal("a job was forgotten while its run was not known to have ended")
+	}
+	w.end("w1", Ref{idA, 0, 0, 0}, 1, OutcomeStopped, "")
+	w.ApplyForget([]string{idA})
+	if w.Jobs[idA] != nil || w.Pending(host, prefix) != 0 {
+		t.Fatal("a job that is over was not forgotten")
+	}
+}
+
+// A new replica takes a snapshot over. Everything that is derived must come out
+// as the replica has it that applied all commands.
+func TestSnapshotRestoresTheSameState(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	second := step(2, 500)
+	second.DependsOn = []int{0}
+	w.submit(idA, step(2, 500), second)
+	w.submit(idB, step(1, 100))
+	w.place(idA, 0, 0, "w1")
+	w.place(idA, 0, 1, "w2")
+	w.end("w2", Ref{idA, 0, 0, 1}, 1, OutcomeDone, "")
+	b, err := msgpack.Marshal(w.State)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := NewState()
+	if err := msgpack.Unmarshal(b, back); err != nil {
+		t.Fatal(err)
+	}
+	back.Rebuild()
+	if !reflect.DeepEqual(back.Use("w1").Held, w.Use("w1").Held) || back.Live() != w.Live() || back.Pending(host, prefix) != w.Pending(host, prefix) {
+		t.Error("the derived state differs")
+	}
+	if !reflect.DeepEqual(back.Orders("w1", 0), w.Orders("w1", 0)) {
+		t.Error("the orders differ")
+	}
+	if len(back.Ready()) != len(w.Ready()) {
+		t.Errorf("%d groups are ready, %d before", len(back.Ready()), len(w.Ready()))
+	}
+}
+
+func TestValidateSpec(t *testing.T) {
+	good := Spec{Payload: "p", Steps: []Step{step(1, 1)}}
+	if err := good.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	bad := map[string]func(*Spec){
+		"no steps":        func(s *Spec) { s.Steps = nil },
+		"no tasks":        func(s *Spec) { s.Steps[0].Count = 0 },
+		"too many tasks":  func(s *Spec) { s.Steps[0].Count = MaxTasks + 1 },
+		"too many times":  func(s *Spec) { s.Steps[0].Count, s.Repeat = 1000, 1000 },
+		"overflow":        func(s *Spec) { s.Steps[0].Count, s.Repeat = 1<<62, 4 },
+		"later step":      func(s *Spec) { s.Steps[0].DependsOn = []int{0} },
+		"negative step":   func(s *Spec) { s.Steps[0].DependsOn = []int{-1} },
+		"negative need":   func(s *Spec) { s.Steps[0].Need.MemoryMB = -1 },
+		"endless need":    func(s *Spec) { s.Steps[0].Need.MilliCPU = 1<<63 - 1 },
+		"negative repeat": func(s *Spec) { s.Repeat = -1 },
+		"long payload":    func(s *Spec) { s.Payload = string(make([]byte, MaxPayload+1)) },
+	}
+	for name, change := range bad {
+		s := Spec{Payload: "p", Steps: []Step{step(1, 1)}}
+		change(&s)
+		if s.Validate() == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	for id, want := range map[string]bool{"0123456789abcdef": true, "0123456789ABCDEF": true, "0123456789abcde": false, "0123456789abcdeg": false, "": false} {
+		if ValidID(id) != want {
+			t.Errorf("id %q: valid is %v", id, !want)
+		}
+	}
+	ref := Ref{idA, 1, 2, 3}
+	if back, err := ParseRef(ref.String()); err != nil || back != ref {
+		t.Errorf("%v became %v (%v)", ref, back, err)
+	}
+}
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -9,6 +9,9 @@
 	MaxSteps   = 100
 	MaxTasks   = 20_000 // over all steps and occurrences
 	IDLength   = 16     // hexadecimal digits
+	// maxAmount bounds what a task may need of anything: far more than any
+	// worker has, and sums of it don't overflow.
+	maxAmount = 1 << 40
 )
 
 // ValidID reports whether a job's id is well-formed.
@@ -45,7 +48,7 @@
 			break // before a multiplication could overflow
 		}
 	}
-	if s.Repeat > MaxTasks || tasks*max(s.Repeat, 1) > MaxTasks {
+	if tasks > MaxTasks || s.Repeat > MaxTasks || tasks*max(s.Repeat, 1) > MaxTasks {
 		return invalid("split it into jobs of at most 20000 tasks", "the job has too many tasks")
 	}
 	return nil
@@ -57,6 +60,8 @@
 		return invalid("give each step one task or more", "step %d has %d tasks", i, st.Count)
 	case st.Need.MilliCPU < 0 || st.Need.MemoryMB < 0 || st.Need.Accelerators < 0:
 		return invalid("ask for amounts of 0 or more", "step %d asks for a negative amount", i)
+	case st.Need.MilliCPU > maxAmount || st.Need.MemoryMB > maxAmount || st.Need.Accelerators > maxAmount:
+		return invalid("ask for what a worker can have", "step %d asks for more than any worker has", i)
 	case st.MaxPerWorker < 0 || st.MaxUnavailable < 0 || st.TargetMS < 0 || st.EstimateMS < 0:
 		return invalid("use bounds and times of 0 or more", "step %d has a negative bound", i)
 	}
--- /dev/null
+++ b/runner/fakes_test.go
@@ -0,0 +1,291 @@
+package runner
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+var errLost = errors.New("no answer")
+
+// fakeWorker keeps the rules of a worker: one incarnation, a fencing token that
+// only rises, runs, their ends, and which runs may never start any more.
+type fakeWorker struct {
+	mu       sync.Mutex
+	id       string
+	token    uint64
+	running  map[runKey]bool
+	finished []FinishedRun
+	fences   map[jobs.Ref]uint32 // highest run that was stopped or ended
+	number   uint64
+	cursor   uint64 // highest the agent acknowledged
+	leaseEnd int64
+	begun    time.Time
+	changed  chan struct{}
+
+	loseStart  int      // answers of starts to lose
+	late       []func() // lost starts that are still to be carried out
+	rejectNext Verdict
+	starts     []StartCall
+}
+
+func newFakeWorker(id string) *fakeWorker {
+	return &fakeWorker{id: id, running: make(map[runKey]bool), fences: make(map[jobs.Ref]uint32), begun: time.Now(), changed: make(chan struct{})}
+}
+
+func (w *fakeWorker) clock() int64 { return 1000 + time.Since(w.begun).Milliseconds() }
+
+func (w *fakeWorker) check(t Target) (Reply, bool) {
+	r := Reply{ClockMS: w.clock()}
+	switch {
+	case t.Worker != w.id:
+		r.Verdict = VerdictElsewhere
+	case t.Token < w.token:
+		r.Verdict = VerdictFenced
+	default:
+		w.token = t.Token
+		return r, true
+	}
+	return r, false
+}
+
+func (w *fakeWorker) Start(c StartCall) (Reply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.loseStart > 0 {
+		w.loseStart--
+		w.late = append(w.late, func() { w.start(c) })
+		return Reply{}, errLost
+	}
+	return w.start(c), nil
+}
+
+func (w *fakeWorker) start(c StartCall) Reply {
+	r, ok := w.check(c.Target)
+	if !ok {
+		return r
+	}
+	key := runKey{c.Task, c.Run}
+	switch {
+	case c.LeaseEndMS <= r.ClockMS:
+		r.Verdict = VerdictLate
+	case w.running[key]:
+	case c.Run <= w.fences[c.Task]:
+		r.Verdict = VerdictOld
+	case w.rejectNext != VerdictDone:
+		r.Verdict, w.rejectNext = w.rejectNext, VerdictDone
+	default:
+		w.starts = append(w.starts, c)
+		w.running[key] = true
+	}
+	return r
+}
+
+func (w *fakeWorker) Stop(c StopCall) (Reply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, ok := w.check(c.Target)
+	if !ok {
+		return r, nil
+	}
+	w.fences[c.Task] = max(w.fences[c.Task], c.Run)
+	if w.running[runKey{c.Task, c.Run}] {
+		w.finish(runKey{c.Task, c.Run}, jobs.OutcomeStopped)
+	}
+	return r, nil
+}
+
+// finish ends a run; the caller holds the lock.
+func (w *fakeWorker) finish(key runKey, o jobs.Outcome) {
+	delete(w.running, key)
+	w.fences[key.task] = max(w.fences[key.task], key.run)
+	w.number++
+	w.finished = append(w.finished, FinishedRun{Number: w.number, Task: key.task, Run: key.run, Outcome: o, How: o.String()})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *fakeWorker) Hold(c HoldCall) (HoldReply, error) {
+	w.mu.Lock()
+	r, ok := w.check(c.Target)
+	if !ok {
+		w.mu.Unlock()
+		return HoldReply{Reply: r}, nil
+	}
+	w.leaseEnd = max(w.leaseEnd, c.LeaseEndMS)
+	w.cursor = max(w.cursor, c.Cursor)
+	for len(w.finished) > 0 && w.finished[0].Number <= w.cursor {
+		w.finished = w.finished[1:]
+	}
+	wait := w.changed
+	if len(w.finished) > 0 {
+		wait = nil
+	}
+	w.mu.Unlock()
+	if c.Wait > 0 && wait != nil {
+		select {
+		case <-wait:
+		case <-time.After(c.Wait):
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := HoldReply{Reply: Reply{ClockMS: w.clock()}, Finished: append([]FinishedRun(nil), w.finished...)}
+	for key := range w.running {
+		out.Running = append(out.Running, RunningRun{Task: key.task, Run: key.run, Percent: 100})
+	}
+	return out, nil
+}
+
+func (w *fakeWorker) Pace(c PaceCall) (Reply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, _ := w.check(c.Target)
+	return r, nil
+}
+
+func (w *fakeWorker) carryOutLate() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, f := range w.late {
+		f()
+	}
+	w.late = nil
+}
+
+func (w *fakeWorker) isRunning(key runKey) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running[key]
+}
+
+func (w *fakeWorker) end(key runKey, o jobs.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.finish(key, o)
+}
+
+func (w *fakeWorker) acknowledged() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cursor
+}
+
+// fakeControl is the control as one agent sees it.
+type fakeControl struct {
+	mu      sync.Mutex
+	index   uint64
+	worker  string
+	life    string
+	orders  map[runKey]*order
+	ends    []jobs.End
+	down    bool // answers nothing
+	termMS  int64
+	changed chan struct{}
+}
+
+type order struct {
+	jobs.Order
+	changed uint64
+}
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{orders: make(map[runKey]*order), termMS: 5000, changed: make(chan struct{})}
+}
+
+func (c *fakeControl) Learn([]string) {}
+
+func (c *fakeControl) give(o jobs.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index++
+	c.orders[runKey{o.Task, o.Run}] = &order{o, c.index}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *fakeControl) setDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+func (c *fakeControl) ended(key runKey) (jobs.Outcome, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var o jobs.Outcome
+	n := 0
+	for _, e := range c.ends {
+		if e.Task == key.task && e.Run == key.run {
+			o = e.Outcome
+			n++
+		}
+	}
+	return o, n
+}
+
+func (c *fakeControl) Call(path string, timeout time.Duration, req, resp any) error {
+	c.mu.Lock()
+	if c.down {
+		c.mu.Unlock()
+		time.Sleep(timeout)
+		return refusal.New(refusal.Unreachable, "", "down")
+	}
+	defer c.mu.Unlock()
+	switch q := req.(type) {
+	case *jobs.Worker:
+		c.index++
+		if c.worker != "" && c.worker != q.ID {
+			c.orders = make(map[runKey]*order)
+		}
+		c.worker, c.life = q.ID, q.Life
+		resp.(*control.Registered).Token = c.index
+	case *control.LeaseRequest:
+		if q.Life != c.life {
+			return refusal.New(refusal.NotRegistered, "", "")
+		}
+		resp.(*control.LeaseAnswer).TermMS = c.termMS
+	case *control.OrdersRequest:
+		return c.waitOrders(q, resp.(*control.OrdersAnswer))
+	case *control.RunEnds:
+		for _, e := range q.Ends {
+			c.ends = append(c.ends, e)
+			delete(c.orders, runKey{e.Task, e.Run})
+		}
+	}
+	return nil
+}
+
+func (c *fakeControl) waitOrders(q *control.OrdersRequest, a *control.OrdersAnswer) error {
+	deadline := time.After(time.Duration(q.WaitMS) * time.Millisecond)
+	for {
+		if q.Life != c.life {
+			return refusal.New(refusal.NotRegistered, "", "")
+		}
+		for _, o := range c.orders {
+			if o.changed > q.Since {
+				a.Orders = append(a.Orders, o.Order)
+			}
+		}
+		a.Index = c.index
+		if len(a.Orders) > 0 {
+			return nil
+		}
+		wait := c.changed
+		c.mu.Unlock()
+		timeout := false
+		select {
+		case <-wait:
+		case <-deadline:
+			timeout = true
+		}
+		c.mu.Lock()
+		if timeout {
+			return nil
+		}
+	}
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -86,57 +86,57 @@
 	return r.ord
 }
 
-// next is the step that a run's goroutine takes.
-type next uint8
+// move is the step that a run's goroutine takes.
+type move uint8
 
 const (
-	wait   next = iota
-	start       // ask the worker to start it
-	settle      // ask for its stop
-	drop        // certainly never started: say so
-	finish      // nothing is left to do
+	moveWait   move = iota
+	moveStart       // ask the worker to start it
+	moveSettle      // ask for its stop
+	moveDrop        // certainly never started: say so
+	moveFinish      // nothing is left to do
 )
 
 // decide is the run's pure decision.
-func (r *run) decide() next {
+func (r *run) decide() move {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case r.ended:
-		return finish
+		return moveFinish
 	case !r.ordered:
-		return wait
+		return moveWait
 	case r.stop && !r.started && !r.unsure:
-		return drop
+		return moveDrop
 	case r.stop:
-		return settle
+		return moveSettle
 	case r.started:
-		return wait
+		return moveWait
 	case r.s.draining() && r.unsure:
-		return settle
+		return moveSettle
 	case r.s.draining():
-		return drop
+		return moveDrop
 	}
-	return start
+	return moveStart
 }
 
 func (r *run) drive() {
 	for r.s.ctx.Err() == nil {
 		switch r.decide() {
-		case finish:
+		case moveFinish:
 			return
-		case wait:
+		case moveWait:
 			select {
 			case <-r.wake:
 			case <-r.s.ctx.Done():
 			}
-		case start:
+		case moveStart:
 			r.start()
-		case settle:
+		case moveSettle:
 			if r.settle() {
 				return
 			}
-		case drop:
+		case moveDrop:
 			r.drop("stopped before it started")
 			return
 		}
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,275 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+// bench is a runner between a fake control and a fake worker, in a bubble of
+// virtual time.
+type bench struct {
+	t      *testing.T
+	ctl    *fakeControl
+	worker *fakeWorker
+	runner *Runner
+	cancel context.CancelFunc
+	done   chan error
+	seq    uint64
+}
+
+func play(t *testing.T, f func(*testing.T, *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{t: t, ctl: newFakeControl(), worker: newFakeWorker("w1")}
+		b.begin()
+		b.announce("w1", false)
+		defer b.stop() // also when f ends the test
+		f(t, b)
+	})
+}
+
+// begin starts a life of the agent.
+func (b *bench) begin() {
+	b.runner = New("agent-1", b.ctl, b.worker)
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel, b.done = cancel, make(chan error, 1)
+	go func() { b.done <- b.runner.Run(ctx) }()
+}
+
+func (b *bench) stop() {
+	b.cancel()
+	b.ctl.setDown(false)
+	if err := <-b.done; err != nil {
+		b.t.Error(err)
+	}
+	time.Sleep(2 * controlTimeout) // calls under way end by themselves
+}
+
+func (b *bench) announce(worker string, draining bool) error {
+	b.seq++
+	return b.runner.Announce(Announcement{Worker: worker, Service: "vault", Capacity: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}, Draining: draining, Sequence: b.seq})
+}
+
+var (
+	taskA = jobs.Ref{Job: "00000000000000aa"}
+	runA1 = runKey{taskA, 1}
+)
+
+func startOf(key runKey) jobs.Order {
+	return jobs.Order{Task: key.task, Run: key.run, Payload: "p"}
+}
+
+func stopOf(key runKey) jobs.Order { return jobs.Order{Task: key.task, Run: key.run, Stop: true} }
+
+func (b *bench) wantEnd(key runKey, want jobs.Outcome) {
+	b.t.Helper()
+	if got, n := b.ctl.ended(key); got != want || n == 0 {
+		b.t.Errorf("run %v was reported as %v (%d times), want %v", key, got, n, want)
+	}
+}
+
+func (b *bench) wantNoEnd(key runKey) {
+	b.t.Helper()
+	if got, n := b.ctl.ended(key); n > 0 {
+		b.t.Errorf("run %v was reported as %v", key, got)
+	}
+}
+
+func TestStartsReportsAndAcknowledges(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		if !b.worker.isRunning(runA1) {
+			t.Fatal("the run was not started")
+		}
+		if got := b.worker.starts[0]; got.Payload != "p" || got.LeaseEndMS <= 0 {
+			t.Errorf("started with %+v", got)
+		}
+		b.worker.end(runA1, jobs.OutcomeDone)
+		time.Sleep(time.Second)
+		b.wantEnd(runA1, jobs.OutcomeDone)
+		if b.worker.acknowledged() != 1 {
+			t.Errorf("the worker may forget ends up to %d", b.worker.acknowledged())
+		}
+	})
+}
+
+// The leader is away when a run ends. The worker must go on listing the end until
+// it is committed: told to forget it before, the task would be run again.
+func TestEndIsAcknowledgedOnlyAfterItsCommit(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		b.ctl.setDown(true)
+		b.worker.end(runA1, jobs.OutcomeDone)
+		time.Sleep(10 * time.Second)
+		if n := b.worker.acknowledged(); n != 0 {
+			t.Fatalf("the end was acknowledged up to %d while nobody had committed it", n)
+		}
+		b.ctl.setDown(false)
+		time.Sleep(5 * time.Second)
+		b.wantEnd(runA1, jobs.OutcomeDone)
+		if b.worker.acknowledged() != 1 {
+			t.Error("the end was not acknowledged after its commit")
+		}
+	})
+}
+
+// A start goes unanswered, and the repetition is rejected for want of room. The
+// first may take effect seconds later. Were the run given back now, the task
+// would be started elsewhere and run twice.
+func TestUnansweredStartIsStoppedBeforeItIsGivenBack(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		b.worker.loseStart, b.worker.rejectNext = 1, VerdictNoRoom
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		b.wantEnd(runA1, jobs.OutcomeRejected)
+		b.worker.carryOutLate()
+		if b.worker.isRunning(runA1) {
+			t.Fatal("a run that was reported as never started runs")
+		}
+	})
+}
+
+// The same, but the unanswered start had taken effect before the stop: the worker
+// lists the run's end, and only that may be reported.
+func TestUnansweredStartThatTookEffectIsNotReportedAsRejected(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		b.worker.loseStart = 1
+		b.ctl.give(startOf(runA1))
+		time.Sleep(10 * time.Millisecond)
+		b.worker.carryOutLate()
+		time.Sleep(time.Second)
+		b.wantNoEnd(runA1)
+		b.ctl.give(stopOf(runA1))
+		time.Sleep(time.Second)
+		b.wantEnd(runA1, jobs.OutcomeStopped)
+	})
+}
+
+// A job is cancelled before its run was ever sent to the worker: nothing may be
+// started, and the room is given back at once.
+func TestStopBeforeStart(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		b.ctl.give(stopOf(runA1))
+		time.Sleep(time.Second)
+		b.wantEnd(runA1, jobs.OutcomeRejected)
+		if len(b.worker.starts) > 0 {
+			t.Error("the run was started")
+		}
+	})
+}
+
+// The agent is killed and started again. What its earlier life left under way
+// must not take effect any more, and what runs must go on, neither started again
+// nor lost.
+func TestNextLifeTakesOver(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		runB1 := runKey{jobs.Ref{Job: "00000000000000bb"}, 1}
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		b.worker.loseStart = 1 << 20
+		b.ctl.give(startOf(runB1))
+		time.Sleep(100 * time.Millisecond)
+		b.stop()
+		b.worker.mu.Lock()
+		b.worker.loseStart = 0
+		b.worker.mu.Unlock()
+		b.begin()
+		b.announce("w1", false)
+		time.Sleep(time.Second)
+		before := len(b.worker.starts)
+		b.worker.carryOutLate()
+		if len(b.worker.starts) != before {
+			t.Error("an order of the earlier life took effect")
+		}
+		if !b.worker.isRunning(runA1) || !b.worker.isRunning(runB1) {
+			t.Error("the new life did not take the runs over")
+		}
+		starts := 0
+		for _, s := range b.worker.starts {
+			if s.Task == taskA {
+				starts++
+			}
+		}
+		if starts != 1 {
+			t.Errorf("a run that was at work was started %d times", starts)
+		}
+		b.wantNoEnd(runA1)
+	})
+}
+
+// The worker says that it leaves. From the answer on nothing may be started on
+// it, even if the control does not know yet.
+func TestNothingStartsOnALeavingWorker(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.ctl.setDown(true)
+		time.Sleep(3 * time.Second)
+		if err := b.announce("w1", true); err != nil {
+			t.Fatal(err)
+		}
+		b.ctl.setDown(false)
+		b.ctl.give(startOf(runA1))
+		time.Sleep(5 * time.Second)
+		if len(b.worker.starts) > 0 {
+			t.Error("a run was started on a leaving worker")
+		}
+		b.wantEnd(runA1, jobs.OutcomeRejected)
+	})
+}
+
+// The worker crashes and comes back as another incarnation. A heartbeat of the
+// old one, held up by a cut, comes after the new one's. Believing it would void
+// the new one's runs in the books while they go on.
+func TestLateHeartbeatOfACrashedWorkerIsIgnored(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.worker.mu.Lock()
+		b.worker.id, b.worker.token = "w2", 0
+		b.worker.mu.Unlock()
+		if err := b.announce("w2", false); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if err := b.announce("w1", false); !errors.Is(err, ErrStale) {
+			t.Errorf("the late heartbeat got %v", err)
+		}
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		if b.ctl.worker != "w2" || !b.worker.isRunning(runA1) {
+			t.Errorf("the control knows %s", b.ctl.worker)
+		}
+		if err := b.runner.Announce(Announcement{Worker: "w2", Service: "vault", Sequence: 1}); !errors.Is(err, ErrStale) {
+			t.Errorf("an older heartbeat of the same incarnation got %v", err)
+		}
+	})
+}
+
+// The control is away for longer than a lease. Nothing new may start on the old
+// lease: the control may have given the tasks to others by then.
+func TestNothingStartsAfterTheLease(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.worker.mu.Lock()
+		b.worker.loseStart = 1 << 20
+		b.worker.mu.Unlock()
+		b.ctl.give(startOf(runA1))
+		time.Sleep(100 * time.Millisecond)
+		b.ctl.setDown(true)
+		time.Sleep(8 * time.Second)
+		b.worker.mu.Lock()
+		b.worker.loseStart = 0
+		b.worker.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		b.worker.carryOutLate()
+		if b.worker.isRunning(runA1) {
+			t.Error("a run started after the lease had ended")
+		}
+	})
+}
--- a/runner/session.go
+++ b/runner/session.go
@@ -29,7 +29,7 @@
 	controlTimeout = 2 * time.Second
 	// ackWait is how long the next call to the worker waits for the commit
 	// of the ends that the last one listed, so that it can carry the cursor.
-	ackWait = 30 * time.Millisecond
+	ackWait = 100 * time.Millisecond
 )
 
 // runKey names one run.
@@ -231,21 +231,22 @@
 			go s.renew(reply.ClockMS)
 		}
 		s.pace(reply.Running)
-		if s.list(reply) {
+		s.list(reply)
+		if len(reply.Finished) > 0 {
+			// The worker answers at once as long as it lists ends. Without
+			// the wait a control that is away would make this a busy loop.
 			s.awaitAck()
 		}
 	}
 }
 
-// list takes in the ends that a reply lists and reports whether any is new.
-func (s *session) list(reply HoldReply) bool {
-	fresh := false
+// list takes in the ends that a reply lists.
+func (s *session) list(reply HoldReply) {
 	for _, f := range reply.Finished {
 		if f.Number <= s.seen {
 			continue
 		}
 		s.seen = f.Number
-		fresh = true
 		key := runKey{f.Task, f.Run}
 		s.mu.Lock()
 		s.markEnded(key)
@@ -260,7 +261,6 @@
 		logrus.WithFields(logrus.Fields{"task": f.Task.String(), "run": f.Run, "how": f.How, "n": f.Number}).Info("runner: A run ended.")
 		s.send(report{end: end, number: f.Number, at: time.Now()})
 	}
-	return fresh
 }
 
 // maxEnded bounds the memory of ends. It only has to outlast an answer with
