A run's lock is never held while the session's is taken

Cause: a run asked whether its worker drains while it held its own lock, and readings take the two the other way round: the agent stopped for good.

--- a/runner/run.go
+++ b/runner/run.go
@@ -99,6 +99,8 @@
 
 // decide is the run's pure decision.
 func (r *run) decide() move {
+	// The session's lock is taken before a run's, never while it is held.
+	draining := r.s.draining()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -112,9 +114,9 @@
 		return moveSettle
 	case r.started:
 		return moveWait
-	case r.s.draining() && r.unsure:
+	case draining && r.unsure:
 		return moveSettle
-	case r.s.draining():
+	case draining:
 		return moveDrop
 	}
 	return moveStart
