--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -37,6 +37,13 @@
 	return &fakeWorker{id: id, running: make(map[runKey]bool), fences: make(map[jobs.Ref]uint32), begun: time.Now(), changed: make(chan struct{})}
 }
 
+// fail loses the answers of the next starts, and rejects one that is answered.
+func (w *fakeWorker) fail(loseStart int, reject Verdict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loseStart, w.rejectNext = loseStart, reject
+}
+
 func (w *fakeWorker) clock() int64 { return 1000 + time.Since(w.begun).Milliseconds() }
 
 func (w *fakeWorker) check(t Target) (Reply, bool) {
@@ -169,6 +176,12 @@
 	w.finish(key, o)
 }
 
+func (w *fakeWorker) started() []StartCall {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]StartCall(nil), w.starts...)
+}
+
 func (w *fakeWorker) acknowledged() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -208,6 +221,12 @@
 	c.changed = make(chan struct{})
 }
 
+func (c *fakeControl) known() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.worker
+}
+
 func (c *fakeControl) setDown(down bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -259,6 +259,13 @@
 	return calls
 }
 
+// worstTail returns the highest tail of the last reading against its target.
+func (p *pacer) worstTail() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.worst
+}
+
 // unconfirmed is no pace at all, so it differs from every one asked for.
 const unconfirmed = -1
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -122,11 +122,11 @@
 		if a == nil {
 			return nil
 		}
-		s := newSession(r, *a)
+		s := newSession(ctx, r, *a)
 		r.mu.Lock()
 		r.session = s
 		r.mu.Unlock()
-		again := s.run(ctx)
+		again := s.run()
 		r.mu.Lock()
 		r.session = nil
 		if !again && r.newest != nil && r.newest.Worker == a.Worker {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -87,7 +87,7 @@
 		if !b.worker.isRunning(runA1) {
 			t.Fatal("the run was not started")
 		}
-		if got := b.worker.starts[0]; got.Payload != "p" || got.LeaseEndMS <= 0 {
+		if got := b.worker.started()[0]; got.Payload != "p" || got.LeaseEndMS <= 0 {
 			t.Errorf("started with %+v", got)
 		}
 		b.worker.end(runA1, jobs.OutcomeDone)
@@ -125,7 +125,7 @@
 // would be started elsewhere and run twice.
 func TestUnansweredStartIsStoppedBeforeItIsGivenBack(t *testing.T) {
 	play(t, func(t *testing.T, b *bench) {
-		b.worker.loseStart, b.worker.rejectNext = 1, VerdictNoRoom
+		b.worker.fail(1, VerdictNoRoom)
 		b.ctl.give(startOf(runA1))
 		time.Sleep(time.Second)
 		b.wantEnd(runA1, jobs.OutcomeRejected)
@@ -140,7 +140,7 @@
 // lists the run's end, and only that may be reported.
 func TestUnansweredStartThatTookEffectIsNotReportedAsRejected(t *testing.T) {
 	play(t, func(t *testing.T, b *bench) {
-		b.worker.loseStart = 1
+		b.worker.fail(1, VerdictDone)
 		b.ctl.give(startOf(runA1))
 		time.Sleep(10 * time.Millisecond)
 		b.worker.carryOutLate()
@@ -159,7 +159,7 @@
 		b.ctl.give(stopOf(runA1))
 		time.Sleep(time.Second)
 		b.wantEnd(runA1, jobs.OutcomeRejected)
-		if len(b.worker.starts) > 0 {
+		if len(b.worker.started()) > 0 {
 			t.Error("the run was started")
 		}
 	})
@@ -173,26 +173,24 @@
 		runB1 := runKey{jobs.Ref{Job: "00000000000000bb"}, 1}
 		b.ctl.give(startOf(runA1))
 		time.Sleep(time.Second)
-		b.worker.loseStart = 1 << 20
+		b.worker.fail(1<<20, VerdictDone)
 		b.ctl.give(startOf(runB1))
 		time.Sleep(100 * time.Millisecond)
 		b.stop()
-		b.worker.mu.Lock()
-		b.worker.loseStart = 0
-		b.worker.mu.Unlock()
+		b.worker.fail(0, VerdictDone)
 		b.begin()
 		b.announce("w1", false)
 		time.Sleep(time.Second)
-		before := len(b.worker.starts)
+		before := len(b.worker.started())
 		b.worker.carryOutLate()
-		if len(b.worker.starts) != before {
+		if len(b.worker.started()) != before {
 			t.Error("an order of the earlier life took effect")
 		}
 		if !b.worker.isRunning(runA1) || !b.worker.isRunning(runB1) {
 			t.Error("the new life did not take the runs over")
 		}
 		starts := 0
-		for _, s := range b.worker.starts {
+		for _, s := range b.worker.started() {
 			if s.Task == taskA {
 				starts++
 			}
@@ -217,7 +215,7 @@
 		b.ctl.setDown(false)
 		b.ctl.give(startOf(runA1))
 		time.Sleep(5 * time.Second)
-		if len(b.worker.starts) > 0 {
+		if len(b.worker.started()) > 0 {
 			t.Error("a run was started on a leaving worker")
 		}
 		b.wantEnd(runA1, jobs.OutcomeRejected)
@@ -242,8 +240,8 @@
 		}
 		b.ctl.give(startOf(runA1))
 		time.Sleep(time.Second)
-		if b.ctl.worker != "w2" || !b.worker.isRunning(runA1) {
-			t.Errorf("the control knows %s", b.ctl.worker)
+		if b.ctl.known() != "w2" || !b.worker.isRunning(runA1) {
+			t.Errorf("the control knows %s", b.ctl.known())
 		}
 		if err := b.runner.Announce(Announcement{Worker: "w2", Service: "vault", Sequence: 1}); !errors.Is(err, ErrStale) {
 			t.Errorf("an older heartbeat of the same incarnation got %v", err)
@@ -256,16 +254,12 @@
 func TestNothingStartsAfterTheLease(t *testing.T) {
 	play(t, func(t *testing.T, b *bench) {
 		time.Sleep(time.Second)
-		b.worker.mu.Lock()
-		b.worker.loseStart = 1 << 20
-		b.worker.mu.Unlock()
+		b.worker.fail(1<<20, VerdictDone)
 		b.ctl.give(startOf(runA1))
 		time.Sleep(100 * time.Millisecond)
 		b.ctl.setDown(true)
 		time.Sleep(8 * time.Second)
-		b.worker.mu.Lock()
-		b.worker.loseStart = 0
-		b.worker.mu.Unlock()
+		b.worker.fail(0, VerdictDone)
 		time.Sleep(2 * time.Second)
 		b.worker.carryOutLate()
 		if b.worker.isRunning(runA1) {
--- a/runner/session.go
+++ b/runner/session.go
@@ -40,15 +40,16 @@
 
 // session is one life of the agent beside one incarnation of its worker.
 type session struct {
-	r    *Runner
-	life string
-	ctx  context.Context
-	stop context.CancelFunc
-	gone atomic.Bool // the incarnation is no longer there
+	r      *Runner
+	life   string
+	worker string // the incarnation
+	token  atomic.Uint64
+	ctx    context.Context
+	stop   context.CancelFunc
+	gone   atomic.Bool // the incarnation is no longer there
 
 	mu       sync.Mutex
 	ann      Announcement
-	token    uint64
 	runs     map[runKey]*run
 	ended    map[runKey]bool // ends that were listed or reported lately
 	order    []runKey        // of ended, oldest first
@@ -72,14 +73,15 @@
 	at     time.Time
 }
 
-func newSession(r *Runner, a Announcement) *session {
-	return &session{r: r, life: newLife(), ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(),
+func newSession(ctx context.Context, r *Runner, a Announcement) *session {
+	s := &session{r: r, life: newLife(), worker: a.Worker, ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(),
 		acked: make(chan struct{}, 1), ends: make(chan report, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
+	s.ctx, s.stop = context.WithCancel(ctx)
+	return s
 }
 
 // run serves the incarnation and reports whether it may still be there.
-func (s *session) run(parent context.Context) (again bool) {
-	s.ctx, s.stop = context.WithCancel(parent)
+func (s *session) run() (again bool) {
 	defer s.stop()
 	if !s.register() || !s.takeStock() {
 		return !s.gone.Load()
@@ -98,10 +100,8 @@
 
 // end ends the session.
 func (s *session) end(reason string) {
-	logrus.WithFields(logrus.Fields{"worker": s.ann.Worker, "life": s.life}).Infof("runner: Ending the session: %s.", reason)
-	if s.stop != nil {
-		s.stop()
-	}
+	logrus.WithFields(logrus.Fields{"worker": s.worker, "life": s.life}).Infof("runner: Ending the session: %s.", reason)
+	s.stop()
 }
 
 // announce takes in what changed about the worker.
@@ -131,10 +131,10 @@
 	return s.ann.Draining || s.leaving
 }
 
-func (s *session) target() Target { return Target{s.ann.Worker, s.token} }
+func (s *session) target() Target { return Target{s.worker, s.token.Load()} }
 
 func (s *session) ref() control.WorkerRef {
-	return control.WorkerRef{Worker: s.ann.Worker, Life: s.life}
+	return control.WorkerRef{Worker: s.worker, Life: s.life}
 }
 
 func (s *session) sleep(d time.Duration) {
@@ -167,9 +167,7 @@
 	if err := s.r.ctl.Call(control.PathRegister, controlTimeout, &w, &reg); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	s.token = max(s.token, reg.Token)
-	s.mu.Unlock()
+	s.token.Store(max(s.token.Load(), reg.Token)) // only one registration is under way at a time
 	return nil
 }
 
@@ -399,7 +397,7 @@
 const maxEnds = 256
 
 func (s *session) commit(batch []report) bool {
-	req := control.RunEnds{Worker: s.ann.Worker}
+	req := control.RunEnds{Worker: s.worker}
 	highest := uint64(0)
 	for _, b := range batch {
 		req.Ends = append(req.Ends, b.end)
@@ -447,7 +445,7 @@
 		go func() {
 			c.Target = s.target()
 			reply, err := s.r.worker.Pace(c)
-			l := logrus.WithFields(logrus.Fields{"task": c.Task.String(), "run": c.Run, "percent": c.Percent, "tail_of_target": s.pacer.worst})
+			l := logrus.WithFields(logrus.Fields{"task": c.Task.String(), "run": c.Run, "percent": c.Percent, "tail_of_target": s.pacer.worstTail()})
 			if err != nil || reply.Verdict != VerdictDone {
 				s.pacer.failed(c)
 				l.Warnf("runner: Could not set a run's pace: %v %v.", reply.Verdict, err)
