Short tries, suspects, and the truth about what was never sent

Cause: an entry spent two seconds on one try at a leader that was cut off, went back to it on a follower's word, and told callers 'unknown' though no connection was made. Now a try takes 0.7 s, a replica that did not answer is not gone back to for 1 s, what was certainly not taken is told after 0.7 s with a time to come back, and an earlier try that may have been taken is never forgotten. Ruled out: slow elections (0.7 s after all replicas were back). Left: calls whose first try was under way when all replicas lost power stay unknown until their deadline.

--- a/control/client.go
+++ b/control/client.go
@@ -19,6 +19,8 @@
 	// everything that was learned, after a long cut.
 	contacts func() []string
 	learned  []string
+	failed   map[string]time.Time // when a replica last did not answer
+	patience time.Duration
 	mu       sync.Mutex
 	at       string
 	next     int
@@ -28,7 +30,7 @@
 // contacts is asked again at each need, since settings may be reloaded.
 func NewClient(part string, rpc *transport.Client, contacts func() []string, start int) *Client {
 	first := contacts()
-	return &Client{part: part, rpc: rpc, contacts: contacts, at: first[start%len(first)], next: start + 1}
+	return &Client{part: part, rpc: rpc, contacts: contacts, failed: make(map[string]time.Time), at: first[start%len(first)], next: start + 1}
 }
 
 // Learn takes over the addresses of the replica set, as a replica told them.
@@ -60,12 +62,22 @@
 	return not
 }
 
+// SetPatience bounds how long certain refusals are tried again: a caller that
+// was certainly not served is better told so, to come back by itself, than held
+// until its time is up. Without it they are tried until a call's time is up.
+func (c *Client) SetPatience(d time.Duration) { c.patience = d }
+
 // Call sends a message until a replica answers it or the time is up. It sends
 // again only what asks to be sent elsewhere or was certainly not taken; what
 // may have been taken twice is up to the message to be idempotent, and all of
 // this package's are.
+//
+// The outcome of all tries together is returned: once a try may have been taken,
+// a later replica's word that it takes nothing does not make it "not taken".
 func (c *Client) Call(path string, timeout time.Duration, req, resp any) error {
-	deadline := time.Now().Add(timeout)
+	begun := time.Now()
+	deadline := begun.Add(timeout)
+	unsure := false
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		addr := c.current()
 		err := c.rpc.Call(addr, path, min(time.Until(deadline), callTimeout), req, resp)
@@ -73,25 +85,43 @@
 			return nil
 		}
 		e, ok := refusal.Of(err)
-		if !ok || !c.moveOn(addr, e) || time.Until(deadline) < leastTry {
+		if !ok {
 			return err
 		}
+		unsure = unsure || e.Code == refusal.Unreachable || e.Code == refusal.UnknownOutcome
+		impatient := c.patience > 0 && !unsure && time.Since(begun) > c.patience
+		if !c.moveOn(addr, e) || time.Until(deadline) < leastTry || impatient {
+			return together(e, unsure)
+		}
 		refusal.CountRetry(c.part, e.Code)
 		time.Sleep(refusal.Spread(pause))
 	}
 }
 
+// together returns the outcome of several tries of which e was the last.
+func together(e *refusal.Error, unsure bool) error {
+	if unsure && (e.Code == refusal.NotLeader || e.Code == refusal.NoQuorum || e.Code == refusal.SendFailed) {
+		return refusal.New(refusal.UnknownOutcome, "send the same again", "an earlier try may have been taken; the last one: %s", e.Message)
+	}
+	return e
+}
+
 const (
 	// callTimeout bounds one try, so that a replica that is cut off silently
-	// costs one try and not the whole time.
-	callTimeout = 2 * time.Second
+	// costs one try and not the whole time. A commit takes 10 to 30 ms, 400
+	// where a disk is thirty times slower.
+	callTimeout = 700 * time.Millisecond
 	// The pause between tries doubles and is spread, so that thousands of
 	// agents do not fall on the replicas together while they elect a leader.
+	// An election takes half a second to a whole one.
 	firstPause   = 20 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	longestPause = 150 * time.Millisecond
 	// leastTry is the time below which another try would only time out and
 	// hide the reason of the last one.
 	leastTry = 200 * time.Millisecond
+	// suspectTime is how long a replica that did not answer is not gone back
+	// to on another's word that it leads: the others notice later.
+	suspectTime = time.Second
 )
 
 func (c *Client) current() string {
@@ -104,15 +134,18 @@
 // again can help.
 func (c *Client) moveOn(from string, e *refusal.Error) bool {
 	switch e.Code {
-	case refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable, refusal.UnknownOutcome:
+	case refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable, refusal.SendFailed, refusal.UnknownOutcome:
 	default:
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if e.Code == refusal.Unreachable || e.Code == refusal.SendFailed {
+		c.failed[from] = time.Now()
+	}
 	switch {
 	case c.at != from: // somebody else has moved on already
-	case e.Code == refusal.NotLeader && e.Leader != "":
+	case e.Code == refusal.NotLeader && e.Leader != "" && time.Since(c.failed[e.Leader]) > suspectTime:
 		c.at = e.Leader
 	default:
 		c.at = c.another(from)
--- /dev/null
+++ b/control/client_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+)
+
+// serve answers PathPutConfig at an address with what f says.
+func serve(t *testing.T, addr string, f func() error) {
+	t.Helper()
+	server := transport.NewServer("test", nil)
+	server.Handle(PathPutConfig, func([]byte) (any, error) { return Empty{}, f() }, transport.RoleControl)
+	ln, err := transport.Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func clientOf(contacts ...string) *Client {
+	return NewClient("test", transport.NewClient(nil, "127.0.8.1"), func() []string { return contacts }, 0)
+}
+
+// All replicas are down: no connection is made, so nothing was taken. A caller
+// that is told "unknown" may not try again by itself, and one that is held until
+// its time is up can't either. It must be told "not taken", and soon.
+func TestNothingSentIsCertainAndTold(t *testing.T) {
+	c := clientOf("127.0.8.11:7880", "127.0.8.12:7880")
+	c.SetPatience(100 * time.Millisecond)
+	begun := time.Now()
+	err := c.Call(PathPutConfig, 30*time.Second, &Empty{}, nil)
+	if !refusal.Is(err, refusal.SendFailed) {
+		t.Errorf("got %v", err)
+	}
+	if time.Since(begun) > 10*time.Second {
+		t.Errorf("told after %v", time.Since(begun))
+	}
+}
+
+// The leader takes a job and dies before it answers; the next replica says that
+// nobody leads. Taken by itself that means "not taken", but the first try may
+// have been: the caller must not be told otherwise.
+func TestAnEarlierTryThatMayHaveBeenTakenIsNotForgotten(t *testing.T) {
+	serve(t, "127.0.8.21:7880", func() error { return refusal.New(refusal.UnknownOutcome, "", "the leader changed") })
+	serve(t, "127.0.8.22:7880", func() error { return refusal.New(refusal.NoQuorum, "", "nobody leads") })
+	c := clientOf("127.0.8.21:7880", "127.0.8.22:7880")
+	c.SetPatience(50 * time.Millisecond)
+	err := c.Call(PathPutConfig, time.Second, &Empty{}, nil)
+	if !refusal.Is(err, refusal.UnknownOutcome) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// The seeds in the settings are all gone; the replicas that were heard of since
+// are not.
+func TestLearnedReplicasOutliveTheSeeds(t *testing.T) {
+	serve(t, "127.0.8.31:7880", func() error { return nil })
+	c := clientOf("127.0.8.33:7880", "127.0.8.34:7880")
+	c.Learn([]string{"127.0.8.31:7880"})
+	if err := c.Call(PathPutConfig, 10*time.Second, &Empty{}, nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -20,6 +20,10 @@
 	watchTimeout  = time.Second
 	// replyMargin is kept of a caller's time for the way back.
 	replyMargin = 50 * time.Millisecond
+	// patience is how long a call that was certainly not taken is tried: most
+	// elections end within it, and past it the caller is told when to come
+	// back.
+	patience = 700 * time.Millisecond
 )
 
 // Jobs passes callers' jobs on to the control. It holds no state of its own
@@ -37,7 +41,9 @@
 		return nil, err
 	}
 	rpc := transport.NewClient(tlsConfig, set.Instance.IP)
-	return &Jobs{ctl: control.NewClient(part, rpc, set.Contacts, rand.IntN(len(set.Contacts()))), begun: time.Now()}, nil
+	ctl := control.NewClient(part, rpc, set.Contacts, rand.IntN(len(set.Contacts())))
+	ctl.SetPatience(patience)
+	return &Jobs{ctl: ctl, begun: time.Now()}, nil
 }
 
 // Run keeps the addresses of the control replicas up to date until the context
--- a/runner/session.go
+++ b/runner/session.go
@@ -24,7 +24,7 @@
 	// callPause separates tries of a call that failed.
 	callPause = 50 * time.Millisecond
 	// ordersWait is how long the leader may hold a call for orders back.
-	ordersWait = 900 * time.Millisecond
+	ordersWait = 450 * time.Millisecond
 	// controlTimeout bounds one call to the control, tries elsewhere included.
 	controlTimeout = 2 * time.Second
 	// ackWait is how long the next call to the worker waits for the commit
--- a/transport/client.go
+++ b/transport/client.go
@@ -8,11 +8,14 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/header"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
 
 const (
-	dialTimeout  = time.Second
+	// dialTimeout is far above a round trip between regions, and short enough
+	// that an instance without power costs one try and not a caller's time.
+	dialTimeout  = 400 * time.Millisecond
 	idleTimeout  = 30 * time.Second
 	maxConns     = 256
 	maxBodyBytes = 64 << 20
@@ -81,8 +84,9 @@
 	}
 }
 
-// Call sends a message and reads its answer. The error is a *refusal.Error:
-// either the other side's, or Unreachable.
+// Call sends a message and reads its answer. The error is a *refusal.Error: the
+// other side's, SendFailed if nothing was sent, or Unreachable if it may have been
+// taken.
 func (c *Client) Call(addr, path string, timeout time.Duration, req, resp any) error {
 	body, err := Encode(req)
 	if err != nil {
@@ -120,5 +124,8 @@
 	if errors.As(err, &cert) {
 		return refusal.New(refusal.Forbidden, "make its key with this system's authority", "%s has no valid key: %v", addr, err)
 	}
+	if header.NeverSent(err) {
+		return refusal.New(refusal.SendFailed, "check that the process runs and the network reaches it", "%s cannot be reached, nothing was sent: %v", addr, err)
+	}
 	return refusal.New(refusal.Unreachable, "check that the process runs and the network reaches it", "%s cannot be reached: %v", addr, err)
 }
