--- a/cmd/waxwinghaven/main.go
+++ b/cmd/waxwinghaven/main.go
@@ -29,6 +29,7 @@
   waxwinghaven --to 10.0.0.1:7102,10.0.0.2:7102 market put vault
   waxwinghaven preset use vault peak
   waxwinghaven task submit vault render --count 100
+  waxwinghaven graph submit a.example /renders/00000000000000aa job.json
   waxwinghaven dev
 
 Exit codes: 0 done, 1 failed, 2 refused (the message names the remedy).`
@@ -55,6 +56,7 @@
 	c.localCommands()
 	c.marketCommands()
 	c.taskCommands()
+	c.graphCommands()
 	c.clusterCommands()
 	c.benchCommands()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
--- a/control/operator.go
+++ b/control/operator.go
@@ -31,7 +31,7 @@
 type operatorRoute func(ctx *fasthttp.RequestCtx) (any, error)
 
 func (r *Replica) operatorRoutes() map[string]operatorRoute {
-	return map[string]operatorRoute{
+	routes := map[string]operatorRoute{
 		"GET /v1/status":         r.getStatus,
 		"GET /v1/markets":        r.getMarkets,
 		"GET /v1/teams":          r.getTeams,
@@ -43,6 +43,8 @@
 		"POST /v1/init":          r.postInit,
 		"POST /v1/hand-over":     r.postHandOver,
 	}
+	r.jobOperatorRoutes(routes)
+	return routes
 }
 
 func (r *Replica) serveOperators(ctx context.Context, ln net.Listener) error {
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -45,46 +45,46 @@
 
 // Step is a part of a job: tasks that are alike and may run side by side.
 type Step struct {
-	Count int             `msgpack:"c"`
-	Need  resource.Vector `msgpack:"n"`
+	Count int             `msgpack:"c" json:"count,omitempty"`
+	Need  resource.Vector `msgpack:"n" json:"need,omitempty"`
 	// EstimateMS is the caller's rough word of a task's duration.
-	EstimateMS int64 `msgpack:"e"`
+	EstimateMS int64 `msgpack:"e" json:"estimate_ms,omitempty"`
 	// DependsOn lists earlier steps, all of whose tasks must be done first.
-	DependsOn []int `msgpack:"d,omitempty"`
+	DependsOn []int `msgpack:"d,omitempty" json:"depends_on,omitempty"`
 	// Checkpointing tasks save their progress and resume from it.
-	Checkpointing bool `msgpack:"p,omitempty"`
+	Checkpointing bool `msgpack:"p,omitempty" json:"checkpointing,omitempty"`
 	// Gang tasks work only together: all or none are placed.
-	Gang bool `msgpack:"g,omitempty"`
+	Gang bool `msgpack:"g,omitempty" json:"gang,omitempty"`
 	// RackSensitive tasks are slower when spread over racks.
-	RackSensitive bool   `msgpack:"r,omitempty"`
-	Label         string `msgpack:"l,omitempty"` // that the worker must have
-	PreferredRack string `msgpack:"f,omitempty"` // where the data is
+	RackSensitive bool   `msgpack:"r,omitempty" json:"rack_sensitive,omitempty"`
+	Label         string `msgpack:"l,omitempty" json:"label,omitempty"`          // that the worker must have
+	PreferredRack string `msgpack:"f,omitempty" json:"preferred_rack,omitempty"` // where the data is
 	// MaxPerWorker bounds a step's tasks on one worker, 0 for no bound.
-	MaxPerWorker int  `msgpack:"a,omitempty"`
-	Speculative  bool `msgpack:"v,omitempty"`
+	MaxPerWorker int  `msgpack:"a,omitempty" json:"max_per_worker,omitempty"`
+	Speculative  bool `msgpack:"v,omitempty" json:"speculative,omitempty"`
 	// Standing tasks run until the job is cancelled.
-	Standing bool   `msgpack:"o,omitempty"`
-	Image    string `msgpack:"m,omitempty"`
+	Standing bool   `msgpack:"o,omitempty" json:"standing,omitempty"`
+	Image    string `msgpack:"m,omitempty" json:"image,omitempty"`
 	// TargetMS is the bound on the tail latency of a standing task that
 	// serves users of its own, 0 for none.
-	TargetMS int64 `msgpack:"t,omitempty"`
+	TargetMS int64 `msgpack:"t,omitempty" json:"target_ms,omitempty"`
 	// Fills says that the tasks take only processor time that others leave.
-	Fills bool `msgpack:"i,omitempty"`
+	Fills bool `msgpack:"i,omitempty" json:"fills,omitempty"`
 	// MaxUnavailable bounds the standing tasks that the system itself may
 	// keep away at a time.
-	MaxUnavailable int `msgpack:"u,omitempty"`
+	MaxUnavailable int `msgpack:"u,omitempty" json:"max_unavailable,omitempty"`
 }
 
 // Spec is what a caller hands in.
 type Spec struct {
-	Payload string `msgpack:"p"`
-	Steps   []Step `msgpack:"s"`
+	Payload string `msgpack:"p" json:"payload,omitempty"`
+	Steps   []Step `msgpack:"s" json:"steps,omitempty"`
 	// Repeat is how often the steps run; 0 means once, at once.
-	Repeat int `msgpack:"r,omitempty"`
+	Repeat int `msgpack:"r,omitempty" json:"repeat,omitempty"`
 	// StartAt and Every give the due time of each repetition, in
 	// milliseconds since 1970 and between them.
-	StartAt int64 `msgpack:"a,omitempty"`
-	Every   int64 `msgpack:"e,omitempty"`
+	StartAt int64 `msgpack:"a,omitempty" json:"start_at_ms,omitempty"`
+	Every   int64 `msgpack:"e,omitempty" json:"every_ms,omitempty"`
 }
 
 // String sums a job up for logs: each step's tasks, need and estimate.
--- a/operator/client.go
+++ b/operator/client.go
@@ -16,6 +16,7 @@
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/transport"
 )
@@ -200,6 +201,35 @@
 	return out, c.call(http.MethodGet, "/v1/tasks?"+v.Encode(), nil, &out)
 }
 
+// PutQueues sends a version of the queues' configuration.
+func (c *Client) PutQueues(q queues.Config) error { return c.call("POST", "/v1/queues", q, nil) }
+
+// Queues returns the queues' configuration in force.
+func (c *Client) Queues() (q queues.Config, err error) {
+	err = c.call("GET", "/v1/queues", nil, &q)
+	return q, err
+}
+
+// SubmitJob hands a job in; sent again under the same path it stays one.
+func (c *Client) SubmitJob(j control.JobRequest) error { return c.call("POST", "/v1/jobs", j, nil) }
+
+// CancelJob ends a job.
+func (c *Client) CancelJob(j control.JobRequest) error {
+	return c.call("POST", "/v1/job-cancellations", j, nil)
+}
+
+// Jobs lists jobs, the newest first; an empty id asks for all.
+func (c *Client) Jobs(id string, limit int) (out []control.JobView, err error) {
+	err = c.call("GET", fmt.Sprintf("/v1/jobs?id=%s&limit=%d", url.QueryEscape(id), limit), nil, &out)
+	return out, err
+}
+
+// Workers lists the workers of callers' jobs.
+func (c *Client) Workers() (out []control.WorkerView, err error) {
+	err = c.call("GET", "/v1/workers", nil, &out)
+	return out, err
+}
+
 // Init makes a new cluster at the first address.
 func (c *Client) Init() error {
 	var out map[string]uint64
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -28,11 +28,10 @@
 	ctl    Control
 	worker Worker
 
-	mu       sync.Mutex
-	newest   *Announcement // of the incarnation that is served or to be served
-	session  *session
-	changed  chan struct{} // signalled when newest changes
-	draining bool          // the agent itself is ending
+	mu      sync.Mutex
+	newest  *Announcement // of the incarnation that is served or to be served
+	session *session
+	changed chan struct{} // signalled when newest changes
 }
 
 // New returns a runner for the worker behind w.
