Workers that fail or slow down what they run are known; stuck runs are moved

Cause: a worker that fails all it starts is free at once and draws all work; a run that makes no progress held its job for ever. Short tasks go before standing ones where room is short: a processor earns their callers about four times as much.

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -53,13 +53,15 @@
 	started  time.Time
 	waiting  map[jobs.GroupKey]time.Time // since when; only run's goroutine uses it
 	stalled  map[jobs.Stop]time.Time     // when last reported
+	stuck    map[jobs.Stop]time.Time     // when last reported
 	costs    *costs
 	learned  *learned
+	health   *dispatch.Health
 	inFlight map[string]int // submissions being committed, by host and path
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(), learned: newLearned(), inFlight: make(map[string]int)}
+	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(), learned: newLearned(), health: dispatch.NewHealth(), inFlight: make(map[string]int)}
 	d.reset(0)
 	return d
 }
@@ -71,6 +73,7 @@
 	d.over = make(map[string]time.Time)
 	d.waiting = make(map[jobs.GroupKey]time.Time)
 	d.stalled = make(map[jobs.Stop]time.Time)
+	d.stuck = make(map[jobs.Stop]time.Time)
 }
 
 // leads notices a new leadership. What an older one knew of leases is void: the
@@ -138,7 +141,9 @@
 	d.r.machine.Read(func(s *State) {
 		d.noteWaiting(s.Jobs.Ready(), begun)
 		in := d.input(s)
-		in.Shunned, in.Stalled = d.shunnedNow(begun), d.stalledNow(begun)
+		in.Shunned, in.Stalled = d.shunnedNow(begun, len(s.Jobs.Workers)), d.recent(d.stalled, begun)
+		in.Stuck = d.recent(d.stuck, begun)
+		in.Slowness = d.slowness
 		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(d.waiting[g.Key()]) }
 		plan = dispatch.Next(in)
 	})
@@ -241,14 +246,14 @@
 // stalledFor is how long a report of a stalled run counts: two renewals.
 const stalledFor = 1500 * time.Millisecond
 
-// stalledNow returns the runs that were reported as stalled lately.
-func (d *dispatcher) stalledNow(now time.Time) []jobs.Stop {
+// recent returns the runs that were reported lately, and forgets the others.
+func (d *dispatcher) recent(reported map[jobs.Stop]time.Time, now time.Time) []jobs.Stop {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []jobs.Stop
-	for st, at := range d.stalled {
+	for st, at := range reported {
 		if now.Sub(at) > stalledFor {
-			delete(d.stalled, st)
+			delete(reported, st)
 			continue
 		}
 		out = append(out, st)
@@ -257,10 +262,21 @@
 	return out
 }
 
-func (d *dispatcher) shunnedNow(now time.Time) map[string]bool {
+func (d *dispatcher) slowness(worker string) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[string]bool, len(d.shunned))
+	return d.health.Slowness(worker)
+}
+
+// shunnedNow returns the workers that get nothing new now: those that rejected a
+// start a moment ago, and those that fail what they start.
+func (d *dispatcher) shunnedNow(now time.Time, workers int) map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := d.health.Shunned(workers, now)
+	if out == nil {
+		out = make(map[string]bool)
+	}
 	for id, until := range d.shunned {
 		if now.After(until) {
 			delete(d.shunned, id)
@@ -285,7 +301,13 @@
 	for _, st := range req.Stalled {
 		d.stalled[st] = now
 	}
-	if len(req.Stalled) > 0 {
+	for range req.Stuck {
+		d.health.NoteStuck(req.Worker, now)
+	}
+	for _, st := range req.Stuck {
+		d.stuck[st] = now
+	}
+	if len(req.Stalled)+len(req.Stuck) > 0 {
 		defer d.wake()
 	}
 	d.offsets[req.Worker] = time.Duration(req.WallMS)*time.Millisecond - now.Sub(d.started)
@@ -329,6 +351,7 @@
 	d.mu.Lock()
 	for _, id := range lost {
 		delete(d.offsets, id)
+		d.health.Forget(id)
 		d.notify(id)
 	}
 	d.mu.Unlock()
@@ -338,9 +361,7 @@
 // ended reacts to committed ends.
 func (d *dispatcher) ended(req RunEnds) {
 	for _, e := range req.Ends {
-		if e.Outcome == jobs.OutcomeDone && e.WorkMS > 0 {
-			d.r.machine.Read(func(s *State) { d.learned.note(s.Jobs, e) })
-		}
+		d.noteEnd(req.Worker, e)
 		if e.Outcome == jobs.OutcomeRejected {
 			d.mu.Lock()
 			d.shunned[req.Worker] = time.Now().Add(shunTime)
@@ -350,6 +371,21 @@
 	d.wake()
 }
 
+// noteEnd learns from the end of a run. What was expected is asked for before the
+// run itself counts.
+func (d *dispatcher) noteEnd(worker string, e jobs.End) {
+	expected := 0.0
+	d.r.machine.Read(func(s *State) {
+		if e.WorkMS > 0 && e.Outcome == jobs.OutcomeDone {
+			expected = d.learned.expected(s.Jobs, e.Task)
+			d.learned.note(s.Jobs, e)
+		}
+	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.health.NoteEnd(worker, e.Outcome, e.WorkMS, expected, time.Now())
+}
+
 // watch returns a channel that is signalled when a worker's orders change.
 func (d *dispatcher) watch(worker string) <-chan struct{} {
 	d.mu.Lock()
--- a/control/learned.go
+++ b/control/learned.go
@@ -48,6 +48,19 @@
 	l.groups[key] = g
 }
 
+// expected returns how long a run was expected to take, in ms, by the other runs
+// of its step, or by its queue if there are too few.
+func (l *learned) expected(s *jobs.State, ref jobs.Ref) float64 {
+	j := s.Jobs[ref.Job]
+	if j == nil || ref.Step < 0 || ref.Step >= len(j.Spec.Steps) {
+		return 0
+	}
+	if ms := l.measured(jobs.GroupKey{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}); ms > 0 {
+		return ms
+	}
+	return 0 // a queue's mean says too little of one step
+}
+
 // estimates returns a view for one decision.
 func (l *learned) estimates() *dispatch.Estimates {
 	return &dispatch.Estimates{Durations: l, Measured: l.measured}
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -77,6 +77,8 @@
 	Readings []Reading `msgpack:"r,omitempty"`
 	// Stalled are filling runs that were slowed to a stand for long.
 	Stalled []jobs.Stop `msgpack:"s,omitempty"`
+	// Stuck are runs at full pace that make no progress.
+	Stuck []jobs.Stop `msgpack:"k,omitempty"`
 }
 
 // LeaseAnswer grants a term. It counts, on the worker's own clock, from a
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -60,8 +60,13 @@
 	Costs Costs
 	// Stalled are filling runs that were slowed to a stand.
 	Stalled []jobs.Stop
+	// Stuck are runs at full pace that make no progress.
+	Stuck []jobs.Stop
 	// Estimates tells how long tasks will take, nil to go by acceptance only.
 	Estimates *Estimates
+	// Slowness returns how much longer a worker's runs take than expected, as
+	// a logarithm, nil for not at all.
+	Slowness func(worker string) float64
 }
 
 // Costs is what is known of how filling tasks disturb serving ones. Images are
@@ -111,7 +116,7 @@
 func Next(in Input) jobs.Plan {
 	p := &planner{in: in}
 	requests := p.requests()
-	if len(requests) == 0 && len(in.Stalled) == 0 {
+	if len(requests) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 {
 		return p.plan
 	}
 	p.gather()
@@ -158,20 +163,16 @@
 	r.due = from + f.deadline.Milliseconds()
 }
 
-// before orders by priority, then standing tasks, then by what the jobs can still
-// come to, then by when they should be done. A standing task that is away is
-// missed by its own users every second. A job that can still be in time goes
-// before one that can't: else, past the room, each waits behind jobs that are
+// before orders by priority, then by what the jobs can still come to, then by when
+// they should be done. A job that can still be in time goes before one that
+// can't: else, past the room, each waits behind jobs that are
 // late already until it is late itself.
 func before(a, b request) bool {
 	if a.queue.Priority != b.queue.Priority {
 		return a.queue.Priority < b.queue.Priority
 	}
-	if sa, sb := a.group.Step().Standing, b.group.Step().Standing; sa != sb {
-		return sa
-	}
-	if a.outlook != b.outlook {
-		return a.outlook < b.outlook
+	if ra, rb := a.rank(), b.rank(); ra != rb {
+		return ra < rb
 	}
 	if a.due != b.due {
 		return a.due < b.due
@@ -179,6 +180,18 @@
 	return a.group.Job().Seq < b.group.Job().Seq
 }
 
+// rank is the first word on the order within a priority. Standing tasks come
+// after what can still be in time: where room is short, a processor earns its
+// callers four times as much with short tasks, which give it back soon.
+func (r *request) rank() int {
+	switch {
+	case r.group.Step().Standing:
+		return int(Fresh)*2 + 1
+	default:
+		return int(r.outlook) * 2
+	}
+}
+
 func (p *planner) gather() {
 	p.workers = make(map[string][]*candidate)
 	p.sparse = make(map[string]bool)
@@ -369,6 +382,9 @@
 	// farCost is for a worker on another rack than the data: the task takes
 	// RemoteFactor (1.5 where it was measured) times as long.
 	farCost = 1.0
+	// slowCost is for a worker whose runs take longer than expected: one that
+	// takes four times as long is taken last.
+	slowCost = 3.0
 	// disturbCost is for the disturbance expected, as a part of what the
 	// disturbed task stands.
 	disturbCost = 2.0
@@ -388,6 +404,9 @@
 	if st.PreferredRack != "" && !c.worker.HasLabel(st.PreferredRack) {
 		cost += farCost
 	}
+	if p.in.Slowness != nil {
+		cost += slowCost * p.in.Slowness(c.worker.ID)
+	}
 	if st.Fills && len(c.serving) > 0 {
 		cost += besideCost + disturbCost*p.disturbance(c, st)
 	}
--- a/dispatch/relieve.go
+++ b/dispatch/relieve.go
@@ -12,6 +12,7 @@
 // saves nothing loses what it did, which at a stand is not much: it was slowed
 // soon after its start, or its neighbours would not have put up with it.
 func (p *planner) relieve() {
+	p.unstick()
 	for _, st := range p.in.Stalled {
 		if len(p.plan.Stops) >= maxMoves {
 			return
@@ -30,6 +31,28 @@
 	}
 }
 
+// unstick stops runs that make no progress, whether they save any or not: their
+// job waits for them for ever. Standing tasks have no
+// progress to tell by.
+func (p *planner) unstick() {
+	for _, st := range p.in.Stuck {
+		if len(p.plan.Stops) >= maxMoves {
+			return
+		}
+		g := p.in.Jobs.Group(st.Task)
+		if g == nil || g.Job().Phase.Over() || g.Step().Gang || g.Step().Standing {
+			continue
+		}
+		placed := g.Tasks[st.Task.Index].Placed
+		if placed == nil || placed.Run != st.Run || placed.Stopping {
+			continue
+		}
+		if p.refuge(g, placed.Worker) {
+			p.plan.Stops = append(p.plan.Stops, st)
+		}
+	}
+}
+
 // refuge takes room for a moved run on a worker where it disturbs nobody much.
 func (p *planner) refuge(g *jobs.Group, from string) bool {
 	q := p.in.Config.At(g.Job().Host, g.Job().Prefix)
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -292,6 +292,19 @@
 	return readings, stalled
 }
 
+// slowedRuns returns the runs that were told to work at less than full pace.
+func (p *pacer) slowedRuns() map[runKey]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[runKey]bool)
+	for key, pace := range p.set {
+		if pace != fullPace {
+			out[key] = true
+		}
+	}
+	return out
+}
+
 // learn takes over what the leader knows of the pairs on this worker.
 func (p *pacer) learn(costs []control.PairCost) {
 	p.mu.Lock()
--- a/runner/session.go
+++ b/runner/session.go
@@ -55,6 +55,7 @@
 	order    []runKey        // of ended, oldest first
 	leaseEnd int64           // on the worker's clock, ms
 	pacer    *pacer
+	progress *progress
 	leaving  bool
 
 	seen   uint64        // highest end listed by the worker
@@ -74,7 +75,7 @@
 }
 
 func newSession(ctx context.Context, r *Runner, a Announcement) *session {
-	s := &session{r: r, life: newLife(), worker: a.Worker, ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(),
+	s := &session{r: r, life: newLife(), worker: a.Worker, ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(), progress: newProgress(),
 		acked: make(chan struct{}, 1), ends: make(chan report, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	return s
@@ -229,6 +230,7 @@
 			go s.renew(reply.ClockMS)
 		}
 		s.pace(reply.Running)
+		s.progress.note(time.Now(), reply.Running, s.pacer.slowedRuns())
 		s.list(reply)
 		if len(reply.Finished) > 0 {
 			// The worker answers at once as long as it lists ends. Without
@@ -296,6 +298,7 @@
 func (s *session) renew(clockMS int64) {
 	req := control.LeaseRequest{WorkerRef: s.ref(), WallMS: time.Now().UnixMilli()}
 	req.Readings, req.Stalled = s.pacer.report(time.Now(), s.fillingImages)
+	req.Stuck = s.progress.stuck(time.Now())
 	var a control.LeaseAnswer
 	if err := s.r.ctl.Call(control.PathLease, controlTimeout, &req, &a); err != nil {
 		s.controlRefused("lease", err)
