--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -83,7 +83,7 @@
 	// come and go, which earn their callers three to four times as much with
 	// a processor, and which else find none: at 0.95 held, one look-up in
 	// four was late and hardly a render in time.
-	standingShare = 0.85
+	standingShare = 0.75
 	// standingAfter is when a standing job may ask again; they stay for a
 	// minute or so.
 	standingAfter = 5 * time.Second
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -390,7 +390,7 @@
 	disturbCost = 2.0
 	// besideCost is for a worker with serving tasks, whatever is known: the
 	// less that is known of a pair, the dearer it is to try.
-	besideCost = 0.3
+	besideCost = 1.0
 	// togetherGain draws serving tasks, and tasks that disturb nobody, to the
 	// workers that have serving tasks already, so that the others stay free
 	// for filling ones.
