Leaving workers are evacuated and reported as gone; what was not sent is told apart

An agent took 'no free connections' for a start that may take effect. The new tests fail without the change.

--- /dev/null
+++ b/dispatch/evacuate.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+)
+
+// maxEvacuations bounds the runs that one pass moves off leaving workers.
+const maxEvacuations = 64
+
+func anyDraining(s *jobs.State) bool {
+	for _, w := range s.Workers {
+		if w.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// evacuate moves what lasts, and what saves its progress, off workers that are
+// about to leave, as long as there is room elsewhere. Left there it ends with the
+// worker, and is missed until somebody notices: for up to a whole lease where the
+// worker says no word at its end. What saves nothing stays: moved it would begin
+// anew, and most of it ends before the worker does.
+func (p *planner) evacuate() {
+	ids := make([]string, 0, len(p.in.Jobs.Workers))
+	for id, w := range p.in.Jobs.Workers {
+		if w.Draining {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	moved := 0
+	for _, id := range ids {
+		for _, ref := range p.in.Jobs.RunsOn(id) {
+			if moved >= maxEvacuations {
+				return
+			}
+			if p.moveOff(ref, id) {
+				moved++
+			}
+		}
+	}
+}
+
+func (p *planner) moveOff(ref jobs.Ref, worker string) bool {
+	g := p.in.Jobs.Group(ref)
+	st := g.Step()
+	placed := g.Tasks[ref.Index].Placed
+	if placed == nil || placed.Stopping || st.Gang || (!st.Standing && !st.Checkpointing) || g.Job().Phase.Over() {
+		return false
+	}
+	if !p.refuge(g, worker) {
+		return false
+	}
+	p.plan.Stops = append(p.plan.Stops, jobs.Stop{Task: ref, Run: placed.Run})
+	return true
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -116,10 +116,11 @@
 func Next(in Input) jobs.Plan {
 	p := &planner{in: in}
 	requests := p.requests()
-	if len(requests) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 {
+	if len(requests) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 && !anyDraining(in.Jobs) {
 		return p.plan
 	}
 	p.gather()
+	p.evacuate()
 	p.relieve()
 	for _, r := range requests {
 		if p.placed >= maxPlacements {
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -239,6 +239,33 @@
 	}
 }
 
+// A worker says that it leaves. What lasts and what saves its progress must be moved
+// while it can be, the rest may end there; with no room elsewhere all of it stays.
+func TestLeavingWorkerIsEvacuated(t *testing.T) {
+	for _, workers := range []int{1, 2} {
+		s := newScene(t, workers)
+		watch := s.submit(1, "/titles/", 0, serving(1, 1000, "watch"))
+		render := s.submit(2, "/renders/", 0, filling(1, 1000, 1000, "light"))
+		title := s.submit(3, "/titles/", 0, task(1, 1000, 1000))
+		for _, id := range []string{watch, render, title} {
+			s.index++
+			s.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: id, Indexes: []int{0}, Workers: []string{"w0"}}}}, rules, s.index, 0)
+		}
+		leaving := *s.Workers["w0"]
+		leaving.Draining = true
+		s.index++
+		s.ApplyRegister(leaving, s.index)
+		stopped := make(map[string]bool)
+		for _, st := range Next(s.in).Stops {
+			stopped[st.Task.Job] = true
+		}
+		room := workers > 1
+		if stopped[watch] != room || stopped[render] != room || stopped[title] {
+			t.Errorf("%d workers: stopped are %v", workers, stopped)
+		}
+	}
+}
+
 func TestDueTasksWaitForTheirTime(t *testing.T) {
 	s := newScene(t, 1)
 	s.index++
--- a/dispatch/relieve.go
+++ b/dispatch/relieve.go
@@ -12,9 +12,9 @@
 // saves nothing loses what it did, which at a stand is not much: it was slowed
 // soon after its start, or its neighbours would not have put up with it.
 func (p *planner) relieve() {
-	p.unstick()
+	moved := p.unstick()
 	for _, st := range p.in.Stalled {
-		if len(p.plan.Stops) >= maxMoves {
+		if moved >= maxMoves {
 			return
 		}
 		g := p.in.Jobs.Group(st.Task)
@@ -27,6 +27,7 @@
 		}
 		if p.refuge(g, placed.Worker) {
 			p.plan.Stops = append(p.plan.Stops, st)
+			moved++
 		}
 	}
 }
@@ -34,10 +35,10 @@
 // unstick stops runs that make no progress, whether they save any or not: their
 // job waits for them for ever. Standing tasks have no
 // progress to tell by.
-func (p *planner) unstick() {
+func (p *planner) unstick() (moved int) {
 	for _, st := range p.in.Stuck {
-		if len(p.plan.Stops) >= maxMoves {
-			return
+		if moved >= maxMoves {
+			break
 		}
 		g := p.in.Jobs.Group(st.Task)
 		if g == nil || g.Job().Phase.Over() || g.Step().Gang || g.Step().Standing {
@@ -49,8 +50,10 @@
 		}
 		if p.refuge(g, placed.Worker) {
 			p.plan.Stops = append(p.plan.Stops, st)
+			moved++
 		}
 	}
+	return moved
 }
 
 // refuge takes room for a moved run on a worker where it disturbs nobody much.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -60,6 +60,14 @@
 	}
 }
 
+// RunsOn returns the tasks with a run on a worker, in order.
+func (s *State) RunsOn(worker string) []Ref {
+	if u := s.use[worker]; u != nil {
+		return sortedRefs(u.Runs)
+	}
+	return nil
+}
+
 func sortedRefs(m map[Ref]*Task) []Ref {
 	refs := slices.Collect(maps.Keys(m))
 	sort.Slice(refs, func(i, k int) bool { return refs[i].less(refs[k]) })
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -28,8 +28,10 @@
 	changed  chan struct{}
 
 	loseStart  int      // answers of starts to lose
+	notSent    int      // starts that never leave
 	late       []func() // lost starts that are still to be carried out
 	rejectNext Verdict
+	away       bool // takes no connections
 	starts     []StartCall
 }
 
@@ -63,6 +65,10 @@
 func (w *fakeWorker) Start(c StartCall) (Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.notSent > 0 {
+		w.notSent--
+		return Reply{}, ErrNotSent
+	}
 	if w.loseStart > 0 {
 		w.loseStart--
 		w.late = append(w.late, func() { w.start(c) })
@@ -118,6 +124,10 @@
 
 func (w *fakeWorker) Hold(c HoldCall) (HoldReply, error) {
 	w.mu.Lock()
+	if w.away {
+		w.mu.Unlock()
+		return HoldReply{}, ErrNotSent
+	}
 	r, ok := w.check(c.Target)
 	if !ok {
 		w.mu.Unlock()
@@ -196,7 +206,8 @@
 	life    string
 	orders  map[runKey]*order
 	ends    []jobs.End
-	down    bool // answers nothing
+	gone    []string // workers that the agent reported
+	down    bool     // answers nothing
 	termMS  int64
 	changed chan struct{}
 }
@@ -227,6 +238,12 @@
 	return c.worker
 }
 
+func (c *fakeControl) reportedGone() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.gone)
+}
+
 func (c *fakeControl) setDown(down bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -270,6 +287,8 @@
 		resp.(*control.LeaseAnswer).TermMS = c.termMS
 	case *control.OrdersRequest:
 		return c.waitOrders(q, resp.(*control.OrdersAnswer))
+	case *control.WorkerRef:
+		c.gone = append(c.gone, q.Worker)
 	case *control.RunEnds:
 		for _, e := range q.Ends {
 			c.ends = append(c.ends, e)
--- a/runner/run.go
+++ b/runner/run.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -157,6 +158,10 @@
 	}
 	o := r.current()
 	reply, err := s.r.worker.Start(StartCall{Target: s.target(), Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, LeaseEndMS: end})
+	if errors.Is(err, ErrNotSent) {
+		s.sleep(callPause)
+		return
+	}
 	if err != nil {
 		uncertainTotal.Inc()
 		r.mu.Lock()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -136,6 +136,27 @@
 	})
 }
 
+// Many calls hang at a worker that does not answer, and no connection is free for
+// the next start. That start never left, so it may be given back at once: stopping
+// it first would need the worker that does not answer.
+func TestStartThatNeverLeftNeedsNoStop(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		b.worker.mu.Lock()
+		b.worker.notSent = 1 << 20
+		b.worker.mu.Unlock()
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		b.ctl.give(stopOf(runA1))
+		time.Sleep(time.Second)
+		b.wantEnd(runA1, jobs.OutcomeRejected)
+		b.worker.mu.Lock()
+		defer b.worker.mu.Unlock()
+		if b.worker.fences[taskA] != 0 {
+			t.Error("a run that was never asked for was stopped")
+		}
+	})
+}
+
 // The same, but the unanswered start had taken effect before the stop: the worker
 // lists the run's end, and only that may be reported.
 func TestUnansweredStartThatTookEffectIsNotReportedAsRejected(t *testing.T) {
@@ -222,6 +243,27 @@
 	})
 }
 
+// A worker says that it ends, and ends. Its standing tasks are missed until the
+// control knows; waiting for the lease costs their users five seconds. One that takes
+// no connections but said nothing may only be cut off: the lease decides.
+func TestWorkerThatLeftIsReportedAtOnce(t *testing.T) {
+	for _, said := range []bool{true, false} {
+		play(t, func(t *testing.T, b *bench) {
+			time.Sleep(time.Second)
+			if said {
+				b.runner.Left("w1")
+			}
+			b.worker.mu.Lock()
+			b.worker.away = true
+			b.worker.mu.Unlock()
+			time.Sleep(2 * time.Second)
+			if got := b.ctl.reportedGone(); (got > 0) != said {
+				t.Errorf("the worker said so: %v; it was reported %d times", said, got)
+			}
+		})
+	}
+}
+
 // The worker crashes and comes back as another incarnation. A heartbeat of the
 // old one, held up by a cut, comes after the new one's. Believing it would void
 // the new one's runs in the books while they go on.
--- a/runner/session.go
+++ b/runner/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,8 @@
 	progress *progress
 	leaving  bool
 
+	unreached int // calls in a row that could not be sent; only holdLoop uses it
+
 	seen   uint64        // highest end listed by the worker
 	cursor atomic.Uint64 // highest end whose commit is known
 	acked  chan struct{}
@@ -222,9 +225,13 @@
 			if err == nil && s.refused(reply.Verdict) {
 				return
 			}
+			if s.hasLeft(err) {
+				return
+			}
 			s.sleep(callPause)
 			continue
 		}
+		s.unreached = 0
 		if time.Since(renewed) >= leaseEvery {
 			renewed = time.Now()
 			go s.renew(reply.ClockMS)
@@ -240,6 +247,35 @@
 	}
 }
 
+// leftAfter is the calls in a row that could not be sent to a worker that said
+// that it ends, after which it is gone: half a second.
+const leftAfter = 10
+
+// hasLeft tells the control that a worker is gone which said that it ends and then
+// took no connection any more. What ran there ended with it; waiting for the lease
+// to end would keep its tasks away for seconds more. A worker that said nothing is
+// not believed to be gone that easily.
+func (s *session) hasLeft(err error) bool {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	if !leaving || !errors.Is(err, ErrNotSent) {
+		return false
+	}
+	if s.unreached++; s.unreached < leftAfter {
+		return false
+	}
+	ref := s.ref()
+	if err := s.r.ctl.Call(control.PathWorkerGone, controlTimeout, &ref, nil); err != nil {
+		s.controlRefused("gone", err)
+		s.unreached = 0
+		return false
+	}
+	s.gone.Store(true)
+	s.end("the worker has left")
+	return true
+}
+
 // list takes in the ends that a reply lists.
 func (s *session) list(reply HoldReply) {
 	for _, f := range reply.Finished {
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -12,8 +12,8 @@
 )
 
 // Worker is the interface of a worker that runs tasks. Each call names the
-// incarnation it is meant for. An error means that the call may have been
-// carried out, or may still be, seconds later.
+// incarnation it is meant for. An error other than ErrNotSent means that the call
+// may have been carried out, or may still be, seconds later.
 type Worker interface {
 	Start(StartCall) (Reply, error)
 	Stop(StopCall) (Reply, error)
@@ -21,6 +21,10 @@
 	Pace(PaceCall) (Reply, error)
 }
 
+// ErrNotSent is the error of a call that certainly never left: no connection
+// could be made, or none was free.
+var ErrNotSent = errors.New("the call was not sent")
+
 // Target names whom a call is for and with which right it is made.
 type Target struct {
 	Worker string // incarnation
