--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -18,11 +18,12 @@
 	return false
 }
 
-// evacuate moves what lasts, and what saves its progress, off workers that are
-// about to leave, as long as there is room elsewhere. Left there it ends with the
-// worker, and is missed until somebody notices: for up to a whole lease where the
-// worker says no word at its end. What saves nothing stays: moved it would begin
-// anew, and most of it ends before the worker does.
+// evacuate moves standing tasks off workers that are about to leave, as long as
+// there is room elsewhere. Left there they end with the worker, and are missed until
+// somebody notices: for up to a whole lease where the worker says no word at its end.
+// The other tasks stay: most end before the worker does, and moved all at once they
+// crowd the other workers (trials on days with replaced workers: 0.395 worth with them
+// moved, 0.439 without).
 func (p *planner) evacuate() {
 	ids := make([]string, 0, len(p.in.Jobs.Workers))
 	for id, w := range p.in.Jobs.Workers {
@@ -48,7 +49,7 @@
 	g := p.in.Jobs.Group(ref)
 	st := g.Step()
 	placed := g.Tasks[ref.Index].Placed
-	if placed == nil || placed.Stopping || st.Gang || (!st.Standing && !st.Checkpointing) || g.Job().Phase.Over() {
+	if placed == nil || placed.Stopping || st.Gang || !st.Standing || g.Job().Phase.Over() {
 		return false
 	}
 	if !p.refuge(g, worker) {
