--- a/control/costs.go
+++ b/control/costs.go
@@ -17,6 +17,10 @@
 	// defaultBound stands in until a served task was seen alone: its tail may
 	// double.
 	defaultBound = 0.7
+	// unseenShare is the part of the bound that a unit of work of a pair never
+	// seen is taken for: one task at a time is tried, and the next when the tail
+	// has told.
+	unseenShare = 0.4
 	// leastBound keeps a served task that is near its target by itself from
 	// having no bound at all.
 	leastBound = 0.1
@@ -51,10 +55,14 @@
 	return &costs{model: interference.NewNoisyModel(readingNoise), baseline: interference.NewBaseline(), targets: make(map[string]int64)}
 }
 
-// observe learns from readings and returns what concerns their sender.
-func (c *costs) observe(readings []Reading) []PairCost {
+// observe learns from readings and returns what concerns their sender. known is what
+// the sender was told by an earlier leader.
+func (c *costs) observe(known []PairCost, readings []Reading) []PairCost {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, k := range known {
+		c.model.Hint(k.Serving, k.Filling, 0, k.Cost)
+	}
 	var out []PairCost
 	for _, r := range readings {
 		c.targets[r.Image] = r.TargetMS
@@ -72,13 +80,21 @@
 func (c *costs) Cost(serving, filling string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.model.Predict(serving, filling, 0).Mean
+	e := c.model.Predict(serving, filling, 0)
+	if e.Seen == 0 {
+		return math.Max(e.Mean, unseenShare*c.bound(serving))
+	}
+	return e.Mean
 }
 
 // Bound implements dispatch.Costs.
 func (c *costs) Bound(serving string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.bound(serving)
+}
+
+func (c *costs) bound(serving string) float64 {
 	alone := c.baseline.Alone(serving, 0)
 	if alone <= 0 || c.targets[serving] == 0 {
 		return defaultBound
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -193,7 +193,7 @@
 		return LeaseAnswer{}, err
 	}
 	return LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses(),
-		Costs: r.dispatcher.costs.observe(req.Readings)}, nil
+		Costs: r.dispatcher.costs.observe(req.Known, req.Readings), Leader: r.node.View().Term}, nil
 }
 
 // onOrders waits until something changes for a worker. It needs no majority's
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -75,6 +75,9 @@
 	// leader takes the median of many, so no jumped clock moves due times.
 	WallMS   int64     `msgpack:"c"`
 	Readings []Reading `msgpack:"r,omitempty"`
+	// Known is what earlier answers told of pairs, sent to a leader that is new
+	// to the agent and has lost what the last one learned.
+	Known []PairCost `msgpack:"o,omitempty"`
 	// Stalled are filling runs that were slowed to a stand for long.
 	Stalled []jobs.Stop `msgpack:"s,omitempty"`
 	// Stuck are runs at full pace that make no progress.
@@ -86,6 +89,8 @@
 type LeaseAnswer struct {
 	TermMS   int64    `msgpack:"t"`
 	Replicas []string `msgpack:"r"`
+	// Leader tells one leadership from the next.
+	Leader uint64 `msgpack:"l"`
 	// Costs concern the images that the readings named.
 	Costs []PairCost `msgpack:"c,omitempty"`
 }
--- a/interference/model.go
+++ b/interference/model.go
@@ -131,6 +131,16 @@
 	}
 }
 
+// Hint takes over an estimate that somebody else made, if the pair was not seen
+// here yet.
+func (m *Model) Hint(service, job string, load, mean float64) {
+	key := pair{service, job, Band(load)}
+	if m.pairs[key] != nil {
+		return
+	}
+	m.pairs[key] = &Estimate{Mean: math.Min(math.Max(mean, 0), maxMean), Var: priorVar / 2, Seen: 1}
+}
+
 func (m *Model) at(service, job string, load float64) *Estimate {
 	key := pair{service, job, Band(load)}
 	e := m.pairs[key]
--- a/interference/model_test.go
+++ b/interference/model_test.go
@@ -76,3 +76,21 @@
 		t.Errorf("against alone: %v", got)
 	}
 }
+
+// A new leader knows nothing; the agents tell it what the old one knew. What it has
+// seen itself since counts more.
+func TestHintFillsOnlyWhatWasNotSeen(t *testing.T) {
+	m := NewModel()
+	m.Hint("title", "render", 0, 1.2)
+	if e := m.Predict("title", "render", 0); e.Mean != 1.2 || e.Seen == 0 {
+		t.Errorf("after a hint: %+v", e)
+	}
+	for range 50 {
+		m.Observe("lookup", 0, map[string]int{"render": 1}, 1.0)
+	}
+	seen := m.Predict("lookup", "render", 0).Mean
+	m.Hint("lookup", "render", 0, 2)
+	if got := m.Predict("lookup", "render", 0).Mean; got != seen {
+		t.Errorf("a hint changed %v to %v", seen, got)
+	}
+}
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -305,6 +305,17 @@
 	return out
 }
 
+// known returns what was learned of pairs.
+func (p *pacer) known() []control.PairCost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]control.PairCost, 0, len(p.costs))
+	for pair, cost := range p.costs {
+		out = append(out, control.PairCost{Serving: pair.serving, Filling: pair.filling, Cost: cost})
+	}
+	return out
+}
+
 // learn takes over what the leader knows of the pairs on this worker.
 func (p *pacer) learn(costs []control.PairCost) {
 	p.mu.Lock()
--- a/runner/session.go
+++ b/runner/session.go
@@ -59,6 +59,9 @@
 	progress *progress
 	leaving  bool
 
+	leader   atomic.Uint64 // leadership that granted the last lease
+	tellNext atomic.Bool   // it was new: tell it what the pacer knows
+
 	unreached int // calls in a row that could not be sent; only holdLoop uses it
 
 	seen   uint64        // highest end listed by the worker
@@ -335,6 +338,9 @@
 	req := control.LeaseRequest{WorkerRef: s.ref(), WallMS: time.Now().UnixMilli()}
 	req.Readings, req.Stalled = s.pacer.report(time.Now(), s.fillingImages)
 	req.Stuck = s.progress.stuck(time.Now())
+	if s.tellNext.Load() {
+		req.Known = s.pacer.known()
+	}
 	var a control.LeaseAnswer
 	if err := s.r.ctl.Call(control.PathLease, controlTimeout, &req, &a); err != nil {
 		s.controlRefused("lease", err)
@@ -342,6 +348,7 @@
 	}
 	s.r.ctl.Learn(a.Replicas)
 	s.pacer.learn(a.Costs)
+	s.tellNext.Store(s.leader.Swap(a.Leader) != a.Leader)
 	s.mu.Lock()
 	s.leaseEnd = max(s.leaseEnd, clockMS+a.TermMS)
 	close(s.lease)
