--- a/cmd/waxwinghavend/main.go
+++ b/cmd/waxwinghavend/main.go
@@ -36,6 +36,9 @@
 	})
 	if err := g.Wait(); err != nil {
 		logrus.Errorf("daemon: %v.", err)
+		daemon.FlushLog()
 		os.Exit(daemon.ExitFailed)
 	}
+	logrus.Info("daemon: Ended.")
+	daemon.FlushLog()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,7 +38,8 @@
 	if l.Format == "json" {
 		// Readers of structured lines want them on standard output, and no
 		// line may ever hold a request up.
-		logrus.SetOutput(newLogWriter(os.Stdout))
+		out = newLogWriter(os.Stdout)
+		logrus.SetOutput(out)
 		logrus.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	} else {
 		logrus.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
--- a/daemon/logwriter.go
+++ b/daemon/logwriter.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -17,11 +18,30 @@
 // at its next log line.
 type logWriter struct{ lines chan []byte }
 
-func newLogWriter(out io.Writer) *logWriter {
+// out is the writer in use, nil where lines are written at once.
+var out *logWriter
+
+// flushTime bounds the wait for the last lines of a process.
+const flushTime = 200 * time.Millisecond
+
+// FlushLog waits for the lines that are still queued: the last ones tell why a
+// process ends. A reader that takes none holds it up for a moment only.
+func FlushLog() {
+	if out == nil {
+		return
+	}
+	bound := time.Now().Add(flushTime)
+	for len(out.lines) > 0 && time.Now().Before(bound) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(time.Millisecond) // the last line has left the queue and is being written
+}
+
+func newLogWriter(to io.Writer) *logWriter {
 	w := &logWriter{make(chan []byte, logQueue)}
 	go func() {
 		for b := range w.lines {
-			out.Write(b) // nobody is left to be told of an error here
+			to.Write(b) // nobody is left to be told of an error here
 		}
 	}()
 	return w
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
@@ -49,6 +50,8 @@
 	state Stored
 	// firstID is the identity of an empty folder, 0 to draw one.
 	firstID uint64
+	// write is replaced by tests that need a disk without room.
+	write func(*os.File, []byte) (int, error)
 }
 
 // Stored is what a data folder held when it was opened.
@@ -74,7 +77,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	d := &Disk{dir: dir, firstID: id}
+	d := &Disk{dir: dir, firstID: id, write: (*os.File).Write}
 	if err := d.takeLock(); err != nil {
 		return nil, err
 	}
@@ -304,7 +307,8 @@
 
 // Save appends what a Ready asks for and syncs it.
 //
-// An error is fatal to the replica. After a failed sync the kernel may have
+// ErrDiskFull means that nothing was saved and that it may be tried again. Any
+// other error is fatal to the replica: after a failed sync the kernel may have
 // dropped the pages and report success the next time, so it is never retried.
 func (d *Disk) Save(hs *HardState, entries []Entry) error {
 	if hs == nil && len(entries) == 0 {
@@ -314,7 +318,14 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.wal.Write(b); err != nil {
+	if _, err := d.write(d.wal, b); errors.Is(err, unix.ENOSPC) {
+		// A part may have been written. Nobody was told of it, and what comes
+		// next must not follow a torn record.
+		if terr := d.wal.Truncate(d.size); terr != nil {
+			return Error.Wrap(terr)
+		}
+		return ErrDiskFull
+	} else if err != nil {
 		return Error.Wrap(err)
 	}
 	if err := unix.Fdatasync(int(d.wal.Fd())); err != nil {
@@ -385,7 +396,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = f.Write(appendRecord(nil, payload))
+	_, err = d.write(f, appendRecord(nil, payload))
 	if err == nil {
 		err = f.Sync()
 	}
@@ -398,6 +409,10 @@
 	if err == nil {
 		err = d.syncFolder()
 	}
+	if errors.Is(err, unix.ENOSPC) {
+		os.Remove(path + tempSuffix) // gives its room back
+		return ErrDiskFull
+	}
 	return Error.Wrap(err)
 }
 
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand"
 	"sync/atomic"
 	"time"
@@ -77,6 +78,7 @@
 	calls     chan func()
 	reads     chan chan outcome
 	stopped   chan struct{}
+	ending    <-chan struct{} // closed when Run is to end
 
 	waiting  map[uint64]proposal // by log index
 	readers  map[uint64][]chan outcome
@@ -131,10 +133,14 @@
 // Run drives the replica until the context ends or the disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.failAll()
+	n.ending = ctx.Done()
 	tick := time.NewTicker(n.opts.TickEvery)
 	defer tick.Stop()
 	for {
 		if err := n.process(); err != nil {
+			if ctx.Err() != nil && errors.Is(err, ErrDiskFull) {
+				return nil // asked to end while it waited for room
+			}
 			return err
 		}
 		n.publish()
@@ -250,7 +256,34 @@
 	}
 }
 
+// persist saves what a Ready asks for. On a disk without room it waits for some:
+// ending the process would not make any, and what was promised is on the disk. It
+// leads nobody meanwhile, so the others elect another leader.
 func (n *Node) persist(rd Ready) error {
+	for {
+		err := n.persistOnce(rd)
+		if !errors.Is(err, ErrDiskFull) || !n.awaitRoom() {
+			return err
+		}
+	}
+}
+
+// roomPause separates tries to save on a disk without room.
+const roomPause = 100 * time.Millisecond
+
+// awaitRoom pauses, and reports whether the node is to go on.
+func (n *Node) awaitRoom() bool {
+	n.fullSeen = true
+	n.view.Store(&View{Role: Follower, Term: n.core.term, Config: n.core.log.config().config})
+	select {
+	case <-n.ending:
+		return false
+	case <-time.After(roomPause):
+		return true
+	}
+}
+
+func (n *Node) persistOnce(rd Ready) error {
 	var err error
 	if rd.Snapshot != nil {
 		err = n.installSnapshot(rd)
@@ -341,7 +374,7 @@
 }
 
 func (n *Node) maybeCompact() error {
-	if n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries {
+	if n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries || n.fullSeen {
 		return nil
 	}
 	data, err := n.opts.Machine.Snapshot()
@@ -351,7 +384,13 @@
 	s := n.core.SnapshotAt(n.applied)
 	s.Data = data
 	n.core.Compact(s)
-	return n.opts.Disk.SaveSnapshot(s, n.hardState(), n.core.log.after(s.Index))
+	err = n.opts.Disk.SaveSnapshot(s, n.hardState(), n.core.log.after(s.Index))
+	if errors.Is(err, ErrDiskFull) {
+		// The old log is still there and in use; the next snapshot replaces it.
+		n.fullSeen = true
+		return nil
+	}
+	return err
 }
 
 func (n *Node) failAll() {
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // loneNode is a cluster of one with a real disk.
@@ -68,3 +71,58 @@
 	}
 	t.Fatal("changes are refused for ever")
 }
+
+// The disk takes no more bytes, and a write is torn. A replica that ends over it is
+// started again, and ends again, as long as there is no room. It must wait instead,
+// lead nobody meanwhile, and go on with a log that has no torn record in it.
+func TestDiskWithoutRoomIsWaitedFor(t *testing.T) {
+	n, disk, ended := loneNode(t)
+	ctx := context.Background()
+	if _, err := n.Propose(ctx, []byte("kept")); err != nil {
+		t.Fatal(err)
+	}
+	refused := make(chan struct{}, 1000)
+	room := make(chan struct{})
+	n.call(ctx, func() {
+		disk.write = func(f *os.File, b []byte) (int, error) {
+			select {
+			case <-room:
+				return f.Write(b)
+			default:
+			}
+			f.Write(b[:len(b)/2])
+			refused <- struct{}{}
+			return len(b) / 2, unix.ENOSPC
+		}
+	})
+	done := make(chan error, 1)
+	go func() {
+		_, err := n.Propose(ctx, []byte("waits"))
+		done <- err
+	}()
+	<-refused
+	<-refused // tried again, so the view was published
+	if v := n.View(); v.Role == Leader {
+		t.Error("a replica that can't save leads")
+	}
+	close(room)
+	if err := <-done; err != nil {
+		t.Errorf("the change that waited: %v", err)
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the replica ended: %v", err)
+	default:
+	}
+	b, err := os.ReadFile(disk.wal.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for len(b) > 0 {
+		_, size := parseRecord(b)
+		if size == 0 {
+			t.Fatalf("%d bytes at the end of the log are no record", len(b))
+		}
+		b = b[size:]
+	}
+}
