--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -80,6 +80,8 @@
 	Known []PairCost `msgpack:"o,omitempty"`
 	// Stalled are filling runs that were slowed to a stand for long.
 	Stalled []jobs.Stop `msgpack:"s,omitempty"`
+	// Ailing says that served tails are too long with nothing beside them.
+	Ailing bool `msgpack:"i,omitempty"`
 	// Stuck are runs at full pace that make no progress.
 	Stuck []jobs.Stop `msgpack:"k,omitempty"`
 }
--- a/control/workers.go
+++ b/control/workers.go
@@ -68,6 +68,9 @@
 	for _, st := range req.Stalled {
 		d.stalled[st] = now
 	}
+	if req.Ailing {
+		d.health.NoteStuck(req.Worker, now)
+	}
 	for range req.Stuck {
 		d.health.NoteStuck(req.Worker, now)
 	}
--- a/runner/grant.go
+++ b/runner/grant.go
@@ -12,6 +12,7 @@
 	req := control.LeaseRequest{WorkerRef: s.ref(), WallMS: time.Now().UnixMilli()}
 	req.Readings, req.Stalled = s.pacer.report(time.Now(), s.fillingImages)
 	req.Stuck = s.progress.stuck(time.Now())
+	req.Ailing = s.pacer.ailing()
 	if s.tellNext.Load() {
 		req.Known = s.pacer.known()
 	}
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -47,6 +47,13 @@
 	// worth moving elsewhere.
 	stallPace = 50
 	stallTime = 1500 * time.Millisecond
+	// ailingAfter is the readings in a row with a tail too long and nothing that
+	// fills at work after which the worker itself is taken to be unwell.
+	ailingAfter = 4
+	// unwellSpan is the readings in a row for which filling runs may work on a
+	// worker that seems to be unwell. The judgement may be wrong: a pace takes
+	// effect late, or its call was lost. Two seconds of four keep the bound.
+	unwellSpan = 4
 	// maxReadings bounds what is kept for the leader.
 	maxReadings = 16
 )
@@ -71,6 +78,8 @@
 	costs    map[imagePair]float64
 	stepped  time.Time // when the pace last followed a reading
 	over     int       // readings in a row with a tail too long
+	alone    int       // of these, the last ones with nothing filling at work
+	unwell   bool      // tails were too long with nothing filling at work
 	worst    float64   // highest tail against its target, of the last reading
 	readings []control.Reading
 }
@@ -128,6 +137,9 @@
 // note keeps a reading for the leader. Images that are slowed down disturb less
 // and would teach it wrong, so they count only at half their pace or more.
 func (p *pacer) note(sc scene) {
+	if p.unwell {
+		return
+	}
 	fillers := make(map[string]int)
 	for image, n := range sc.count {
 		switch pace := p.paceOf(image); {
@@ -138,6 +150,9 @@
 		}
 	}
 	for image, s := range sc.serving {
+		if len(fillers) == 0 && s.tail > float64(s.targetMS) {
+			continue // the worker is unwell: taught, this would pass for how the image is by itself
+		}
 		p.readings = append(p.readings, control.Reading{Image: image, TailMS: s.tail, TargetMS: s.targetMS, Fillers: fillers})
 	}
 	if n := len(p.readings); n > maxReadings {
@@ -159,15 +174,49 @@
 		p.worst = max(p.worst, s.tail/float64(s.targetMS))
 	}
 	switch {
+	case p.worst > slowAbove && p.nothingFills(sc):
+		if p.alone++; p.alone >= ailingAfter {
+			p.giveUp()
+		}
+	case p.worst > slowAbove && p.unwell && p.over < unwellSpan:
+		p.over++
 	case p.worst > slowAbove:
 		p.over++
 		p.slow(now, sc)
 	case p.worst < calmUnder:
-		p.over = 0
+		p.over, p.alone, p.unwell = 0, 0, false
 		p.letGo(now)
 	default:
-		p.over = 0
+		p.over, p.alone = 0, 0
+	}
+}
+
+// nothingFills reports whether no filling run is at work.
+func (p *pacer) nothingFills(sc scene) bool {
+	for image := range sc.count {
+		if p.paceOf(image) > 0 {
+			return false
+		}
 	}
+	return true
+}
+
+// giveUp lets everything work again for a while: the tails are too long without it
+// too. A
+// worker that is unwell would else be held at a stand, its runs moved one after the
+// other, and its readings taught as the doing of whatever filled there.
+func (p *pacer) giveUp() {
+	p.unwell = true
+	p.over, p.alone = 0, 0
+	p.slowed = make(map[string]*slowdown)
+	p.readings = nil
+}
+
+// ailing reports whether the worker itself seems to be unwell.
+func (p *pacer) ailing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unwell
 }
 
 func (p *pacer) slow(now time.Time, sc scene) {
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -119,7 +119,7 @@
 	s.read(300) // still at full pace when it was read
 	s.p.report(s.now, images)
 	for range 5 {
-		s.read(300)
+		s.read(46) // within the target, but not calm: nothing is let go yet
 	}
 	readings, stalled = s.p.report(s.now, images)
 	if len(stalled) != 2 {
@@ -131,3 +131,37 @@
 		}
 	}
 }
+
+// A worker is unwell: its served tails are far too long whatever fills there. Held at
+// a stand for good the filling runs gain nobody anything, and readings taught as their
+// doing keep them off every other worker. But that judgement may be wrong, so they must
+// not work on for as long as would be held against them.
+func TestUnwellWorkerIsNotBlamedOnFillingRuns(t *testing.T) {
+	s := newStage()
+	worked, longest, row := 0, 0, 0
+	for range 60 { // half a minute
+		s.read(300)
+		if s.pace["heavy"] > 0 {
+			worked++
+			row++
+		} else {
+			row = 0
+		}
+		longest = max(longest, row)
+	}
+	if !s.p.ailing() || worked < 20 {
+		t.Errorf("the runs worked for %d of 60 readings, ailing %v", worked, s.p.ailing())
+	}
+	if span := time.Duration(longest) * readingSpan; span > 3*time.Second {
+		t.Errorf("they worked on for %v while the served task was over its target", span)
+	}
+	if readings, _ := s.p.report(s.now, func() map[runKey]string { return nil }); len(readings) > 0 {
+		t.Errorf("%d readings of an unwell worker are taught", len(readings))
+	}
+	for range 3 {
+		s.read(20)
+	}
+	if s.p.ailing() {
+		t.Error("it is taken to be unwell for ever")
+	}
+}
