A run is stuck sooner if its progress was quick

Cause: a look-up of half a second that stops in the middle was noticed after 2.5 s, past its objective.

--- a/runner/progress.go
+++ b/runner/progress.go
@@ -7,9 +7,18 @@
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 )
 
-// stuckTime is how long a run at full pace may show no progress. Progress is
-// told in hundredths, so a task of three minutes shows some every two seconds.
-const stuckTime = 2500 * time.Millisecond
+// A run at full pace is stuck once it shows no progress for several times as long
+// as it took for a hundredth so far. Progress is told in hundredths.
+const (
+	stuckTimes = 8
+	// leastStuck is longer than a restore of saved progress, which takes up to
+	// 0.6 s and shows none.
+	leastStuck = 900 * time.Millisecond
+	// mostStuck is enough for tasks of up to four minutes; unbegun is the bound
+	// for runs that have shown nothing yet.
+	mostStuck = 2500 * time.Millisecond
+	unbegun   = 1500 * time.Millisecond
+)
 
 // progress notices runs that stand still though nobody slows them down. It is
 // pure.
@@ -22,7 +31,18 @@
 type mark struct {
 	percent    int
 	checkpoint string
-	at         time.Time
+	at         time.Time // when it last showed progress
+	first      time.Time // when it was first seen
+	begun      int       // percent then
+}
+
+// patience is how long the run may show no progress.
+func (m *mark) patience() time.Duration {
+	if m.percent <= m.begun {
+		return unbegun
+	}
+	each := m.at.Sub(m.first) / time.Duration(m.percent-m.begun)
+	return min(max(stuckTimes*each, leastStuck), mostStuck)
 }
 
 func newProgress() *progress { return &progress{seen: make(map[runKey]mark)} }
@@ -36,8 +56,11 @@
 	for _, x := range running {
 		key := runKey{x.Task, x.Run}
 		m, known := p.seen[key]
-		if !known || m.percent != x.Percent || m.checkpoint != x.Checkpoint || slowed[key] || x.Percent >= fullPace {
-			m = mark{x.Percent, x.Checkpoint, now}
+		switch {
+		case !known:
+			m = mark{percent: x.Percent, checkpoint: x.Checkpoint, at: now, first: now, begun: x.Percent}
+		case m.percent != x.Percent || m.checkpoint != x.Checkpoint || slowed[key] || x.Percent >= fullPace:
+			m.percent, m.checkpoint, m.at = x.Percent, x.Checkpoint, now
 		}
 		kept[key] = m
 	}
@@ -50,7 +73,7 @@
 	defer p.mu.Unlock()
 	var out []jobs.Stop
 	for key, m := range p.seen {
-		if now.Sub(m.at) >= stuckTime {
+		if now.Sub(m.at) >= m.patience() {
 			out = append(out, jobs.Stop{Task: key.task, Run: key.run})
 		}
 	}
--- a/runner/progress_test.go
+++ b/runner/progress_test.go
@@ -14,8 +14,8 @@
 	p, now := newProgress(), time.Unix(0, 0)
 	ref := func(id string) jobs.Ref { return jobs.Ref{Job: id} }
 	slowed := map[runKey]bool{{ref("slowed"), 1}: true}
-	for i := range 10 {
-		now = now.Add(stuckTime / 8)
+	for i := range 16 {
+		now = now.Add(unbegun / 8)
 		p.note(now, []RunningRun{
 			{Task: ref("stuck"), Run: 1, Percent: 40},
 			{Task: ref("working"), Run: 1, Percent: 40 + i},
@@ -23,7 +23,7 @@
 			{Task: ref("slowed"), Run: 1, Percent: 40},
 			{Task: ref("lasting"), Run: 1, Percent: fullPace},
 		}, slowed)
-		if stuck := p.stuck(now); i < 8 && len(stuck) > 0 {
+		if stuck := p.stuck(now); i < 7 && len(stuck) > 0 {
 			t.Fatalf("after %d readings %v is stuck", i+1, stuck)
 		}
 	}
@@ -31,3 +31,26 @@
 		t.Errorf("stuck are %v", stuck)
 	}
 }
+
+// A look-up of half a second stops in the middle. Its caller can't wait for as long as
+// a render's could: what it showed so far tells how soon it should have gone on.
+func TestQuickRunsAreStuckSooner(t *testing.T) {
+	p, now := newProgress(), time.Unix(0, 0)
+	ref := func(id string) jobs.Ref { return jobs.Ref{Job: id} }
+	read := func(quick, slow int) {
+		p.note(now, []RunningRun{{Task: ref("quick"), Run: 1, Percent: quick}, {Task: ref("slow"), Run: 1, Percent: slow}}, nil)
+	}
+	read(0, 0)
+	now = now.Add(2 * time.Second)
+	read(80, 1)
+	now = now.Add(leastStuck)
+	read(80, 1)
+	if stuck := p.stuck(now); len(stuck) != 1 || stuck[0].Task != ref("quick") {
+		t.Errorf("after %v stuck are %v", leastStuck, stuck)
+	}
+	now = now.Add(mostStuck)
+	read(80, 1)
+	if stuck := p.stuck(now); len(stuck) != 2 {
+		t.Errorf("after %v stuck are %v", leastStuck+mostStuck, stuck)
+	}
+}
