A job waits a minute at most for its first task

Cause, found by reading: an image that disturbs whoever serves never ran where all workers serve and are well used; only little use let it in. The new test fails without the change.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -15,7 +15,7 @@
 		return true
 	}
 	room := float64(c.free.MilliCPU) + servingSlack*float64(c.servingCPU)
-	if !running && r.waited > startWait && p.sparse[c.worker.Service] {
+	if !running && p.starved(c, r) {
 		return float64(c.filling+st.Need.MilliCPU) <= crowdFactor*float64(c.worker.Capacity.MilliCPU)
 	}
 	if r.outlook == Overdue {
@@ -24,6 +24,12 @@
 	return float64(c.filling+st.Need.MilliCPU) <= room && p.disturbance(c, st) <= 1
 }
 
+// starved reports whether a job with nothing at work has waited for so long that it
+// is let in whatever it disturbs.
+func (p *planner) starved(c *candidate, r request) bool {
+	return r.waited > starveWait || (r.waited > startWait && p.sparse[c.worker.Service])
+}
+
 // disturbance is the expected tail of the worst served task on a worker, with
 // one more filling task there, against what it stands: above 1 it would be over
 // its target. It is 0 where nobody serves.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -29,6 +29,9 @@
 	// startWait is how long a job may have nothing at work where use is
 	// sparse.
 	startWait = time.Second
+	// starveWait is the same however much is in use. An image that disturbs
+	// whoever serves would else never run where all workers do.
+	starveWait = time.Minute
 	// crowdFactor bounds that: filling tasks of this many times a worker's
 	// processors slow each other down by as much.
 	crowdFactor = 2.0
@@ -189,7 +192,7 @@
 	switch {
 	case st.Gang:
 		return len(r.group.Tasks)
-	case !st.Fills || running || p.sparse[r.queue.Service] || r.outlook == Begun:
+	case !st.Fills || running || p.sparse[r.queue.Service] || r.outlook == Begun || r.waited > starveWait:
 		return 1
 	}
 	return int(math.Ceil(wholeShare * float64(r.group.Waiting())))
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -219,6 +219,25 @@
 	}
 }
 
+// All workers serve, are well used, and an image disturbs whoever serves. Its jobs
+// would wait for ever: late they are, but never is worse.
+func TestNobodyStarvesForGood(t *testing.T) {
+	s := newScene(t, 1)
+	s.in.Costs = table{{"watch", "heavy"}: 5}
+	s.submit(1, "/titles/", 0, serving(1, 8000, "watch"))
+	s.pass()
+	heavy := s.submit(2, "/renders/", 0, filling(3, 1000, 1000, "heavy"))
+	for _, c := range []struct {
+		waited time.Duration
+		want   int
+	}{{2 * startWait, 0}, {starveWait + time.Second, 1}} {
+		s.in.Waited = func(*jobs.Group) time.Duration { return c.waited }
+		if got := s.pass()[heavy]; got != c.want {
+			t.Errorf("after %v %d tasks were let in, want %d", c.waited, got, c.want)
+		}
+	}
+}
+
 // A render is slowed to a stand beside a watcher and holds its job up. It is
 // moved where it disturbs nobody, but stays if there is no such place.
 func TestStalledRunIsMoved(t *testing.T) {
