Copies merged and dead state taken out, found by reading the whole change

- dispatch: stalled, stuck and leaving runs were stopped by three copies of one check; now one move() with what is movable passed in.
- dispatch's held() repeated what jobs knows of a step: Step.Held().
- control: the expected time of a run had a second way round the same look-up; the maps of waiting, stalled and stuck runs were read without the lock under which a new leadership replaces them.
- jobs: overAt, remaining and the time of a placement were kept and never read, with a parameter through five functions; a worker's remaining time was decoded for nobody.
Behaviour and assertions stay; tests lose one argument of a call.

--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -21,7 +21,7 @@
 // planResult counts what of a plan took effect.
 type planResult struct{ placed, stale int }
 
-func (s *State) applyJobs(index uint64, now int64, c *JobCommand) (any, error) {
+func (s *State) applyJobs(index uint64, c *JobCommand) (any, error) {
 	switch {
 	case c.Put != nil:
 		return s.Queues.Apply(c.Put.Config), nil
@@ -30,7 +30,7 @@
 	case c.Cancel != nil:
 		return nil, s.cancelJob(c.Cancel, index)
 	case c.Plan != nil:
-		placed, stale := s.Jobs.ApplyPlan(*c.Plan, s.jobRules(), index, now)
+		placed, stale := s.Jobs.ApplyPlan(*c.Plan, s.jobRules(), index)
 		return planResult{placed, stale}, nil
 	case c.Register != nil:
 		return s.Jobs.ApplyRegister(*c.Register, index), nil
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -49,7 +49,7 @@
 	offsets  map[string]time.Duration // agents' wall clocks against started
 	over     map[string]time.Time     // when a job was first seen to be over
 	started  time.Time
-	waiting  map[jobs.GroupKey]time.Time // since when; only run's goroutine uses it
+	waiting  map[jobs.GroupKey]time.Time // since when
 	stalled  map[jobs.Stop]time.Time     // when last reported
 	stuck    map[jobs.Stop]time.Time     // when last reported
 	costs    *costs
@@ -137,12 +137,12 @@
 	begun := time.Now()
 	var plan jobs.Plan
 	d.r.machine.Read(func(s *State) {
-		d.noteWaiting(s.Jobs.Ready(), begun)
+		waiting := d.noteWaiting(s.Jobs.Ready(), begun)
 		in := d.input(s)
-		in.Shunned, in.Stalled = d.shunnedNow(begun, len(s.Jobs.Workers)), d.recent(d.stalled, begun)
-		in.Stuck = d.recent(d.stuck, begun)
+		in.Shunned, in.Stalled = d.shunnedNow(begun, len(s.Jobs.Workers)), d.recent(&d.stalled, begun)
+		in.Stuck = d.recent(&d.stuck, begun)
 		in.Slowness = d.slowness
-		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(d.waiting[g.Key()]) }
+		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(waiting[g.Key()]) }
 		plan = dispatch.Next(in)
 	})
 	dispatchSeconds.UpdateDuration(begun)
@@ -169,7 +169,9 @@
 
 // noteWaiting keeps since when each group has had tasks that could begin. It is
 // this leader's own word: a new one counts anew.
-func (d *dispatcher) noteWaiting(ready []*jobs.Group, now time.Time) {
+func (d *dispatcher) noteWaiting(ready []*jobs.Group, now time.Time) map[jobs.GroupKey]time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	kept := make(map[jobs.GroupKey]time.Time, len(ready))
 	for _, g := range ready {
 		since, ok := d.waiting[g.Key()]
@@ -179,6 +181,7 @@
 		kept[g.Key()] = since
 	}
 	d.waiting = kept
+	return kept // never changed: the next pass makes another
 }
 
 // nowMS is the time that occurrences are due by: the median of the agents'
--- a/control/learned.go
+++ b/control/learned.go
@@ -38,7 +38,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.durations.Note(j.Host+j.Prefix, j.Spec.Steps[e.Task.Step].EstimateMS, e.WorkMS)
-	key := jobs.GroupKey{Job: e.Task.Job, Occurrence: e.Task.Occurrence, Step: e.Task.Step}
+	key := e.Task.Group()
 	if len(l.groups) >= maxSamples {
 		l.groups = make(map[jobs.GroupKey]sample)
 	}
@@ -48,19 +48,6 @@
 	l.groups[key] = g
 }
 
-// expected returns how long a run was expected to take, in ms, by the other runs
-// of its step, or by its queue if there are too few.
-func (l *learned) expected(s *jobs.State, ref jobs.Ref) float64 {
-	j := s.Jobs[ref.Job]
-	if j == nil || ref.Step < 0 || ref.Step >= len(j.Spec.Steps) {
-		return 0
-	}
-	if ms := l.measured(jobs.GroupKey{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}); ms > 0 {
-		return ms
-	}
-	return 0 // a queue's mean says too little of one step
-}
-
 // estimates returns a view for one decision.
 func (l *learned) estimates() *dispatch.Estimates {
 	return &dispatch.Estimates{Durations: l, Measured: l.measured}
@@ -73,6 +60,8 @@
 	return l.durations.Expect(queue, estimateMS)
 }
 
+// measured returns the mean of a group's runs that are done, in ms, 0 for none. A
+// queue's mean would say too little of one step.
 func (l *learned) measured(key jobs.GroupKey) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/control/state.go
+++ b/control/state.go
@@ -87,7 +87,7 @@
 	case c.Settle != nil:
 		return s.Claims.ApplySettle(*c.Settle), nil
 	case c.Jobs != nil:
-		return s.applyJobs(index, c.Now, c.Jobs)
+		return s.applyJobs(index, c.Jobs)
 	}
 	return nil, nil
 }
--- a/control/workers.go
+++ b/control/workers.go
@@ -13,14 +13,15 @@
 // stalledFor is how long a report of a stalled run counts: two renewals.
 const stalledFor = 1500 * time.Millisecond
 
-// recent returns the runs that were reported lately, and forgets the others.
-func (d *dispatcher) recent(reported map[jobs.Stop]time.Time, now time.Time) []jobs.Stop {
+// recent returns the runs that were reported lately, and forgets the others. The map
+// is taken under the lock: a new leadership replaces it.
+func (d *dispatcher) recent(reported *map[jobs.Stop]time.Time, now time.Time) []jobs.Stop {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []jobs.Stop
-	for st, at := range reported {
+	for st, at := range *reported {
 		if now.Sub(at) > stalledFor {
-			delete(reported, st)
+			delete(*reported, st)
 			continue
 		}
 		out = append(out, st)
@@ -148,7 +149,7 @@
 	expected := 0.0
 	d.r.machine.Read(func(s *State) {
 		if e.WorkMS > 0 && e.Outcome == jobs.OutcomeDone {
-			expected = d.learned.expected(s.Jobs, e.Task)
+			expected = d.learned.measured(e.Task.Group())
 			d.learned.note(s.Jobs, e)
 		}
 	})
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -8,7 +8,7 @@
 	if st.Label != "" && !c.worker.HasLabel(st.Label) {
 		return false
 	}
-	if !held(st).Fits(c.free) {
+	if !st.Held().Fits(c.free) {
 		return false
 	}
 	if !st.Fills {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -38,23 +38,9 @@
 			if moved >= maxEvacuations {
 				return
 			}
-			if p.moveOff(ref, id) {
+			if p.move(p.in.Jobs.RunOf(ref), func(s *jobs.Step) bool { return s.Standing }) {
 				moved++
 			}
 		}
 	}
 }
-
-func (p *planner) moveOff(ref jobs.Ref, worker string) bool {
-	g := p.in.Jobs.Group(ref)
-	st := g.Step()
-	placed := g.Tasks[ref.Index].Placed
-	if placed == nil || placed.Stopping || st.Gang || !st.Standing || g.Job().Phase.Over() {
-		return false
-	}
-	if !p.refuge(g, worker) {
-		return false
-	}
-	p.plan.Stops = append(p.plan.Stops, jobs.Stop{Task: ref, Run: placed.Run})
-	return true
-}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -209,7 +209,7 @@
 func (c *candidate) giveBack(st *jobs.Step) { c.add(st, -1) }
 
 func (c *candidate) add(st *jobs.Step, n int64) {
-	need := held(st)
+	need := st.Held()
 	c.free.MilliCPU -= n * need.MilliCPU
 	c.free.MemoryMB -= n * need.MemoryMB
 	c.free.Accelerators -= n * need.Accelerators
@@ -229,15 +229,6 @@
 	}
 }
 
-// held is what a task takes from the room: a filling task takes no processors.
-func held(st *jobs.Step) resource.Vector {
-	n := st.Need
-	if st.Fills {
-		n.MilliCPU = 0
-	}
-	return n
-}
-
 // choose returns the best worker for one more task of a step, nil for none.
 func (p *planner) choose(r request, onWorker map[string]int, running bool) *candidate {
 	st := r.group.Step()
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -64,7 +64,7 @@
 	s.t.Helper()
 	plan := Next(s.in)
 	s.index++
-	_, stale := s.ApplyPlan(plan, rules, s.index, s.in.NowMS)
+	_, stale := s.ApplyPlan(plan, rules, s.index)
 	if stale > 0 {
 		s.t.Fatalf("%d placements of a plan for this very state did not hold", stale)
 	}
@@ -164,7 +164,7 @@
 	two := filling(2, 5000, 1000, "x")
 	two.DependsOn = []int{0}
 	begun := s.submit(4, "/renders/", 59_900, filling(1, 5000, 1000, "x"), two)
-	s.in.Jobs.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: begun, Indexes: []int{0}, Workers: []string{"w0"}}}}, rules, 100, 0)
+	s.in.Jobs.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: begun, Indexes: []int{0}, Workers: []string{"w0"}}}}, rules, 100)
 	s.endAll(begun, 0)
 	for _, want := range []string{begun, fresh, late, overdue} {
 		got := s.pass()
@@ -249,7 +249,7 @@
 		at := s.Jobs[render].Group(0, 0).Tasks[0].Placed
 		s.index++
 		s.submit(1, "/titles/", 0, serving(1, 1000, "watch"))
-		s.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: fmt.Sprintf("%016x", 1), Indexes: []int{0}, Workers: []string{at.Worker}}}}, rules, s.index, 0)
+		s.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: fmt.Sprintf("%016x", 1), Indexes: []int{0}, Workers: []string{at.Worker}}}}, rules, s.index)
 		s.in.Stalled = []jobs.Stop{{Task: jobs.Ref{Job: render}, Run: at.Run}}
 		plan := Next(s.in)
 		if got, want := len(plan.Stops), workers-1; got != want {
@@ -268,7 +268,7 @@
 		title := s.submit(3, "/titles/", 0, task(1, 1000, 1000))
 		for _, id := range []string{watch, render, title} {
 			s.index++
-			s.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: id, Indexes: []int{0}, Workers: []string{"w0"}}}}, rules, s.index, 0)
+			s.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: id, Indexes: []int{0}, Workers: []string{"w0"}}}}, rules, s.index)
 		}
 		leaving := *s.Workers["w0"]
 		leaving.Draining = true
--- a/dispatch/relieve.go
+++ b/dispatch/relieve.go
@@ -11,49 +11,36 @@
 // this the last task of a step took 12 to 31 s where its peers took 2. A run that
 // saves nothing loses what it did, which at a stand is not much: it was slowed
 // soon after its start, or its neighbours would not have put up with it.
+//
+// Runs that make no progress go first, whether they save any or not: their job waits
+// for them for ever. Standing tasks have no progress to tell by.
 func (p *planner) relieve() {
-	moved := p.unstick()
-	for _, st := range p.in.Stalled {
-		if moved >= maxMoves {
-			return
-		}
-		g := p.in.Jobs.Group(st.Task)
-		if g == nil || g.Job().Phase.Over() {
-			continue
-		}
-		placed := g.Tasks[st.Task.Index].Placed
-		if placed == nil || placed.Run != st.Run || placed.Stopping || !g.Step().Checkpointing || g.Step().Gang {
-			continue
+	moved := 0
+	for _, st := range p.in.Stuck {
+		if moved < maxMoves && p.move(st, func(s *jobs.Step) bool { return !s.Standing }) {
+			moved++
 		}
-		if p.refuge(g, placed.Worker) {
-			p.plan.Stops = append(p.plan.Stops, st)
+	}
+	for _, st := range p.in.Stalled {
+		if moved < maxMoves && p.move(st, func(s *jobs.Step) bool { return s.Checkpointing }) {
 			moved++
 		}
 	}
 }
 
-// unstick stops runs that make no progress, whether they save any or not: their
-// job waits for them for ever. Standing tasks have no
-// progress to tell by.
-func (p *planner) unstick() (moved int) {
-	for _, st := range p.in.Stuck {
-		if moved >= maxMoves {
-			break
-		}
-		g := p.in.Jobs.Group(st.Task)
-		if g == nil || g.Job().Phase.Over() || g.Step().Gang || g.Step().Standing {
-			continue
-		}
-		placed := g.Tasks[st.Task.Index].Placed
-		if placed == nil || placed.Run != st.Run || placed.Stopping {
-			continue
-		}
-		if p.refuge(g, placed.Worker) {
-			p.plan.Stops = append(p.plan.Stops, st)
-			moved++
-		}
+// move stops one run that has somewhere better to go, if its step is movable, and
+// reports whether it did. A gang's member is not: the others would end with it.
+func (p *planner) move(st jobs.Stop, movable func(*jobs.Step) bool) bool {
+	g := p.in.Jobs.Group(st.Task)
+	if g == nil || g.Job().Phase.Over() || g.Step().Gang || !movable(g.Step()) {
+		return false
+	}
+	placed := g.Tasks[st.Task.Index].Placed
+	if placed == nil || placed.Run != st.Run || placed.Stopping || !p.refuge(g, placed.Worker) {
+		return false
 	}
-	return moved
+	p.plan.Stops = append(p.plan.Stops, st)
+	return true
 }
 
 // refuge takes room for a moved run on a worker where it disturbs nobody much.
--- a/jobs/fuzz_test.go
+++ b/jobs/fuzz_test.go
@@ -77,7 +77,7 @@
 	for i := range g.Tasks {
 		before[i] = g.Tasks[i].Run
 	}
-	p.ApplyPlan(Plan{Placements: []Placement{pl}}, rules, p.next(), 0)
+	p.ApplyPlan(Plan{Placements: []Placement{pl}}, rules, p.next())
 	for i := range g.Tasks {
 		if r := g.Tasks[i].Placed; r != nil && r.Run > before[i] {
 			ref := g.ref(i)
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -72,6 +72,15 @@
 	return nil
 }
 
+// RunOf names the run that a task has on a worker, with the number 0 for none.
+func (s *State) RunOf(ref Ref) Stop {
+	st := Stop{Task: ref}
+	if r := s.group(ref).Tasks[ref.Index].Placed; r != nil {
+		st.Run = r.Run
+	}
+	return st
+}
+
 func sortedRefs(m map[Ref]*Task) []Ref {
 	refs := slices.Collect(maps.Keys(m))
 	sort.Slice(refs, func(i, k int) bool { return refs[i].less(refs[k]) })
@@ -106,12 +115,12 @@
 // placed and how many it passed over. The plan was made from a snapshot; only
 // the checks made here, on the state at the plan's place in the log, keep a
 // worker from being given more than it has.
-func (s *State) ApplyPlan(p Plan, rules Rules, index uint64, now int64) (placed, stale int) {
+func (s *State) ApplyPlan(p Plan, rules Rules, index uint64) (placed, stale int) {
 	for _, st := range p.Stops {
 		s.applyStop(st, index)
 	}
 	for i := range p.Placements {
-		n := s.applyPlacement(&p.Placements[i], rules, index, now)
+		n := s.applyPlacement(&p.Placements[i], rules, index)
 		placed += n
 		stale += len(p.Placements[i].Indexes) - n
 	}
@@ -129,28 +138,28 @@
 	}
 }
 
-func (s *State) applyPlacement(p *Placement, rules Rules, index uint64, now int64) int {
+func (s *State) applyPlacement(p *Placement, rules Rules, index uint64) int {
 	g := s.group(Ref{p.Job, p.Occurrence, p.Step, 0})
 	if g == nil || g.job.Phase.Over() || !g.dependenciesDone() || len(p.Indexes) != len(p.Workers) {
 		return 0
 	}
 	service := rules.Service(g.job.Host, g.job.Prefix)
 	if g.Step().Gang {
-		return s.placeGang(g, p, service, index, now)
+		return s.placeGang(g, p, service, index)
 	}
 	placed := 0
 	for i, k := range p.Indexes {
 		if k < 0 || k >= len(g.Tasks) || !g.Tasks[k].waits() || !s.Admits(g, p.Workers[i], service) {
 			continue
 		}
-		s.place(g, k, p.Workers[i], g.Tasks[k].Run+1, index, now)
+		s.place(g, k, p.Workers[i], g.Tasks[k].Run+1, index)
 		placed++
 	}
 	return placed
 }
 
 // placeGang places all tasks of a gang under one run number, or none.
-func (s *State) placeGang(g *Group, p *Placement, service string, index uint64, now int64) int {
+func (s *State) placeGang(g *Group, p *Placement, service string, index uint64) int {
 	if len(p.Indexes) != len(g.Tasks) || g.waiting != len(g.Tasks) {
 		return 0
 	}
@@ -162,7 +171,7 @@
 		return 0
 	}
 	for i, k := range p.Indexes {
-		s.place(g, k, p.Workers[i], run+1, index, now)
+		s.place(g, k, p.Workers[i], run+1, index)
 	}
 	return len(p.Indexes)
 }
@@ -218,10 +227,10 @@
 	return n
 }
 
-func (s *State) place(g *Group, k int, worker string, run uint32, index uint64, now int64) {
+func (s *State) place(g *Group, k int, worker string, run uint32, index uint64) {
 	t := &g.Tasks[k]
 	t.Run = run
-	t.Placed = &Placed{Worker: worker, Run: run, At: now}
+	t.Placed = &Placed{Worker: worker, Run: run}
 	s.change(t.Placed, index)
 	s.take(g.ref(k), t)
 	g.waiting--
@@ -255,7 +264,7 @@
 	}
 	switch {
 	case e.Outcome == OutcomeDone:
-		s.completed(g, index)
+		s.completed(g)
 	case e.Outcome == OutcomeFailed && !g.Step().Standing:
 		s.failed(g, t, rules, index)
 	}
@@ -294,22 +303,21 @@
 }
 
 // completed looks what a finished group allows to begin.
-func (s *State) completed(g *Group, index uint64) {
+func (s *State) completed(g *Group) {
 	if g.done < len(g.Tasks) {
 		return
 	}
 	j := g.job
-	j.remaining = 0
+	remaining := 0
 	for _, other := range j.Groups {
 		if other.done < len(other.Tasks) {
-			j.remaining++
+			remaining++
 		}
 		s.review(other)
 	}
-	if j.remaining == 0 && !j.Phase.Over() {
+	if remaining == 0 && !j.Phase.Over() {
 		s.setPhase(j, Completed)
 		s.live--
-		j.overAt = index
 	}
 }
 
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -68,7 +68,7 @@
 }
 
 func (s *State) derive(j *Job) {
-	j.remaining, j.active = 0, 0
+	j.active = 0
 	for i, g := range j.Groups {
 		g.job, g.occurrence, g.step = j, i/len(j.Spec.Steps), i%len(j.Spec.Steps)
 		g.done, g.waiting = 0, 0
@@ -85,9 +85,6 @@
 				s.take(g.ref(k), t)
 			}
 		}
-		if g.done < len(g.Tasks) {
-			j.remaining++
-		}
 	}
 	if j.Phase == Queued {
 		s.pending[j.Host+j.Prefix]++
@@ -108,6 +105,9 @@
 	Occurrence, Step int
 }
 
+// Group names the group that a task belongs to.
+func (r Ref) Group() GroupKey { return GroupKey{r.Job, r.Occurrence, r.Step} }
+
 // Key returns the group's name.
 func (g *Group) Key() GroupKey { return GroupKey{g.job.ID, g.occurrence, g.step} }
 
@@ -283,6 +283,13 @@
 // FillUnits returns the units of work of a filling task, at least one.
 func FillUnits(milliCPU int64) int { return int(max(1, (milliCPU+fillUnit/2)/fillUnit)) }
 
+// Held returns what a task of the step takes from a worker's room: a filling one
+// takes no processors.
+func (st *Step) Held() resource.Vector {
+	held, _ := heldBy(st)
+	return held
+}
+
 // heldBy returns what a run of a step takes from a worker's room, and the
 // processors it only fills.
 func heldBy(st *Step) (held resource.Vector, filling int64) {
@@ -357,7 +364,6 @@
 func (s *State) end(j *Job, p Phase, index uint64) {
 	s.setPhase(j, p)
 	s.live--
-	j.overAt = index
 	for _, g := range j.Groups {
 		delete(s.ready, g)
 		for i := range g.Tasks {
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -48,7 +48,7 @@
 }
 
 func (w *world) place(job string, step int, index int, worker string) int {
-	placed, _ := w.ApplyPlan(Plan{Placements: []Placement{{Job: job, Step: step, Indexes: []int{index}, Workers: []string{worker}}}}, rules, w.next(), 0)
+	placed, _ := w.ApplyPlan(Plan{Placements: []Placement{{Job: job, Step: step, Indexes: []int{index}, Workers: []string{worker}}}}, rules, w.next())
 	return placed
 }
 
@@ -275,7 +275,7 @@
 	gang.Gang, gang.Checkpointing = true, true
 	w.submit(idA, gang)
 	plan := func(workers ...string) int {
-		placed, _ := w.ApplyPlan(Plan{Placements: []Placement{{Job: idA, Indexes: []int{0, 1, 2}, Workers: workers}}}, rules, w.next(), 0)
+		placed, _ := w.ApplyPlan(Plan{Placements: []Placement{{Job: idA, Indexes: []int{0, 1, 2}, Workers: workers}}}, rules, w.next())
 		return placed
 	}
 	if plan("w1", "w1", "w1") != 0 || w.Use("w1").Held.MilliCPU != 0 || w.Ready()[0].Waiting() != 3 {
@@ -339,7 +339,7 @@
 	}
 	for k := range 2 {
 		p := Placement{Job: idA, Occurrence: k, Indexes: []int{0}, Workers: []string{"w1"}}
-		w.ApplyPlan(Plan{Placements: []Placement{p}}, rules, w.next(), 0)
+		w.ApplyPlan(Plan{Placements: []Placement{p}}, rules, w.next())
 		if w.phase(idA) != Running {
 			t.Fatalf("before occurrence %d is done the job is %v", k, w.phase(idA))
 		}
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -157,9 +157,7 @@
 	// in milliseconds since 1970. It only orders work.
 	AcceptedAt int64    `msgpack:"a"`
 	Groups     []*Group `msgpack:"g"` // by occurrence, then step
-	remaining  int      // groups that are not done
 	active     int      // runs that hold room
-	overAt     uint64   // log index at which it ended, 0 before
 }
 
 // Group is one step of one occurrence.
@@ -194,7 +192,6 @@
 	// Changed is the log index of the newest decision on the run. An agent
 	// that knows everything up to an index asks for what changed after it.
 	Changed uint64 `msgpack:"c"`
-	At      int64  `msgpack:"a"` // leader's wall clock, milliseconds
 }
 
 // waits reports whether a task of a live job needs a place.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -139,8 +139,6 @@
 	Labels     []string
 	Capacity   resource.Vector
 	Draining   bool
-	// Remaining is how long a draining worker stays at least.
-	Remaining time.Duration
 	// Sequence rises with each heartbeat of an incarnation.
 	Sequence uint64
 }
