Copies of runs that take long; one round trip less on the way to a start; racks

A worker that turns slow or stands still without failing holds up whole jobs. Steps that allow copies were accepted and none was made. Submissions waited 10 ms and a round trip for a majority's word that only a refusal needs.

The dispatcher begins one when the run is slower than its peers and waiting longer would make the job late (dispatch/copies.go). A leader asks the majority only before it refuses. Orders tell how long their task has waited, and agents keep histograms from submit to start and from a step's end to the next start.

Copies cost no room that jobs miss: they come after all placements of a pass.

--- a/control/admission.go
+++ b/control/admission.go
@@ -8,27 +8,24 @@
 // admit refuses a job that can't be in time. A job that is known, or may be in a
 // moment, is never refused: its caller lost an answer, and being told "not run"
 // now would be a lie.
+//
+// A majority has to confirm only a refusal: a job that is taken in is committed, which
+// confirms as much. That saves every other caller a round trip.
 func (d *dispatcher) admit(c *SubmitJob) error {
-	if err := d.r.confirmedLeader(); err != nil {
-		return err
-	}
 	key := c.Host + c.Path
 	d.mu.Lock()
 	running := d.inFlight[key] > 0
 	d.inFlight[key]++
 	d.mu.Unlock()
 	c.AtMS = d.nowMS()
-	if running {
+	if running || !d.judge(c).Refuse {
 		return nil
 	}
-	var v dispatch.Verdict
-	d.r.machine.Read(func(s *State) {
-		q, id := s.Queues.Config.Match(c.Host, c.Path)
-		if q == nil || s.Jobs.Jobs[id] != nil {
-			return
-		}
-		v = dispatch.Admit(d.input(s), q, &c.Spec)
-	})
+	if err := d.r.confirmedLeader(); err != nil {
+		d.submitted(c)
+		return err
+	}
+	v := d.judge(c)
 	if !v.Refuse {
 		return nil
 	}
@@ -38,6 +35,18 @@
 	return e
 }
 
+// judge decides by what this replica knows.
+func (d *dispatcher) judge(c *SubmitJob) (v dispatch.Verdict) {
+	d.r.machine.Read(func(s *State) {
+		q, id := s.Queues.Config.Match(c.Host, c.Path)
+		if q == nil || s.Jobs.Jobs[id] != nil {
+			return
+		}
+		v = dispatch.Admit(d.input(s), q, &c.Spec)
+	})
+	return v
+}
+
 // submitted ends what admit began.
 func (d *dispatcher) submitted(c *SubmitJob) {
 	key := c.Host + c.Path
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -31,6 +31,7 @@
 	dispatchSeconds = metrics.NewHistogram(`waxwinghaven_dispatch_pass_seconds`)
 	placedTotal     = metrics.NewCounter(`waxwinghaven_tasks_placed_total`)
 	staleTotal      = metrics.NewCounter(`waxwinghaven_placements_stale_total`)
+	copiesTotal     = metrics.NewCounter(`waxwinghaven_copies_placed_total`)
 	workersLost     = metrics.NewCounter(`waxwinghaven_workers_lost_total`)
 )
 
@@ -55,11 +56,13 @@
 	costs    *costs
 	learned  *learned
 	health   *dispatch.Health
+	starts   *starts
+	looked   time.Time      // for runs that need a copy, last
 	inFlight map[string]int // submissions being committed, by host and path
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(), learned: newLearned(), health: dispatch.NewHealth(), inFlight: make(map[string]int)}
+	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(), learned: newLearned(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int)}
 	d.reset(0)
 	return d
 }
@@ -141,6 +144,7 @@
 		in := d.input(s)
 		in.Shunned, in.Stalled = d.shunnedNow(begun, len(s.Jobs.Workers)), d.recent(&d.stalled, begun)
 		in.Stuck = d.recent(&d.stuck, begun)
+		in.Copies = d.copiesDue(begun)
 		in.Slowness = d.slowness
 		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(waiting[g.Key()]) }
 		plan = dispatch.Next(in)
@@ -157,11 +161,29 @@
 	res := v.(planResult)
 	placedTotal.Add(res.placed)
 	staleTotal.Add(res.stale)
+	for i := range plan.Placements {
+		if p := &plan.Placements[i]; p.Copy {
+			copiesTotal.Inc()
+			logrus.WithFields(logrus.Fields{"job": p.Job, "step": p.Step, "task": p.Indexes, "worker": p.Workers}).Info("control: Placed a copy of a run that takes long.")
+		}
+	}
 	if res.stale > 0 {
 		d.wake()
 	}
 }
 
+// copiesEvery is the least time between two looks for runs that need a copy: a few in
+// a hundred of the shortest duration that one is worth something for.
+const copiesEvery = 50 * time.Millisecond
+
+func (d *dispatcher) copiesDue(now time.Time) bool {
+	if now.Sub(d.looked) < copiesEvery {
+		return false
+	}
+	d.looked = now
+	return true
+}
+
 // input is what every decision is made from.
 func (d *dispatcher) input(s *State) dispatch.Input {
 	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Costs: d.costs, Estimates: d.learned.estimates()}
@@ -221,6 +243,9 @@
 			}
 		}
 	})
+	d.r.machine.Read(func(s *State) {
+		d.starts.forget(func(job string) bool { return s.Jobs.Jobs[job] != nil })
+	})
 	if len(ids) == 0 {
 		return
 	}
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -47,6 +47,7 @@
 }
 
 func (r *Replica) onSubmitJob(c SubmitJob) (Empty, error) {
+	arrived := time.Now()
 	if err := c.Spec.Validate(); err != nil {
 		return Empty{}, err
 	}
@@ -58,6 +59,11 @@
 	r.dispatcher.submitted(&c)
 	r.logCall("submit", JobCall{c.Host, c.Path}, err)
 	if err == nil {
+		r.machine.Read(func(s *State) {
+			if _, _, id, err := s.findQueue(JobCall{c.Host, c.Path}); err == nil {
+				r.dispatcher.starts.submitted(id, arrived)
+			}
+		})
 		logrus.WithFields(logrus.Fields{"job": c.Path, "steps": c.Spec.String()}).Info("control: Took a job in.")
 		r.dispatcher.wake()
 	}
@@ -211,7 +217,10 @@
 			return OrdersAnswer{}, err
 		}
 		var a OrdersAnswer
-		r.machine.Read(func(s *State) { a.Index, a.Orders = s.Index, s.Jobs.Orders(req.Worker, req.Since) })
+		r.machine.Read(func(s *State) {
+			a.Index, a.Orders = s.Index, s.Jobs.Orders(req.Worker, req.Since)
+			r.dispatcher.starts.fill(s.Jobs, a.Orders, time.Now())
+		})
 		if len(a.Orders) > 0 {
 			return a, nil
 		}
@@ -229,11 +238,12 @@
 
 // onEnds commits ends. Only then may the agent let the worker forget them.
 func (r *Replica) onEnds(req RunEnds) (Empty, error) {
+	arrived := time.Now()
 	_, err := r.proposeJob(JobCommand{Ends: &req})
 	if err != nil {
 		return Empty{}, err
 	}
-	r.dispatcher.ended(req)
+	r.dispatcher.ended(req, arrived)
 	return Empty{}, nil
 }
 
--- a/control/workers.go
+++ b/control/workers.go
@@ -130,8 +130,9 @@
 	d.wake()
 }
 
-// ended reacts to committed ends.
-func (d *dispatcher) ended(req RunEnds) {
+// ended reacts to committed ends, whose report arrived at a time.
+func (d *dispatcher) ended(req RunEnds, at time.Time) {
+	d.r.machine.Read(func(s *State) { d.starts.ended(s.Jobs, req.Ends, at) })
 	for _, e := range req.Ends {
 		d.noteEnd(req.Worker, e)
 		if e.Outcome == jobs.OutcomeRejected {
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		f := in.Estimates.forecast(j, other, 0)
-		if f.outlook(age(j, in.NowMS)) <= Fresh {
+		if f.outlook(age(j, 0, in.NowMS)) <= Fresh {
 			ahead += f.work
 		}
 	}
@@ -127,8 +127,9 @@
 	return false
 }
 
-func age(j *jobs.Job, nowMS int64) time.Duration {
-	return time.Duration(nowMS-j.AcceptedAt) * time.Millisecond
+// age is the time since a job was accepted, or was due if that was later.
+func age(j *jobs.Job, dueMS, nowMS int64) time.Duration {
+	return time.Duration(nowMS-max(j.AcceptedAt, dueMS)) * time.Millisecond
 }
 
 // roomFor returns the processors of a service, in thousandths, that jobs of a
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -89,9 +89,7 @@
 	if st.PreferredRack != "" && !c.worker.HasLabel(st.PreferredRack) {
 		cost += farCost
 	}
-	if p.in.Slowness != nil {
-		cost += slowCost * p.in.Slowness(c.worker.ID)
-	}
+	cost += slowCost * p.slowness(c.worker.ID)
 	if st.Fills && len(c.serving) > 0 {
 		cost += besideCost + disturbCost*p.disturbance(c, st)
 	}
@@ -103,3 +101,10 @@
 	}
 	return cost
 }
+
+func (p *planner) slowness(worker string) float64 {
+	if p.in.Slowness == nil {
+		return 0
+	}
+	return p.in.Slowness(worker)
+}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -38,7 +38,7 @@
 			if moved >= maxEvacuations {
 				return
 			}
-			if p.move(p.in.Jobs.RunOf(ref), func(s *jobs.Step) bool { return s.Standing }) {
+			if p.move(p.in.Jobs.RunOn(ref, id), func(s *jobs.Step) bool { return s.Standing }) {
 				moved++
 			}
 		}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -47,9 +47,8 @@
 		return
 	}
 	f := p.in.Estimates.forecast(j, r.queue, r.group.Occurrence())
-	from := max(j.AcceptedAt, r.group.DueAt())
-	r.outlook = f.outlook(time.Duration(p.in.NowMS-from) * time.Millisecond)
-	r.due = from + f.deadline.Milliseconds()
+	r.outlook = f.outlook(age(j, r.group.DueAt(), p.in.NowMS))
+	r.due = max(j.AcceptedAt, r.group.DueAt()) + f.deadline.Milliseconds()
 }
 
 // before orders by priority, then by what the jobs can still come to, then by when
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -54,14 +54,15 @@
 
 func queueKey(j *jobs.Job) string { return j.Host + j.Prefix }
 
-// taskMS is the expected duration of a group's tasks.
-func (e *Estimates) taskMS(j *jobs.Job, occurrence, step int) float64 {
+// taskMS is the expected duration of a group's tasks, and whether it was measured on
+// the group itself.
+func (e *Estimates) taskMS(j *jobs.Job, occurrence, step int) (ms float64, measured bool) {
 	if e.Measured != nil {
 		if ms := e.Measured(jobs.GroupKey{Job: j.ID, Occurrence: occurrence, Step: step}); ms > 0 {
-			return ms
+			return ms, true
 		}
 	}
-	return e.Durations.Expect(queueKey(j), j.Spec.Steps[step].EstimateMS)
+	return e.Durations.Expect(queueKey(j), j.Spec.Steps[step].EstimateMS), false
 }
 
 // forecast looks ahead for one occurrence of a job.
@@ -71,7 +72,7 @@
 	var f forecast
 	chain, rest := 0.0, 0.0
 	for i := range steps {
-		ms := e.taskMS(j, occurrence, i)
+		ms, _ := e.taskMS(j, occurrence, i)
 		open, placed := j.Group(occurrence, i).Open()
 		own := 0.0
 		if open > 0 {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -66,6 +66,9 @@
 	Stuck []jobs.Stop
 	// Estimates tells how long tasks will take, nil to go by acceptance only.
 	Estimates *Estimates
+	// Copies says to look for runs that take too long. It takes a look at each run
+	// that may have a copy, so it isn't done in every pass.
+	Copies bool
 	// Slowness returns how much longer a worker's runs take than expected, as
 	// a logarithm, nil for not at all.
 	Slowness func(worker string) float64
@@ -89,6 +92,7 @@
 	sparse  map[string]bool         // services with much room, see sparseUse
 	plan    jobs.Plan
 	placed  int
+	copied  int
 }
 
 // candidate is a worker with the room it has left in this pass.
@@ -105,9 +109,9 @@
 
 // Next returns the placements for what waits and fits.
 func Next(in Input) jobs.Plan {
-	p := &planner{in: in}
-	requests := p.requests()
-	if len(requests) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 && !anyDraining(in.Jobs) {
+	p := &planner{in: in, plan: jobs.Plan{AtMS: in.NowMS}}
+	requests, overdue := p.requests(), p.overdue()
+	if len(requests) == 0 && len(overdue) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 && !anyDraining(in.Jobs) {
 		return p.plan
 	}
 	p.gather()
@@ -119,6 +123,7 @@
 		}
 		p.place(r)
 	}
+	p.copies(overdue)
 	return p.plan
 }
 
@@ -149,41 +154,61 @@
 }
 
 func (p *planner) place(r request) {
-	pl := jobs.Placement{Job: r.group.Job().ID, Occurrence: r.group.Occurrence(), Step: r.group.StepIndex()}
-	onWorker := make(map[string]int)
-	var taken []*candidate
-	st := r.group.Step()
 	running := r.group.Job().Active() > 0
-	for i := range r.group.Tasks {
-		t := &r.group.Tasks[i]
-		if t.Placed != nil {
-			onWorker[t.Placed.Worker]++
-		}
+	f := p.fillOn(r, running)
+	if len(f.pl.Indexes) < p.least(r, running) {
+		f.undo(r.group.Step())
+		return
+	}
+	if len(f.pl.Indexes) > 0 {
+		p.plan.Placements = append(p.plan.Placements, f.pl)
+		p.placed += len(f.pl.Indexes)
 	}
+}
+
+// filled is the placement of as many tasks of a group as have room.
+type filled struct {
+	pl    jobs.Placement
+	taken []*candidate // by task
+}
+
+func (f *filled) undo(st *jobs.Step) {
+	for _, c := range f.taken {
+		c.giveBack(st)
+	}
+}
+
+// fill places the waiting tasks of a group on the workers that pass the test, nil for
+// all.
+func (p *planner) fill(r request, running bool, test func(*candidate) bool) filled {
+	f := filled{pl: jobs.Placement{Job: r.group.Job().ID, Occurrence: r.group.Occurrence(), Step: r.group.StepIndex()}}
+	onWorker := p.onWorker(r.group)
 	for i := range r.group.Tasks {
 		if t := &r.group.Tasks[i]; t.Done || t.Placed != nil {
 			continue
 		}
-		c := p.choose(r, onWorker, running || len(taken) > 0)
+		c := p.choose(r, onWorker, running || len(f.taken) > 0, test)
 		if c == nil {
 			break // the tasks of a step are alike: the next would not fit either
 		}
-		c.take(st)
+		c.take(r.group.Step())
 		onWorker[c.worker.ID]++
-		taken = append(taken, c)
-		pl.Indexes = append(pl.Indexes, i)
-		pl.Workers = append(pl.Workers, c.worker.ID)
+		f.taken = append(f.taken, c)
+		f.pl.Indexes = append(f.pl.Indexes, i)
+		f.pl.Workers = append(f.pl.Workers, c.worker.ID)
 	}
-	if len(pl.Indexes) < p.least(r, running) {
-		for _, c := range taken {
-			c.giveBack(st)
+	return f
+}
+
+// onWorker counts a group's runs by worker, copies included.
+func (p *planner) onWorker(g *jobs.Group) map[string]int {
+	out := make(map[string]int)
+	for i := range g.Tasks {
+		for _, r := range g.Tasks[i].Runs() {
+			out[r.Worker]++
 		}
-		return
-	}
-	if len(pl.Indexes) > 0 {
-		p.plan.Placements = append(p.plan.Placements, pl)
-		p.placed += len(pl.Indexes)
 	}
+	return out
 }
 
 // least is how many of a group's waiting tasks have to fit for any to be placed.
@@ -229,13 +254,14 @@
 	}
 }
 
-// choose returns the best worker for one more task of a step, nil for none.
-func (p *planner) choose(r request, onWorker map[string]int, running bool) *candidate {
+// choose returns the best worker for one more task of a step, nil for none. Only those
+// count that pass the test, nil for all.
+func (p *planner) choose(r request, onWorker map[string]int, running bool, test func(*candidate) bool) *candidate {
 	st := r.group.Step()
 	var best *candidate
 	bestCost := 0.0
 	for _, c := range p.workers[r.queue.Service] {
-		if !p.fits(c, r, running) || (st.MaxPerWorker > 0 && onWorker[c.worker.ID] >= st.MaxPerWorker) {
+		if (test != nil && !test(c)) || !p.fits(c, r, running) || (st.MaxPerWorker > 0 && onWorker[c.worker.ID] >= st.MaxPerWorker) {
 			continue
 		}
 		if cost := p.cost(c, st); best == nil || cost < bestCost {
--- a/dispatch/relieve.go
+++ b/dispatch/relieve.go
@@ -13,11 +13,12 @@
 // soon after its start, or its neighbours would not have put up with it.
 //
 // Runs that make no progress go first, whether they save any or not: their job waits
-// for them for ever. Standing tasks have no progress to tell by.
+// for them for ever. Standing tasks have no progress to tell by, and where copies are
+// allowed one is placed instead: it begins before the stop would be answered.
 func (p *planner) relieve() {
 	moved := 0
 	for _, st := range p.in.Stuck {
-		if moved < maxMoves && p.move(st, func(s *jobs.Step) bool { return !s.Standing }) {
+		if moved < maxMoves && p.move(st, func(s *jobs.Step) bool { return !s.Standing && !s.Speculative }) {
 			moved++
 		}
 	}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -55,7 +55,7 @@
 	}
 	if u := s.use[id]; u != nil {
 		for _, ref := range sortedRefs(u.Runs) {
-			s.vacate(ref, u.Runs[ref])
+			s.vacate(ref, u.Runs[ref], id)
 		}
 	}
 	delete(s.Workers, id)
@@ -72,10 +72,10 @@
 	return nil
 }
 
-// RunOf names the run that a task has on a worker, with the number 0 for none.
-func (s *State) RunOf(ref Ref) Stop {
+// RunOn names the run that a task has on a worker, with the number 0 for none.
+func (s *State) RunOn(ref Ref, worker string) Stop {
 	st := Stop{Task: ref}
-	if r := s.group(ref).Tasks[ref.Index].Placed; r != nil {
+	if r := s.group(ref).Tasks[ref.Index].On(worker); r != nil {
 		st.Run = r.Run
 	}
 	return st
@@ -83,10 +83,14 @@
 
 func sortedRefs(m map[Ref]*Task) []Ref {
 	refs := slices.Collect(maps.Keys(m))
-	sort.Slice(refs, func(i, k int) bool { return refs[i].less(refs[k]) })
+	sortRefs(refs)
 	return refs
 }
 
+func sortRefs(refs []Ref) {
+	sort.Slice(refs, func(i, k int) bool { return refs[i].less(refs[k]) })
+}
+
 func (r Ref) less(o Ref) bool {
 	switch {
 	case r.Job != o.Job:
@@ -99,15 +103,16 @@
 	return r.Index < o.Index
 }
 
-// vacate frees the room of a run that has certainly ended.
-func (s *State) vacate(ref Ref, t *Task) {
-	g := s.group(ref)
-	s.release(ref, t)
-	t.Placed = nil
+// vacate frees the room of a task's run on a worker that has certainly ended.
+func (s *State) vacate(ref Ref, t *Task, worker string) {
+	g, r := s.group(ref), t.On(worker)
+	s.release(ref, r)
+	t.clear(r)
 	g.job.active--
 	if t.waits() {
 		g.waiting++
 	}
+	s.reviewCopy(g, ref.Index)
 	s.review(g)
 }
 
@@ -120,7 +125,7 @@
 		s.applyStop(st, index)
 	}
 	for i := range p.Placements {
-		n := s.applyPlacement(&p.Placements[i], rules, index)
+		n := s.applyPlacement(&p.Placements[i], rules, index, p.AtMS)
 		placed += n
 		stale += len(p.Placements[i].Indexes) - n
 	}
@@ -132,34 +137,46 @@
 	if g == nil {
 		return
 	}
-	if r := g.Tasks[st.Task.Index].Placed; r != nil && r.Run == st.Run && !r.Stopping {
-		r.Stopping = true
-		s.change(r, index)
+	for _, r := range g.Tasks[st.Task.Index].Runs() {
+		if r.Run == st.Run && !r.Stopping {
+			r.Stopping = true
+			s.change(r, index)
+			s.reviewCopy(g, st.Task.Index)
+		}
 	}
 }
 
-func (s *State) applyPlacement(p *Placement, rules Rules, index uint64) int {
+func (s *State) applyPlacement(p *Placement, rules Rules, index uint64, atMS int64) int {
 	g := s.group(Ref{p.Job, p.Occurrence, p.Step, 0})
 	if g == nil || g.job.Phase.Over() || !g.dependenciesDone() || len(p.Indexes) != len(p.Workers) {
 		return 0
 	}
 	service := rules.Service(g.job.Host, g.job.Prefix)
 	if g.Step().Gang {
-		return s.placeGang(g, p, service, index)
+		return s.placeGang(g, p, service, index, atMS)
 	}
 	placed := 0
 	for i, k := range p.Indexes {
-		if k < 0 || k >= len(g.Tasks) || !g.Tasks[k].waits() || !s.Admits(g, p.Workers[i], service) {
+		if k < 0 || k >= len(g.Tasks) || !s.mayStart(g, k, p.Workers[i], p.Copy) || !s.Admits(g, p.Workers[i], service) {
 			continue
 		}
-		s.place(g, k, p.Workers[i], g.Tasks[k].Run+1, index)
+		s.place(g, k, Placed{Worker: p.Workers[i], Run: g.Tasks[k].Run + 1, AtMS: atMS}, index)
 		placed++
 	}
 	return placed
 }
 
+// mayStart reports whether a task needs a run, or with copied set may have a second
+// one on a worker.
+func (s *State) mayStart(g *Group, k int, worker string, copied bool) bool {
+	if !copied {
+		return g.Tasks[k].waits()
+	}
+	return g.takesCopy(k) && g.Tasks[k].Placed.Worker != worker
+}
+
 // placeGang places all tasks of a gang under one run number, or none.
-func (s *State) placeGang(g *Group, p *Placement, service string, index uint64) int {
+func (s *State) placeGang(g *Group, p *Placement, service string, index uint64, atMS int64) int {
 	if len(p.Indexes) != len(g.Tasks) || g.waiting != len(g.Tasks) {
 		return 0
 	}
@@ -171,7 +188,7 @@
 		return 0
 	}
 	for i, k := range p.Indexes {
-		s.place(g, k, p.Workers[i], run+1, index)
+		s.place(g, k, Placed{Worker: p.Workers[i], Run: run + 1, AtMS: atMS}, index)
 	}
 	return len(p.Indexes)
 }
@@ -220,20 +237,26 @@
 func (s *State) countOn(g *Group, worker string) int {
 	n := 0
 	for i := range g.Tasks {
-		if r := g.Tasks[i].Placed; r != nil && r.Worker == worker {
+		if g.Tasks[i].On(worker) != nil {
 			n++
 		}
 	}
 	return n
 }
 
-func (s *State) place(g *Group, k int, worker string, run uint32, index uint64) {
+// place gives a task a run, or a copy if it has one.
+func (s *State) place(g *Group, k int, r Placed, index uint64) {
 	t := &g.Tasks[k]
-	t.Run = run
-	t.Placed = &Placed{Worker: worker, Run: run}
-	s.change(t.Placed, index)
-	s.take(g.ref(k), t)
-	g.waiting--
+	t.Run = r.Run
+	if t.waits() {
+		t.Placed = &r
+		g.waiting--
+	} else {
+		t.Copy = &r
+	}
+	s.change(&r, index)
+	s.take(g.ref(k), t, &r)
+	s.reviewCopy(g, k)
 	g.job.active++
 	if g.job.Phase == Queued {
 		s.setPhase(g.job, Running)
@@ -249,7 +272,7 @@
 		return
 	}
 	t := &g.Tasks[e.Task.Index]
-	if t.Placed == nil || t.Placed.Run != e.Run || t.Placed.Worker != worker {
+	if r := t.On(worker); r == nil || r.Run != e.Run {
 		return
 	}
 	if e.Checkpoint != "" && g.Step().Checkpointing {
@@ -258,14 +281,17 @@
 	if e.Outcome == OutcomeDone && !g.Step().Standing {
 		s.finish(g, t)
 	}
-	s.vacate(e.Task, t)
+	s.vacate(e.Task, t, worker)
 	if g.job.Phase.Over() {
 		return
 	}
+	if t.Done {
+		s.stopRuns(t, index) // a copy has nothing left to do
+	}
 	switch {
 	case e.Outcome == OutcomeDone:
 		s.completed(g)
-	case e.Outcome == OutcomeFailed && !g.Step().Standing:
+	case e.Outcome == OutcomeFailed && !g.Step().Standing && !t.Done:
 		s.failed(g, t, rules, index)
 	}
 }
@@ -346,12 +372,13 @@
 	var out []Order
 	for _, ref := range sortedRefs(u.Runs) {
 		t := u.Runs[ref]
-		if t.Placed.Changed <= since {
+		r := t.On(worker)
+		if r.Changed <= since {
 			continue
 		}
 		j := s.Jobs[ref.Job]
 		st := &j.Spec.Steps[ref.Step]
-		o := Order{Task: ref, Run: t.Placed.Run, Stop: t.Placed.Stopping}
+		o := Order{Task: ref, Run: r.Run, Stop: r.Stopping}
 		if !o.Stop {
 			o.Payload, o.Checkpoint, o.TargetMS, o.Fills = j.Spec.Payload, t.Checkpoint, st.TargetMS, st.Fills
 			o.Image, o.MilliCPU = st.Image, st.Need.MilliCPU
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -17,7 +17,8 @@
 	byAgent map[string]*Worker
 	use     map[string]*Use // by worker id
 	ready   map[*Group]struct{}
-	pending map[string]int // jobs without a started task, by host and prefix
+	alone   map[Ref]struct{} // tasks at work that may have a copy and have none
+	pending map[string]int   // jobs without a started task, by host and prefix
 	live    int
 	touched []string // workers whose orders changed
 }
@@ -57,6 +58,7 @@
 	s.byAgent = make(map[string]*Worker)
 	s.use = make(map[string]*Use)
 	s.ready = make(map[*Group]struct{})
+	s.alone = make(map[Ref]struct{})
 	s.pending = make(map[string]int)
 	s.live = 0
 	for _, w := range s.Workers {
@@ -80,10 +82,11 @@
 			if t.waits() {
 				g.waiting++
 			}
-			if t.Placed != nil {
+			for _, r := range t.Runs() {
 				j.active++
-				s.take(g.ref(k), t)
+				s.take(g.ref(k), t, r)
 			}
+			s.reviewCopy(g, k)
 		}
 	}
 	if j.Phase == Queued {
@@ -156,6 +159,37 @@
 	delete(s.ready, g)
 }
 
+// reviewCopy enters a task into the set of those that may have a copy, or takes it
+// out.
+func (s *State) reviewCopy(g *Group, k int) {
+	if g.takesCopy(k) {
+		s.alone[g.ref(k)] = struct{}{}
+		return
+	}
+	delete(s.alone, g.ref(k))
+}
+
+// takesCopy reports whether a task may have a second run. The members of a gang work
+// together only, and a standing task never ends, so neither has one.
+func (g *Group) takesCopy(k int) bool {
+	st, t := g.Step(), &g.Tasks[k]
+	return st.Speculative && !st.Gang && !st.Standing && !g.job.Phase.Over() && !t.Done &&
+		t.Placed != nil && !t.Placed.Stopping && t.Copy == nil
+}
+
+// Alone returns the tasks at work for which a copy is worth a thought, in order: they
+// may have one, have none, and the test returns true for them.
+func (s *State) Alone(test func(Ref, *Group) bool) []Ref {
+	var refs []Ref
+	for ref := range s.alone {
+		if g := s.group(ref); test(ref, g) {
+			refs = append(refs, ref)
+		}
+	}
+	sortRefs(refs)
+	return refs
+}
+
 // Ready returns the groups with tasks that wait for a place only, oldest job
 // first. They must not be changed.
 func (s *State) Ready() []*Group {
@@ -230,11 +264,11 @@
 
 // take and release keep the derived use of a worker equal to the sum over the
 // runs that hold room there.
-func (s *State) take(ref Ref, t *Task) {
-	u := s.use[t.Placed.Worker]
+func (s *State) take(ref Ref, t *Task, r *Placed) {
+	u := s.use[r.Worker]
 	if u == nil {
 		u = &Use{Runs: make(map[Ref]*Task), Serving: make(map[string]int), Fillers: make(map[string]int)}
-		s.use[t.Placed.Worker] = u
+		s.use[r.Worker] = u
 	}
 	st := s.step(ref)
 	need, filling := heldBy(st)
@@ -243,15 +277,15 @@
 	u.count(st, 1)
 }
 
-func (s *State) release(ref Ref, t *Task) {
-	u := s.use[t.Placed.Worker]
+func (s *State) release(ref Ref, r *Placed) {
+	u := s.use[r.Worker]
 	st := s.step(ref)
 	need, filling := heldBy(st)
 	u.Held, u.Filling = u.Held.Sub(need), u.Filling-filling
 	delete(u.Runs, ref)
 	u.count(st, -1)
 	if len(u.Runs) == 0 {
-		delete(s.use, t.Placed.Worker)
+		delete(s.use, r.Worker)
 	}
 }
 
@@ -367,10 +401,18 @@
 	for _, g := range j.Groups {
 		delete(s.ready, g)
 		for i := range g.Tasks {
-			if r := g.Tasks[i].Placed; r != nil && !r.Stopping {
-				r.Stopping = true
-				s.change(r, index)
-			}
+			s.stopRuns(&g.Tasks[i], index)
+			s.reviewCopy(g, i)
+		}
+	}
+}
+
+// stopRuns asks for the stop of all of a task's runs.
+func (s *State) stopRuns(t *Task, index uint64) {
+	for _, r := range t.Runs() {
+		if !r.Stopping {
+			r.Stopping = true
+			s.change(r, index)
 		}
 	}
 }
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -432,3 +432,79 @@
 		t.Errorf("%v became %v (%v)", ref, back, err)
 	}
 }
+
+// A worker takes six times as long as its peers and nothing fails. Where the step
+// allows it, a copy elsewhere ends first: it counts, the slow run is stopped, and what
+// becomes of that counts for nothing.
+func TestTheFirstOfTwoCopiesCounts(t *testing.T) {
+	w := newWorld(t, "w1", "w2", "w3")
+	st := step(1, 100)
+	st.Speculative = true
+	w.submit(idA, st, after(step(1, 100), 0))
+	ref := Ref{Job: idA}
+	if w.placeCopy(ref, "w2") != 0 {
+		t.Fatal("a copy was placed before the task had a run")
+	}
+	w.place(idA, 0, 0, "w1")
+	if w.placeCopy(ref, "w1") != 0 || w.placeCopy(ref, "w2") != 1 || w.placeCopy(ref, "w3") != 0 {
+		t.Fatal("not exactly one copy was placed, on another worker")
+	}
+	orders := w.Orders("w2", 0)
+	if len(orders) != 1 || orders[0].Run != 2 || orders[0].Stop {
+		t.Fatalf("the copy's worker was told %+v", orders)
+	}
+	w.end("w2", ref, 2, OutcomeDone, "")
+	if w.place(idA, 1, 0, "w3") != 1 {
+		t.Fatal("the next step does not begin with the copy's end")
+	}
+	if o := w.Orders("w1", 0); len(o) != 1 || !o[0].Stop || o[0].Run != 1 {
+		t.Fatalf("the slow run's worker was told %+v", o)
+	}
+	for range 3 {
+		w.end("w1", ref, 1, OutcomeFailed, "")
+	}
+	w.end("w3", Ref{Job: idA, Step: 1}, 1, OutcomeDone, "")
+	if w.phase(idA) != Completed || w.Jobs[idA].Active() != 0 {
+		t.Fatalf("the job is %v with %d runs", w.phase(idA), w.Jobs[idA].Active())
+	}
+}
+
+// The worker of the first run is lost while a copy is at work. The copy goes on as the
+// task's only run, may have a copy of its own, and no third run starts beside it.
+func TestACopyOutlivesTheFirstRun(t *testing.T) {
+	w := newWorld(t, "w1", "w2", "w3")
+	st := step(1, 100)
+	st.Speculative = true
+	w.submit(idA, st)
+	ref := Ref{Job: idA}
+	w.place(idA, 0, 0, "w1")
+	w.placeCopy(ref, "w2")
+	w.lose("w1")
+	if len(w.Ready()) != 0 || w.place(idA, 0, 0, "w3") != 0 {
+		t.Fatal("the task waits for a place while its copy runs")
+	}
+	every := func(Ref, *Group) bool { return true }
+	if got := w.Alone(every); len(got) != 1 || w.placeCopy(ref, "w3") != 1 {
+		t.Fatalf("the copy can't have a copy: %v", got)
+	}
+	w.ApplyCancel(idA, w.next())
+	for _, id := range []string{"w2", "w3"} {
+		if o := w.Orders(id, 0); len(o) != 1 || !o[0].Stop {
+			t.Fatalf("%s was told %+v after the cancel", id, o)
+		}
+	}
+	if len(w.Alone(every)) != 0 {
+		t.Fatal("a cancelled job's task can have a copy")
+	}
+}
+
+func after(st Step, step int) Step {
+	st.DependsOn = []int{step}
+	return st
+}
+
+func (w *world) placeCopy(ref Ref, worker string) int {
+	p := Placement{Job: ref.Job, Step: ref.Step, Indexes: []int{ref.Index}, Workers: []string{worker}, Copy: true}
+	placed, _ := w.ApplyPlan(Plan{Placements: []Placement{p}}, rules, w.next())
+	return placed
+}
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/resource"
 )
@@ -181,6 +182,9 @@
 	Checkpoint string `msgpack:"c,omitempty"`
 	// Placed is the run that holds room, nil for none.
 	Placed *Placed `msgpack:"p,omitempty"`
+	// Copy is a second run beside Placed, on another worker, of a step that
+	// allows it; nil for none. The first of the two that is done counts.
+	Copy *Placed `msgpack:"k,omitempty"`
 }
 
 // Placed is a run on a worker, from the decision until its end is committed.
@@ -189,6 +193,9 @@
 	Run    uint32 `msgpack:"r"`
 	// Stopping is set once the run is to end.
 	Stopping bool `msgpack:"s,omitempty"`
+	// AtMS is when the leader decided on it, by the median of many clocks, in
+	// milliseconds since 1970. It only tells runs that take long.
+	AtMS int64 `msgpack:"a,omitempty"`
 	// Changed is the log index of the newest decision on the run. An agent
 	// that knows everything up to an index asks for what changed after it.
 	Changed uint64 `msgpack:"c"`
@@ -197,6 +204,35 @@
 // waits reports whether a task of a live job needs a place.
 func (t *Task) waits() bool { return !t.Done && t.Placed == nil }
 
+// On returns the task's run on a worker, nil for none.
+func (t *Task) On(worker string) *Placed {
+	for _, r := range t.Runs() {
+		if r.Worker == worker {
+			return r
+		}
+	}
+	return nil
+}
+
+// Runs returns the task's runs that hold room.
+func (t *Task) Runs() []*Placed {
+	switch {
+	case t.Placed == nil:
+		return nil
+	case t.Copy == nil:
+		return []*Placed{t.Placed}
+	}
+	return []*Placed{t.Placed, t.Copy}
+}
+
+// clear forgets one of the task's runs. A copy that is left takes its place.
+func (t *Task) clear(r *Placed) {
+	if r == t.Placed {
+		t.Placed = t.Copy
+	}
+	t.Copy = nil
+}
+
 // Worker is one incarnation of a worker.
 type Worker struct {
 	ID         string          `msgpack:"i"`
@@ -204,6 +240,7 @@
 	Service    string          `msgpack:"s"`
 	DataCentre string          `msgpack:"z"`
 	Labels     []string        `msgpack:"l"`
+	Rack       string          `msgpack:"k,omitempty"` // one of the labels
 	Capacity   resource.Vector `msgpack:"c"`
 	// Token is the fencing token of the agent's present life. It is the log
 	// index of its registration, so it rises with each.
@@ -276,6 +313,11 @@
 	Fills    bool   `msgpack:"f,omitempty"`
 	Image    string `msgpack:"m,omitempty"`
 	MilliCPU int64  `msgpack:"u,omitempty"`
+	// Waited is how long the task has waited for its first run when the order
+	// left the leader: from the call that handed its job in, or with AfterStep
+	// from the end of the step before. 0 if that is not known. It only measures.
+	Waited    time.Duration `msgpack:"b,omitempty"`
+	AfterStep bool          `msgpack:"a,omitempty"`
 }
 
 // Placement gives tasks of one group to workers. A gang's placement names all
@@ -286,6 +328,8 @@
 	Step       int      `msgpack:"s"`
 	Indexes    []int    `msgpack:"i"`
 	Workers    []string `msgpack:"w"`
+	// Copy places second runs of tasks that are at work already.
+	Copy bool `msgpack:"c,omitempty"`
 }
 
 // Stop asks for the end of one run.
@@ -298,6 +342,8 @@
 type Plan struct {
 	Placements []Placement `msgpack:"p,omitempty"`
 	Stops      []Stop      `msgpack:"s,omitempty"`
+	// AtMS is when it was made, see Placed.
+	AtMS int64 `msgpack:"a,omitempty"`
 }
 
 // Empty reports whether the plan changes nothing.
--- a/runner/run.go
+++ b/runner/run.go
@@ -175,8 +175,8 @@
 	switch reply.Verdict {
 	case VerdictDone:
 		startsTotal.Inc()
-		startSeconds.UpdateDuration(r.since)
-		logrus.WithFields(logrus.Fields{"task": o.Task.String(), "run": o.Run, "lease_end": end}).Info("runner: Started a run.")
+		waited := r.measure(o)
+		logrus.WithFields(logrus.Fields{"task": o.Task.String(), "run": o.Run, "lease_end": end, "waited_ms": waited.Milliseconds(), "after_step": o.AfterStep}).Info("runner: Started a run.")
 		r.mu.Lock()
 		r.began = time.Now()
 		r.mu.Unlock()
@@ -192,6 +192,23 @@
 	}
 }
 
+// measure enters a start into the histograms and returns how long its task has waited
+// for it: from the call that handed its job in, or from the end of the step before, 0 if
+// that is not known. The way of the order from the leader is not in it.
+func (r *run) measure(o jobs.Order) time.Duration {
+	startSeconds.UpdateDuration(r.since)
+	if o.Waited <= 0 {
+		return 0
+	}
+	waited := o.Waited + time.Since(r.since)
+	h := submitSeconds
+	if o.AfterStep {
+		h = stepSeconds
+	}
+	h.Update(waited.Seconds())
+	return waited
+}
+
 // await waits until the lease is extended, the order changes or the session
 // ends.
 func (r *run) await(extended chan struct{}) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -173,6 +173,8 @@
 
 var (
 	startSeconds   = metrics.NewHistogram(`waxwinghaven_run_start_seconds`)
+	submitSeconds  = metrics.NewHistogram(`waxwinghaven_submit_to_start_seconds`)
+	stepSeconds    = metrics.NewHistogram(`waxwinghaven_step_end_to_start_seconds`)
 	endSeconds     = metrics.NewHistogram(`waxwinghaven_run_end_commit_seconds`)
 	startsTotal    = metrics.NewCounter(`waxwinghaven_runs_started_total`)
 	uncertainTotal = metrics.NewCounter(`waxwinghaven_calls_unanswered_total{part="runner"}`)
--- a/runner/session.go
+++ b/runner/session.go
@@ -160,7 +160,7 @@
 	s.mu.Lock()
 	a := s.ann
 	s.mu.Unlock()
-	w := jobs.Worker{ID: a.Worker, Agent: s.r.agent, Service: a.Service, DataCentre: a.DataCentre, Labels: a.Labels,
+	w := jobs.Worker{ID: a.Worker, Agent: s.r.agent, Service: a.Service, DataCentre: a.DataCentre, Labels: a.Labels, Rack: a.Rack,
 		Capacity: a.Capacity, Life: s.life, Draining: a.Draining}
 	var reg control.Registered
 	if err := s.r.ctl.Call(control.PathRegister, controlTimeout, &w, &reg); err != nil {
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -137,6 +137,7 @@
 	Service    string
 	DataCentre string
 	Labels     []string
+	Rack       string // one of the labels, "" if it is not known
 	Capacity   resource.Vector
 	Draining   bool
 	// Sequence rises with each heartbeat of an incarnation.
