--- a/agent/agent.go
+++ b/agent/agent.go
@@ -55,6 +55,7 @@
 	lastErr  string
 
 	ledger *Ledger // used by the renewal loop only
+	runs   *runs
 }
 
 // New returns an agent that is not yet running.
@@ -66,6 +67,7 @@
 	g := &Agent{set: set, tls: tlsConfig, rpc: transport.NewClient(tlsConfig, set.Instance.IP), plain: transport.NewClient(nil, set.Instance.IP),
 		meter: newMeter(), gate: admission.NewGate(), markets: make(map[string]*market.View), started: time.Now(), ledger: NewLedger()}
 	g.ctl = control.NewClient(part, g.rpc, set.Contacts, spreadStart(set.Instance.Name))
+	g.runs = &runs{agent: g}
 	g.server = transport.NewHTTPServer(part, g.serveEntry, set.Agent.MaxBody)
 	return g, nil
 }
@@ -93,6 +95,8 @@
 	logrus.WithFields(logrus.Fields{"address": ln.Addr(), "local": local.Addr()}).Info("agent: Started.")
 	serveCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
+	g.runs.begin(serveCtx)
+	defer g.runs.wait()
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return transport.ServeHTTP(serveCtx, g.server, transport.Secure(part, ln, g.tls)) })
 	eg.Go(func() error {
@@ -144,6 +148,13 @@
 	release(g.gate.Open(a.Slots, a.running()))
 }
 
+// leaving reports whether no more work is wanted here.
+func (g *Agent) leaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.withdrawn || (g.announce != nil && g.announce.Leaving)
+}
+
 // dialUpstream keeps one pool of connections to the upstream, bounded as the
 // upstream asked.
 func (g *Agent) dialUpstream(a Announcement) {
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -32,6 +32,8 @@
 	Running *int `json:"running,omitempty"`
 	// Leaving asks for no more work; requests in progress are finished.
 	Leaving bool `json:"leaving,omitempty"`
+	// Runs is there if the worker takes tasks of callers' jobs.
+	Runs *RunsAnnouncement `json:"runs,omitempty"`
 }
 
 const (
@@ -64,6 +66,9 @@
 	if a.Capacity.MilliCPU < 0 || a.Capacity.MemoryMB < 0 || a.Capacity.Accelerators < 0 {
 		return bad("give amounts of 0 or more", "the capacity is less than nothing")
 	}
+	if a.Runs != nil {
+		return a.Runs.validate()
+	}
 	return nil
 }
 
@@ -119,5 +124,6 @@
 		return
 	}
 	g.announced(a, time.Now())
+	g.runs.announced(a, g.leaving())
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
--- a/cmd/waxwinghaven/bench.go
+++ b/cmd/waxwinghaven/bench.go
@@ -62,7 +62,12 @@
 	cmd.Flag("record", "A file that gets the token of each request that is run.").StringVar(&o.Record)
 	processors := cmd.Flag("processors", "The worker's processors.").Default("64").Int64()
 	memory := cmd.Flag("memory-mb", "The worker's memory.").Default("250000").Int64()
+	runsProcessors := cmd.Flag("runs-processors", "Further processors for tasks of callers' jobs, 0 to take none.").Default("0").Int64()
+	runsMemory := cmd.Flag("runs-memory-mb", "Memory for these.").Default("16000").Int64()
 	cmd.Action(func(*kingpin.ParseContext) error {
+		if *runsProcessors > 0 {
+			o.RunsCapacity = resource.Vector{MilliCPU: *runsProcessors * 1000, MemoryMB: *runsMemory}
+		}
 		o.Capacity = resource.Vector{MilliCPU: *processors * 1000, MemoryMB: *memory}
 		return standin.NewUpstream(o).Run(daemon.SignalContext())
 	})
--- a/cmd/waxwinghaven/graph.go
+++ b/cmd/waxwinghaven/graph.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path"
 	"text/tabwriter"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/operator"
 	"github.com/waxwinghaven/waxwinghaven/queues"
 )
 
@@ -21,7 +24,8 @@
 	submit.Arg("host", "The queue's host.").Required().StringVar(&j.Host)
 	submit.Arg("path", "The queue's prefix and the job's id of 16 hexadecimal digits.").Required().StringVar(&j.Path)
 	file := submit.Arg("file", "The job as JSON, see docs/API.md.").Required().ExistingFile()
-	submit.Action(func(*kingpin.ParseContext) error { return c.submitGraph(j, *file) })
+	wait := submit.Flag("wait", "Wait until it is over, at most so long.").Default("0s").Duration()
+	submit.Action(func(*kingpin.ParseContext) error { return c.submitGraph(j, *file, *wait) })
 
 	cancel := top.Command("cancel", "Cancels a job.")
 	x := control.JobRequest{}
@@ -64,7 +68,7 @@
 	return nil
 }
 
-func (c *cli) submitGraph(j control.JobRequest, file string) error {
+func (c *cli) submitGraph(j control.JobRequest, file string, wait time.Duration) error {
 	j.Spec = &jobs.Spec{}
 	if err := readFile(file, j.Spec); err != nil {
 		return err
@@ -73,7 +77,33 @@
 	if err != nil {
 		return err
 	}
-	return client.SubmitJob(j)
+	if err := client.SubmitJob(j); err != nil || wait == 0 {
+		return err
+	}
+	return c.awaitGraph(client, path.Base(j.Path), wait)
+}
+
+// graphPoll is the interval at which the command asks how a job is.
+const graphPoll = 100 * time.Millisecond
+
+// awaitGraph waits for a job's end. Any end but its completion is an error.
+func (c *cli) awaitGraph(client *operator.Client, id string, wait time.Duration) error {
+	phase := "not known"
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline); time.Sleep(graphPoll) {
+		list, err := client.Jobs(id, 1)
+		if err != nil || len(list) == 0 {
+			continue // a replica may be away; the deadline bounds the wait
+		}
+		phase = list[0].Phase
+		switch phase {
+		case jobs.Completed.String():
+			fmt.Printf("job %s: %d tasks are done\n", id, list[0].Done)
+			return nil
+		case jobs.Failed.String(), jobs.Cancelled.String():
+			return fmt.Errorf("job %s is %s", id, phase)
+		}
+	}
+	return fmt.Errorf("job %s is %s after %v; see graph list", id, phase, wait)
 }
 
 func (c *cli) listGraphs(id string, limit int) error {
--- a/control/admission.go
+++ b/control/admission.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/waxwinghaven/waxwinghaven/dispatch"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
@@ -35,6 +37,10 @@
 	return e
 }
 
+// unadvisedAfter is when a caller may ask again whose queue needs an advisor that is not
+// set: an operator has to change something first.
+const unadvisedAfter = 5 * time.Second
+
 // judge decides by what this replica knows.
 func (d *dispatcher) judge(c *SubmitJob) (v dispatch.Verdict) {
 	d.r.machine.Read(func(s *State) {
@@ -42,6 +48,10 @@
 		if q == nil || s.Jobs.Jobs[id] != nil {
 			return
 		}
+		if q.Advice != nil && d.consult.advisor == nil {
+			v = dispatch.Verdict{Refuse: true, Unadvised: true, After: unadvisedAfter}
+			return
+		}
 		v = dispatch.Admit(d.input(s), q, &c.Spec)
 	})
 	return v
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/advice"
 	"github.com/waxwinghaven/waxwinghaven/dispatch"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/lease"
@@ -57,12 +58,14 @@
 	learned  *learned
 	health   *dispatch.Health
 	starts   *starts
+	consult  *consultation
 	looked   time.Time      // for runs that need a copy, last
 	inFlight map[string]int // submissions being committed, by host and path
 }
 
 func newDispatcher(r *Replica) *dispatcher {
 	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(), learned: newLearned(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int)}
+	d.consult = newConsultation(d)
 	d.reset(0)
 	return d
 }
@@ -75,6 +78,7 @@
 	d.waiting = make(map[jobs.GroupKey]time.Time)
 	d.stalled = make(map[jobs.Stop]time.Time)
 	d.stuck = make(map[jobs.Stop]time.Time)
+	d.consult.book = advice.NewBook()
 }
 
 // leads notices a new leadership. What an older one knew of leases is void: the
@@ -150,6 +154,7 @@
 		plan = dispatch.Next(in)
 	})
 	dispatchSeconds.UpdateDuration(begun)
+	d.consult.wake()
 	if plan.Empty() {
 		return
 	}
@@ -186,7 +191,8 @@
 
 // input is what every decision is made from.
 func (d *dispatcher) input(s *State) dispatch.Input {
-	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Costs: d.costs, Estimates: d.learned.estimates()}
+	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Costs: d.costs, Estimates: d.learned.estimates(),
+		Ticket: d.consult.ticket}
 }
 
 // noteWaiting keeps since when each group has had tasks that could begin. It is
@@ -245,6 +251,12 @@
 	})
 	d.r.machine.Read(func(s *State) {
 		d.starts.forget(func(job string) bool { return s.Jobs.Jobs[job] != nil })
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.consult.book.Forget(func(step jobs.GroupKey) bool {
+			j := s.Jobs.Jobs[step.Job]
+			return j != nil && !j.Phase.Over()
+		})
 	})
 	if len(ids) == 0 {
 		return
--- a/control/replica.go
+++ b/control/replica.go
@@ -114,6 +114,7 @@
 	g.Go(func() error { return r.serveOperators(nodeCtx, operators) })
 	g.Go(func() error { return r.leader.run(ctx) })
 	g.Go(func() error { return r.dispatcher.run(ctx) })
+	g.Go(func() error { return r.dispatcher.consult.run(ctx) })
 	g.Go(func() error { return r.join(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
--- a/control/workers.go
+++ b/control/workers.go
@@ -138,6 +138,7 @@
 		if e.Outcome == jobs.OutcomeRejected {
 			d.mu.Lock()
 			d.shunned[req.Worker] = time.Now().Add(shunTime)
+			d.consult.book.Rejected(e.Task.Group(), req.Worker)
 			d.mu.Unlock()
 		}
 	}
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -6,17 +6,21 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strconv"
 	"time"
 
+	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/daemon"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/load"
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/operator"
+	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/resource"
 	"github.com/waxwinghaven/waxwinghaven/settings"
 	"github.com/waxwinghaven/waxwinghaven/standin"
@@ -81,7 +85,7 @@
 func (o Options) upstream() *standin.Upstream {
 	return standin.NewUpstream(standin.UpstreamOptions{Market: "demo", Service: "hello", Address: o.address(portUpstream),
 		WorkerAddress: o.address(portWorker), AgentLocal: o.address(portLocal), Rack: "rack-1", Slots: 8, Conns: 64,
-		Capacity: resource.Vector{MilliCPU: 8000, MemoryMB: 16000}, Work: time.Millisecond, Every: 200 * time.Millisecond})
+		Capacity: resource.Vector{MilliCPU: 8000, MemoryMB: 16000}, RunsCapacity: resource.Vector{MilliCPU: 8000, MemoryMB: 16000}, Work: time.Millisecond, Every: 200 * time.Millisecond})
 }
 
 // Run runs the system until a signal ends it, or, with Try, until it has been
@@ -137,6 +141,7 @@
   an operator  go run ./cmd/waxwinghaven --to %[2]s status
                go run ./cmd/waxwinghaven --to %[2]s task submit demo tick --count 5 --wait 30s
                go run ./cmd/waxwinghaven --to %[2]s preset use demo peak --wait 10s
+               go run ./cmd/waxwinghaven --to %[2]s graph submit localhost /graphs/00000000000000aa examples/graph.json --wait 10s
 
 End it with Ctrl-C.
 `
@@ -186,9 +191,13 @@
 			return err
 		}
 	}
-	return nil
+	return client.PutQueues(demoQueues)
 }
 
+// demoQueues has one queue for callers' jobs, on the demo's only service.
+var demoQueues = queues.Config{Version: 1, Services: []queues.Service{{Name: "hello"}}, Queues: []queues.Queue{
+	{Name: "graphs", Host: "localhost", Prefix: "/graphs/", Service: "hello", TimeoutMS: 3000, TargetMS: 1000, Slack: 2, MaxAttempts: 3}}}
+
 func (o Options) waitUpstream(ctx context.Context, client *operator.Client, deadline time.Time) error {
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		res, err := o.request(1)
@@ -222,9 +231,28 @@
 		tasks, err := client.Tasks(operator.TaskQuery{ID: s.ID, Phase: string(lease.Done)})
 		if err == nil && len(tasks) == s.Count {
 			fmt.Printf("%d tasks were run and are done\n", len(tasks))
-			return nil
+			return tryGraph(client, deadline)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	return fmt.Errorf("the tasks were not done in %v", startWait)
 }
+
+// tryGraph hands in a job of two steps, of which one task fails once.
+func tryGraph(client *operator.Client, deadline time.Time) error {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	need := resource.Vector{MilliCPU: 500, MemoryMB: 100}
+	spec := &jobs.Spec{Payload: "ms=50&fails=1", Steps: []jobs.Step{{Count: 3, Need: need}, {Count: 1, Need: need, DependsOn: []int{0}}}}
+	if err := client.SubmitJob(control.JobRequest{Host: "localhost", Path: "/graphs/" + id, Spec: spec}); err != nil {
+		return err
+	}
+	for time.Now().Before(deadline) {
+		list, err := client.Jobs(id, 1)
+		if err == nil && len(list) == 1 && list[0].Phase == jobs.Completed.String() {
+			fmt.Printf("a job of %d tasks in %d steps is completed\n", list[0].Tasks, len(spec.Steps))
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("the job of steps was not completed in %v", startWait)
+}
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -11,6 +11,9 @@
 // Verdict is whether a job should be taken in.
 type Verdict struct {
 	Refuse bool
+	// Unadvised says that the job could never start: nobody can be asked which
+	// workers may run it.
+	Unadvised bool
 	// After is when it is worth asking again.
 	After time.Duration
 	// Expected is when the job would be done, and Objective when it should.
@@ -19,6 +22,9 @@
 
 // Reason tells why a job is refused.
 func (v *Verdict) Reason() string {
+	if v.Unadvised {
+		return "the queue needs an advisor, and the control's settings name none"
+	}
 	if v.Objective == 0 {
 		return "standing tasks hold all the room that they may have"
 	}
--- /dev/null
+++ b/dispatch/advised.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/queues"
+)
+
+// Wanted is a step that waits for somebody's word on which workers may run it.
+type Wanted struct {
+	Step jobs.GroupKey
+	// Tasks is how many of its tasks wait.
+	Tasks int
+	// Workers are those that could run it, the best first.
+	Workers []string
+	// Advice is how the queue's advisor answers.
+	Advice queues.Advice
+}
+
+// Advised returns the steps of advised queues whose tasks wait, the most urgent first.
+func Advised(in Input) []Wanted {
+	p := &planner{in: in}
+	var out []Wanted
+	for _, r := range p.requests() {
+		if r.queue.Advice == nil {
+			continue
+		}
+		if p.workers == nil {
+			p.gather()
+		}
+		out = append(out, Wanted{Step: r.group.Key(), Tasks: r.group.Waiting(), Workers: p.candidates(r), Advice: *r.queue.Advice})
+	}
+	return out
+}
+
+// candidates returns the workers that could run a step if the advisor lets them: those
+// with room now first, then by their cost.
+func (p *planner) candidates(r request) []string {
+	type option struct {
+		id   string
+		full int
+		cost float64
+	}
+	st := r.group.Step()
+	var options []option
+	for _, c := range p.workers[r.queue.Service] {
+		if (st.Label != "" && !c.worker.HasLabel(st.Label)) || !st.Held().Fits(c.worker.Capacity) {
+			continue
+		}
+		o := option{id: c.worker.ID, cost: p.cost(c, st)}
+		if !st.Held().Fits(c.free) {
+			o.full = 1
+		}
+		options = append(options, o)
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		if a.full != b.full {
+			return a.full - b.full
+		}
+		switch {
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		}
+		return 0
+	})
+	out := make([]string, len(options))
+	for i, o := range options {
+		out[i] = o.id
+	}
+	return out
+}
+
+// ticketFor returns the ticket of a worker for a step, and whether it may run it: always
+// without an advisor.
+func (p *planner) ticketFor(r request, worker string) (ticket string, may bool) {
+	if r.queue.Advice == nil {
+		return "", true
+	}
+	if p.in.Ticket == nil {
+		return "", false
+	}
+	ticket = p.in.Ticket(r.group.Key(), worker)
+	return ticket, ticket != ""
+}
+
+// addTicket adds the ticket for the placement's newest worker.
+func (p *planner) addTicket(pl *jobs.Placement, r request, c *candidate) {
+	if ticket, _ := p.ticketFor(r, c.worker.ID); ticket != "" {
+		pl.Tickets = append(pl.Tickets, ticket)
+	}
+}
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -104,7 +104,8 @@
 		return
 	}
 	c.take(g.Step())
-	p.plan.Placements = append(p.plan.Placements, jobs.Placement{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step,
-		Indexes: []int{ref.Index}, Workers: []string{c.worker.ID}, Copy: true})
+	pl := jobs.Placement{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step, Indexes: []int{ref.Index}, Workers: []string{c.worker.ID}, Copy: true}
+	p.addTicket(&pl, r, c)
+	p.plan.Placements = append(p.plan.Placements, pl)
 	p.copied++
 }
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -28,6 +28,9 @@
 // something to its caller.
 const lateFactor = 3
 
+// adviceWorkers is how many workers a question about a step names, as a rule.
+const adviceWorkers = 30
+
 // forecast is a job's deadline and the time that its longest remaining chain of
 // steps takes.
 type forecast struct {
@@ -89,6 +92,12 @@
 		}
 		total[i] += ms
 		left[i] += own
+		if q.Advice != nil {
+			total[i] += q.Advice.TookMS(adviceWorkers)
+			if open > placed {
+				left[i] += q.Advice.TookMS(adviceWorkers)
+			}
+		}
 		chain, rest = max(chain, total[i]), max(rest, left[i])
 		f.work += float64(open) * own * float64(steps[i].Need.MilliCPU) / 1000
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -69,6 +69,9 @@
 	// Copies says to look for runs that take too long. It takes a look at each run
 	// that may have a copy, so it isn't done in every pass.
 	Copies bool
+	// Ticket returns the advisor's ticket for a step on a worker, "" for none. Steps
+	// of advised queues go nowhere without one.
+	Ticket func(step jobs.GroupKey, worker string) string
 	// Slowness returns how much longer a worker's runs take than expected, as
 	// a logarithm, nil for not at all.
 	Slowness func(worker string) float64
@@ -196,6 +199,7 @@
 		f.taken = append(f.taken, c)
 		f.pl.Indexes = append(f.pl.Indexes, i)
 		f.pl.Workers = append(f.pl.Workers, c.worker.ID)
+		p.addTicket(&f.pl, r, c)
 	}
 	return f
 }
@@ -261,7 +265,10 @@
 	var best *candidate
 	bestCost := 0.0
 	for _, c := range p.workers[r.queue.Service] {
-		if (test != nil && !test(c)) || !p.fits(c, r, running) || (st.MaxPerWorker > 0 && onWorker[c.worker.ID] >= st.MaxPerWorker) {
+		if _, may := p.ticketFor(r, c.worker.ID); !may || (test != nil && !test(c)) {
+			continue
+		}
+		if !p.fits(c, r, running) || (st.MaxPerWorker > 0 && onWorker[c.worker.ID] >= st.MaxPerWorker) {
 			continue
 		}
 		if cost := p.cost(c, st); best == nil || cost < bestCost {
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -160,7 +160,7 @@
 		if k < 0 || k >= len(g.Tasks) || !s.mayStart(g, k, p.Workers[i], p.Copy) || !s.Admits(g, p.Workers[i], service) {
 			continue
 		}
-		s.place(g, k, Placed{Worker: p.Workers[i], Run: g.Tasks[k].Run + 1, AtMS: atMS}, index)
+		s.place(g, k, p.run(i, g.Tasks[k].Run+1, atMS), index)
 		placed++
 	}
 	return placed
@@ -188,7 +188,7 @@
 		return 0
 	}
 	for i, k := range p.Indexes {
-		s.place(g, k, Placed{Worker: p.Workers[i], Run: run + 1, AtMS: atMS}, index)
+		s.place(g, k, p.run(i, run+1, atMS), index)
 	}
 	return len(p.Indexes)
 }
@@ -380,7 +380,7 @@
 		st := &j.Spec.Steps[ref.Step]
 		o := Order{Task: ref, Run: r.Run, Stop: r.Stopping}
 		if !o.Stop {
-			o.Payload, o.Checkpoint, o.TargetMS, o.Fills = j.Spec.Payload, t.Checkpoint, st.TargetMS, st.Fills
+			o.Payload, o.Checkpoint, o.Ticket, o.TargetMS, o.Fills = j.Spec.Payload, t.Checkpoint, r.Ticket, st.TargetMS, st.Fills
 			o.Image, o.MilliCPU = st.Image, st.Need.MilliCPU
 		}
 		out = append(out, o)
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -196,6 +196,8 @@
 	// AtMS is when the leader decided on it, by the median of many clocks, in
 	// milliseconds since 1970. It only tells runs that take long.
 	AtMS int64 `msgpack:"a,omitempty"`
+	// Ticket is the advisor's word that the worker may run it, "" if none is needed.
+	Ticket string `msgpack:"t,omitempty"`
 	// Changed is the log index of the newest decision on the run. An agent
 	// that knows everything up to an index asks for what changed after it.
 	Changed uint64 `msgpack:"c"`
@@ -308,6 +310,7 @@
 	Stop       bool   `msgpack:"s,omitempty"`
 	Payload    string `msgpack:"p,omitempty"`
 	Checkpoint string `msgpack:"c,omitempty"`
+	Ticket     string `msgpack:"k,omitempty"`
 	// TargetMS and Fills tell the agent whom to slow down for whom.
 	TargetMS int64  `msgpack:"l,omitempty"`
 	Fills    bool   `msgpack:"f,omitempty"`
@@ -328,10 +331,21 @@
 	Step       int      `msgpack:"s"`
 	Indexes    []int    `msgpack:"i"`
 	Workers    []string `msgpack:"w"`
+	// Tickets, by task, come from the advisor; there are none if it need not be asked.
+	Tickets []string `msgpack:"t,omitempty"`
 	// Copy places second runs of tasks that are at work already.
 	Copy bool `msgpack:"c,omitempty"`
 }
 
+// run returns the run that the placement gives its i-th task.
+func (p *Placement) run(i int, number uint32, atMS int64) Placed {
+	r := Placed{Worker: p.Workers[i], Run: number, AtMS: atMS}
+	if i < len(p.Tickets) {
+		r.Ticket = p.Tickets[i]
+	}
+	return r
+}
+
 // Stop asks for the end of one run.
 type Stop struct {
 	Task Ref    `msgpack:"t"`
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -26,10 +26,23 @@
 	Priority int `msgpack:"r" json:"priority"`
 	// MaxAttempts is how often a task may end as failed.
 	MaxAttempts int `msgpack:"m" json:"max_attempts"`
-	// Advised says that only the advisor knows which workers may run a step.
-	Advised bool `msgpack:"v,omitempty" json:"advised,omitempty"`
+	// Advice is set if only the advisor knows which workers may run a step.
+	Advice *Advice `msgpack:"v,omitempty" json:"advice,omitempty"`
 }
 
+// Advice is how the advisor of a queue answers, in milliseconds.
+type Advice struct {
+	// DecisionMS is how long an answer takes, and PerWorkerMS how much longer for
+	// each worker that is asked about.
+	DecisionMS  float64 `msgpack:"d" json:"decision_ms"`
+	PerWorkerMS float64 `msgpack:"w" json:"per_worker_ms"`
+	// ValidMS is how long a ticket holds.
+	ValidMS int64 `msgpack:"v" json:"valid_ms"`
+}
+
+// TookMS is how long an answer about a number of workers takes.
+func (a *Advice) TookMS(workers int) float64 { return a.DecisionMS + float64(workers)*a.PerWorkerMS }
+
 // Service is a pool of workers.
 type Service struct {
 	Name string `msgpack:"n" json:"name"`
@@ -84,6 +97,8 @@
 		return invalid("give a time-out above 0 ms", "queue %q has the time-out %d ms", q.Name, q.TimeoutMS)
 	case !strings.HasPrefix(q.Prefix, "/"):
 		return invalid("begin the prefix with a slash", "queue %q has the prefix %q", q.Name, q.Prefix)
+	case q.Advice != nil && (q.Advice.DecisionMS < 0 || q.Advice.PerWorkerMS < 0 || q.Advice.ValidMS <= 0):
+		return invalid("give the advice times of 0 ms or more, and a validity above", "queue %q has the advice %+v", q.Name, *q.Advice)
 	}
 	return nil
 }
--- a/queues/queues_test.go
+++ b/queues/queues_test.go
@@ -25,6 +25,9 @@
 		{"same place", func(c *Config) { c.Queues[1].Prefix = "/" }, "share"},
 		{"same prefix on another host", func(c *Config) { c.Queues[1].Prefix, c.Queues[1].Host = "/", "b.example" }, ""},
 		{"no slash", func(c *Config) { c.Queues[0].Prefix = "x" }, "prefix"},
+		{"advice", func(c *Config) { c.Queues[0].Advice = &Advice{DecisionMS: 50, PerWorkerMS: 1, ValidMS: 2000} }, ""},
+		{"tickets that never hold", func(c *Config) { c.Queues[0].Advice = &Advice{DecisionMS: 50} }, "advice"},
+		{"advice before it is asked for", func(c *Config) { c.Queues[0].Advice = &Advice{DecisionMS: -1, ValidMS: 1} }, "advice"},
 		{"service twice", func(c *Config) { c.Services[1].Name = "vault" }, "listed twice"},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/runner/remote.go
@@ -0,0 +1,109 @@
+package runner
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+)
+
+// Paths of a worker's interface for callers' tasks. Bodies are JSON: the calls and
+// replies of Worker.
+const (
+	PathStart = "/runs/start"
+	PathStop  = "/runs/stop"
+	PathHold  = "/runs/hold"
+	PathPace  = "/runs/pace"
+)
+
+const (
+	// remoteTimeout bounds a call to the worker on the same instance, whose answer
+	// takes a few milliseconds. One that takes longer was lost.
+	remoteTimeout = 500 * time.Millisecond
+	// remoteConns bounds the connections to it: its calls may take half a second
+	// each when answers are lost.
+	remoteConns = 32
+	remoteIdle  = 5 * time.Second
+)
+
+// Remote is a worker behind its HTTP interface.
+type Remote struct{ host *fasthttp.HostClient }
+
+// NewRemote returns a client of the worker at addr.
+func NewRemote(addr, from string) *Remote {
+	h := transport.NewHost(addr, transport.NewClient(nil, from).Dialer(), remoteConns)
+	h.MaxIdleConnDuration = remoteIdle
+	return &Remote{h}
+}
+
+// Start implements Worker.
+func (r *Remote) Start(c StartCall) (reply Reply, err error) {
+	return reply, r.call(PathStart, &c, 0, &reply)
+}
+
+// Stop implements Worker.
+func (r *Remote) Stop(c StopCall) (reply Reply, err error) {
+	return reply, r.call(PathStop, &c, 0, &reply)
+}
+
+// Hold implements Worker.
+func (r *Remote) Hold(c HoldCall) (reply HoldReply, err error) {
+	return reply, r.call(PathHold, &c, c.Wait, &reply)
+}
+
+// Pace implements Worker.
+func (r *Remote) Pace(c PaceCall) (reply Reply, err error) {
+	return reply, r.call(PathPace, &c, 0, &reply)
+}
+
+func (r *Remote) call(path string, c any, wait time.Duration, reply any) error {
+	status, answer, err := transport.CallJSON(r.host, transport.JSONCall{Path: path, Body: c, Timeout: wait + remoteTimeout})
+	if err != nil {
+		return err
+	}
+	if status != fasthttp.StatusOK {
+		return fmt.Errorf("the worker answered with status %d", status)
+	}
+	return json.Unmarshal(answer, reply)
+}
+
+// ErrNoPath is returned by Serve for a path that is not part of the interface.
+var ErrNoPath = errors.New("no such path")
+
+// Serve answers a call to a worker.
+func Serve(w Worker, q *fasthttp.RequestCtx) error {
+	switch string(q.Path()) {
+	case PathStart:
+		return serve(q, w.Start)
+	case PathStop:
+		return serve(q, w.Stop)
+	case PathHold:
+		return serve(q, w.Hold)
+	case PathPace:
+		return serve(q, w.Pace)
+	}
+	return ErrNoPath
+}
+
+func serve[C, R any](q *fasthttp.RequestCtx, f func(C) (R, error)) error {
+	var c C
+	if err := json.Unmarshal(q.PostBody(), &c); err != nil {
+		q.Error("the call cannot be read: "+err.Error(), fasthttp.StatusBadRequest)
+		return nil
+	}
+	reply, err := f(c)
+	if err != nil {
+		q.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return nil
+	}
+	b, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	q.SetContentType("application/json")
+	q.SetBody(b)
+	return nil
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -157,7 +157,7 @@
 		return
 	}
 	o := r.current()
-	reply, err := s.r.worker.Start(StartCall{Target: s.target(), Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, LeaseEndMS: end})
+	reply, err := s.r.worker.Start(StartCall{Target: s.target(), Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, LeaseEndMS: end})
 	if errors.Is(err, ErrNotSent) {
 		s.sleep(callPause)
 		return
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -9,6 +9,7 @@
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
 // Worker is the interface of a worker that runs tasks. Each call names the
@@ -21,52 +22,51 @@
 	Pace(PaceCall) (Reply, error)
 }
 
-// ErrNotSent is the error of a call that certainly never left: no connection
-// could be made, or none was free.
-var ErrNotSent = errors.New("the call was not sent")
+// ErrNotSent is the error of a call that certainly never left.
+var ErrNotSent = transport.ErrNotSent
 
 // Target names whom a call is for and with which right it is made.
 type Target struct {
-	Worker string // incarnation
-	Token  uint64 // fencing token
+	Worker string `json:"worker"` // incarnation
+	Token  uint64 `json:"token"`  // fencing token
 }
 
 // StartCall starts a run.
 type StartCall struct {
 	Target
-	Task       jobs.Ref
-	Run        uint32
-	Payload    string
-	Checkpoint string
-	Ticket     string // of the advisor, "" for none
+	Task       jobs.Ref `json:"task"`
+	Run        uint32   `json:"run"`
+	Payload    string   `json:"payload,omitempty"`
+	Checkpoint string   `json:"checkpoint,omitempty"`
+	Ticket     string   `json:"ticket,omitempty"` // of the advisor, "" for none
 	// LeaseEndMS is the end of the worker's lease on its own clock. It holds
 	// for everything that runs there and never moves back.
-	LeaseEndMS int64
+	LeaseEndMS int64 `json:"lease_end_ms"`
 }
 
 // StopCall ends a run. Once it is answered, that run and lower ones of the task
 // never start any more on this incarnation.
 type StopCall struct {
 	Target
-	Task jobs.Ref
-	Run  uint32
+	Task jobs.Ref `json:"task"`
+	Run  uint32   `json:"run"`
 }
 
 // HoldCall extends the lease, tells which ends may be forgotten, and waits up to
 // Wait for a new one.
 type HoldCall struct {
 	Target
-	LeaseEndMS int64 // 0 to extend nothing
-	Cursor     uint64
-	Wait       time.Duration
+	LeaseEndMS int64         `json:"lease_end_ms,omitempty"` // 0 to extend nothing
+	Cursor     uint64        `json:"cursor"`
+	Wait       time.Duration `json:"wait_ns,omitempty"`
 }
 
 // PaceCall lets a run work at a part of its speed, 0 to 100.
 type PaceCall struct {
 	Target
-	Task    jobs.Ref
-	Run     uint32
-	Percent int
+	Task    jobs.Ref `json:"task"`
+	Run     uint32   `json:"run"`
+	Percent int      `json:"percent"`
 }
 
 // Verdict is a worker's answer to a call.
@@ -97,38 +97,39 @@
 
 // Reply answers a call.
 type Reply struct {
-	Verdict Verdict
-	ClockMS int64 // the worker's steady clock, 0 if it was not told
+	Verdict Verdict `json:"verdict"`
+	ClockMS int64   `json:"clock_ms"` // the worker's steady clock, 0 if it was not told
 }
 
 // HoldReply lists what runs and what ended.
 type HoldReply struct {
 	Reply
-	Running  []RunningRun
-	Finished []FinishedRun
+	Running  []RunningRun  `json:"running"`
+	Finished []FinishedRun `json:"finished"`
 }
 
 // RunningRun is one run at work.
 type RunningRun struct {
-	Task jobs.Ref
-	Run  uint32
+	Task jobs.Ref `json:"task"`
+	Run  uint32   `json:"run"`
 	// Checkpoint is the newest progress that is saved.
-	Checkpoint string
-	// Percent is the speed it works at, 100 unless slowed down.
-	Percent int
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// Percent is how much of its work is done, and 100 for a standing run that
+	// is at work.
+	Percent int `json:"percent"`
 	// Figure is the tail latency in ms of a serving run over the last half
 	// second, and the processors in use, in thousandths, of any other.
-	Figure float64
+	Figure float64 `json:"figure"`
 }
 
 // FinishedRun is one end that was not forgotten yet.
 type FinishedRun struct {
-	Number     uint64 // rises by one with each end on this incarnation
-	Task       jobs.Ref
-	Run        uint32
-	Outcome    jobs.Outcome
-	How        string // the worker's own word, for logs
-	Checkpoint string
+	Number     uint64       `json:"number"` // rises by one with each end on this incarnation
+	Task       jobs.Ref     `json:"task"`
+	Run        uint32       `json:"run"`
+	Outcome    jobs.Outcome `json:"outcome"`
+	How        string       `json:"how"` // the worker's own word, for logs
+	Checkpoint string       `json:"checkpoint,omitempty"`
 }
 
 // Announcement is a worker's heartbeat.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -118,8 +118,9 @@
 	// itself, and where it takes calls.
 	Announce string `toml:"announce"`
 	Worker   string `toml:"worker"`
-	// Machines is the platform's interface for machines, Advisor the one that
-	// tells which workers may run a step.
+	// Machines and Advisor belong to a control replica: the platform's interface
+	// for machines, and the one that tells which workers may run a step. Either may
+	// be empty.
 	Machines string `toml:"machines"`
 	Advisor  string `toml:"advisor"`
 }
@@ -417,6 +418,8 @@
 		{"platform.operators", p.Operators, s.Control != nil},
 		{"platform.announce", p.Announce, s.Agent != nil},
 		{"platform.worker", p.Worker, s.Agent != nil},
+		{"platform.machines", p.Machines, false},
+		{"platform.advisor", p.Advisor, false},
 	}
 	for _, n := range needed {
 		if n.value == "" && !n.role { // not this role's business
--- /dev/null
+++ b/standin/runs.go
@@ -0,0 +1,265 @@
+package standin
+
+import (
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/runner"
+)
+
+// defaultWork is how long a task works whose payload does not say.
+const defaultWork = 100 * time.Millisecond
+
+// stopTime is how long a run takes to stop.
+const stopTime = 5 * time.Millisecond
+
+// Runs is a stand-in for a worker that runs callers' tasks. It starts them under a
+// lease and a fencing token and lets time pass. A task's payload tells what it does, as
+// a query: "ms=300" works for 300 ms, "fails=2" fails in its first two runs, "lasts=1"
+// works until it is stopped.
+type Runs struct {
+	mu       sync.Mutex
+	ticket   string // that a start has to bring
+	worker   string // incarnation
+	begun    time.Time
+	token    uint64
+	leaseEnd int64
+	running  map[runID]*stoodRun
+	fences   map[jobs.Ref]uint32 // highest run that was stopped or ended
+	finished []runner.FinishedRun
+	number   uint64
+	changed  chan struct{}
+	record   []RunInterval
+}
+
+// runID names one run.
+type runID struct {
+	task jobs.Ref
+	run  uint32
+}
+
+type stoodRun struct {
+	began time.Time
+	work  time.Duration // 0 for a run that lasts
+	saved time.Duration // that it resumed from
+	pace  int
+}
+
+// RunInterval is one run's time on the worker.
+type RunInterval struct {
+	Task    string `json:"task"`
+	Run     uint32 `json:"run"`
+	StartMS int64  `json:"start_ms"` // since 1970
+	EndMS   int64  `json:"end_ms"`   // 0 while it runs
+	How     string `json:"how,omitempty"`
+	Ticket  string `json:"ticket,omitempty"`
+}
+
+// NewRuns returns a worker with a name that none had before.
+func NewRuns(worker string) *Runs {
+	return &Runs{worker: worker, begun: time.Now(), running: make(map[runID]*stoodRun), fences: make(map[jobs.Ref]uint32), changed: make(chan struct{})}
+}
+
+// Name returns the incarnation.
+func (w *Runs) Name() string { return w.worker }
+
+// SetTicket makes the worker ask for a ticket, "" for none.
+func (w *Runs) SetTicket(ticket string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ticket = ticket
+}
+
+// Record returns every run so far.
+func (w *Runs) Record() []RunInterval {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	return append([]RunInterval(nil), w.record...)
+}
+
+// Count returns how many runs are at work, and how many ends are not forgotten yet.
+func (w *Runs) Count() (running, listed int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	return len(w.running), len(w.finished)
+}
+
+// clock is the worker's steady clock, in ms.
+func (w *Runs) clock() int64 { return time.Since(w.begun).Milliseconds() + 1 }
+
+// expire ends everything if the lease has ended.
+func (w *Runs) expire() {
+	if w.clock() < w.leaseEnd {
+		return
+	}
+	for id := range w.running {
+		w.finish(id, jobs.OutcomeLost, "lapsed")
+	}
+}
+
+// check tells whether a call is for this incarnation and not from an older life of its
+// agent.
+func (w *Runs) check(t runner.Target) (runner.Reply, bool) {
+	r := runner.Reply{ClockMS: w.clock()}
+	switch {
+	case t.Worker != w.worker:
+		r.Verdict = runner.VerdictElsewhere
+	case t.Token < w.token:
+		r.Verdict = runner.VerdictFenced
+	default:
+		w.token = t.Token
+		return r, true
+	}
+	return r, false
+}
+
+// Start implements runner.Worker.
+func (w *Runs) Start(c runner.StartCall) (runner.Reply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, ok := w.check(c.Target)
+	if !ok {
+		return r, nil
+	}
+	w.expire()
+	id := runID{c.Task, c.Run}
+	switch {
+	case c.LeaseEndMS <= r.ClockMS:
+		r.Verdict = runner.VerdictLate
+	case w.running[id] != nil:
+	case c.Run <= w.fences[c.Task]:
+		r.Verdict = runner.VerdictOld
+	case c.Ticket != w.ticket:
+		r.Verdict = runner.VerdictNoTicket
+	default:
+		w.begin(id, c)
+	}
+	w.leaseEnd = max(w.leaseEnd, c.LeaseEndMS)
+	return r, nil
+}
+
+func (w *Runs) begin(id runID, c runner.StartCall) {
+	w.record = append(w.record, RunInterval{Task: id.task.String(), Run: id.run, StartMS: time.Now().UnixMilli(), Ticket: c.Ticket})
+	todo, err := url.ParseQuery(c.Payload)
+	if err != nil {
+		todo = nil
+	}
+	number := func(key string) int { n, _ := strconv.Atoi(todo.Get(key)); return n } // not told is 0
+	run := &stoodRun{began: time.Now(), work: defaultWork, pace: 100}
+	if ms := number("ms"); ms > 0 {
+		run.work = time.Duration(ms) * time.Millisecond
+	}
+	if saved, err := time.ParseDuration(c.Checkpoint); err == nil {
+		run.saved = saved
+	}
+	w.running[id] = run
+	if number("lasts") > 0 {
+		run.work = 0
+		return
+	}
+	how := jobs.OutcomeDone
+	if int(id.run) <= number("fails") {
+		how = jobs.OutcomeFailed
+	}
+	time.AfterFunc(run.work-run.saved, func() { w.end(id, how) })
+}
+
+// end ends a run by itself.
+func (w *Runs) end(id runID, o jobs.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	w.finish(id, o, o.String())
+}
+
+// finish lists the end of a run that is at work.
+func (w *Runs) finish(id runID, o jobs.Outcome, how string) {
+	run := w.running[id]
+	if run == nil {
+		return
+	}
+	delete(w.running, id)
+	w.fences[id.task] = max(w.fences[id.task], id.run)
+	w.number++
+	f := runner.FinishedRun{Number: w.number, Task: id.task, Run: id.run, Outcome: o, How: how}
+	if o == jobs.OutcomeStopped {
+		f.Checkpoint = (run.saved + time.Since(run.began)).String()
+	}
+	w.finished = append(w.finished, f)
+	for i := range w.record {
+		if r := &w.record[i]; r.Task == id.task.String() && r.Run == id.run {
+			r.EndMS, r.How = time.Now().UnixMilli(), how
+		}
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// Stop implements runner.Worker.
+func (w *Runs) Stop(c runner.StopCall) (runner.Reply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, ok := w.check(c.Target)
+	if !ok {
+		return r, nil
+	}
+	w.expire()
+	w.fences[c.Task] = max(w.fences[c.Task], c.Run)
+	time.AfterFunc(stopTime, func() { w.end(runID{c.Task, c.Run}, jobs.OutcomeStopped) })
+	return r, nil
+}
+
+// Pace implements runner.Worker. It takes note only: the stand-in's tasks disturb nobody.
+func (w *Runs) Pace(c runner.PaceCall) (runner.Reply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, ok := w.check(c.Target)
+	if run := w.running[runID{c.Task, c.Run}]; ok && run != nil {
+		run.pace = c.Percent
+	}
+	return r, nil
+}
+
+// Hold implements runner.Worker.
+func (w *Runs) Hold(c runner.HoldCall) (runner.HoldReply, error) {
+	w.mu.Lock()
+	r, ok := w.check(c.Target)
+	if !ok {
+		w.mu.Unlock()
+		return runner.HoldReply{Reply: r}, nil
+	}
+	w.expire()
+	w.leaseEnd = max(w.leaseEnd, c.LeaseEndMS)
+	for len(w.finished) > 0 && w.finished[0].Number <= c.Cursor {
+		w.finished = w.finished[1:]
+	}
+	changed, listed := w.changed, len(w.finished)
+	w.mu.Unlock()
+	if listed == 0 && c.Wait > 0 {
+		select {
+		case <-changed:
+		case <-time.After(c.Wait):
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	out := runner.HoldReply{Reply: runner.Reply{ClockMS: w.clock()}, Finished: append([]runner.FinishedRun{}, w.finished...)}
+	for id, run := range w.running {
+		out.Running = append(out.Running, runner.RunningRun{Task: id.task, Run: id.run, Percent: run.percent()})
+	}
+	return out, nil
+}
+
+// percent is how much of the run's work is done.
+func (r *stoodRun) percent() int {
+	if r.work == 0 {
+		return 100
+	}
+	return min(99, int(100*(r.saved+time.Since(r.began))/r.work))
+}
--- /dev/null
+++ b/standin/runs_test.go
@@ -0,0 +1,88 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/runner"
+)
+
+var ref = jobs.Ref{Job: "00000000000000aa", Index: 1}
+
+func start(w *Runs, token uint64, run uint32, payload string) runner.Verdict {
+	r, _ := w.Start(runner.StartCall{Target: runner.Target{Worker: "w1", Token: token}, Task: ref, Run: run, Payload: payload, LeaseEndMS: w.clock() + 60_000})
+	return r.Verdict
+}
+
+// The stand-in is the oracle of other tests, so it has to keep a worker's rules itself:
+// an older life of the agent, another incarnation and a run that was stopped before it
+// came start nothing, and a start that comes twice starts one run.
+func TestTheStandInKeepsAWorkersRules(t *testing.T) {
+	w := NewRuns("w1")
+	if got := start(w, 5, 2, "lasts=1"); got != runner.VerdictDone {
+		t.Fatalf("a start: %v", got)
+	}
+	for name, c := range map[string]struct {
+		got, want runner.Verdict
+	}{
+		"the same again":   {start(w, 5, 2, "lasts=1"), runner.VerdictDone},
+		"an older life":    {start(w, 4, 3, ""), runner.VerdictFenced},
+		"an earlier run":   {stopThenStart(w, 7), runner.VerdictOld},
+		"without a ticket": {withTicket(w), runner.VerdictNoTicket},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %v, want %v", name, c.got, c.want)
+		}
+	}
+	if r, _ := w.Hold(runner.HoldCall{Target: runner.Target{Worker: "w2", Token: 9}}); r.Verdict != runner.VerdictElsewhere {
+		t.Errorf("another incarnation: %v", r.Verdict)
+	}
+	if running, _ := w.Count(); running != 1 || len(w.Record()) != 1 {
+		t.Errorf("%d runs, record %+v", running, w.Record())
+	}
+}
+
+// stopThenStart stops a run of another task before it comes.
+func stopThenStart(w *Runs, run uint32) runner.Verdict {
+	other := jobs.Ref{Job: "00000000000000bb"}
+	target := runner.Target{Worker: "w1", Token: 5}
+	w.Stop(runner.StopCall{Target: target, Task: other, Run: run})
+	r, _ := w.Start(runner.StartCall{Target: target, Task: other, Run: run, LeaseEndMS: w.clock() + 60_000})
+	return r.Verdict
+}
+
+func withTicket(w *Runs) runner.Verdict {
+	w.SetTicket("a ticket")
+	defer w.SetTicket("")
+	return start(w, 5, 9, "")
+}
+
+// A run fails as often as its payload says, and its ends are listed until they are
+// acknowledged. When the lease ends everything ends with it.
+func TestTheStandInsRunsEnd(t *testing.T) {
+	w := NewRuns("w1")
+	start(w, 1, 1, "ms=5&fails=1")
+	target := runner.Target{Worker: "w1", Token: 1}
+	r, _ := w.Hold(runner.HoldCall{Target: target, Wait: 10 * time.Second})
+	if len(r.Finished) != 1 || r.Finished[0].Outcome != jobs.OutcomeFailed {
+		t.Fatalf("the first run's end: %+v", r.Finished)
+	}
+	start(w, 1, 2, "ms=5&fails=1")
+	for len(r.Finished) < 2 {
+		r, _ = w.Hold(runner.HoldCall{Target: target, Wait: time.Millisecond})
+	}
+	if r.Finished[1].Outcome != jobs.OutcomeDone || r.Finished[1].Number != 2 {
+		t.Fatalf("the second run's end: %+v", r.Finished)
+	}
+	if r, _ = w.Hold(runner.HoldCall{Target: target, Cursor: 2}); len(r.Finished) != 0 {
+		t.Fatalf("acknowledged ends are listed: %+v", r.Finished)
+	}
+	start(w, 1, 3, "lasts=1")
+	w.mu.Lock()
+	w.leaseEnd = w.clock()
+	w.mu.Unlock()
+	if r, _ = w.Hold(runner.HoldCall{Target: target, Cursor: 2}); len(r.Running) != 0 || len(r.Finished) != 1 || r.Finished[0].Outcome != jobs.OutcomeLost {
+		t.Fatalf("after the lease: %+v", r)
+	}
+}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -42,7 +42,9 @@
 	AgentLocal      string // where to announce
 	Rack            string
 	Capacity        resource.Vector
-	Slots, Conns    int
+	// RunsCapacity is for tasks of callers' jobs, zero for a worker that takes none.
+	RunsCapacity resource.Vector
+	Slots, Conns int
 	// Work is the time that a request takes without its own "ms" argument.
 	Work time.Duration
 	// Every is the interval of the heartbeats.
@@ -66,13 +68,20 @@
 	record  *os.File
 	slots   chan struct{} // what runs at once; the rest queues inside
 	Worker  *Server
+	Tasks   *Runs // of callers' jobs, nil for none
+	beats   uint64
 	client  *transport.Client
 }
 
 // NewUpstream returns an instance that is not yet running.
 func NewUpstream(o UpstreamOptions) *Upstream {
 	host, _, _ := net.SplitHostPort(o.Address)
-	return &Upstream{opts: o, runs: make(map[string]int), slots: make(chan struct{}, max(o.Slots, 1)), Worker: NewServer(NewWorker(o.Capacity)), client: transport.NewClient(nil, host)}
+	u := &Upstream{opts: o, runs: make(map[string]int), slots: make(chan struct{}, max(o.Slots, 1)), Worker: NewServer(NewWorker(o.Capacity)), client: transport.NewClient(nil, host)}
+	if o.RunsCapacity != (resource.Vector{}) {
+		u.Tasks = NewRuns(u.Worker.Worker.Boot)
+		u.Worker.Runs = u.Tasks
+	}
+	return u
 }
 
 // Runs returns how often each token was run.
@@ -138,6 +147,10 @@
 	running := int(u.running.Load())
 	a := agent.Announcement{Market: u.opts.Market, Service: u.opts.Service, Address: u.opts.Address, Rack: u.opts.Rack,
 		Worker: u.opts.WorkerAddress, Capacity: u.opts.Capacity, Slots: u.opts.Slots, Connections: u.opts.Conns, Running: &running, Leaving: u.leaving.Load()}
+	if u.Tasks != nil {
+		u.beats++
+		a.Runs = &agent.RunsAnnouncement{Address: u.opts.WorkerAddress, Incarnation: u.Tasks.Name(), Capacity: u.opts.RunsCapacity, Sequence: u.beats}
+	}
 	b, err := json.Marshal(&a)
 	if err != nil {
 		return
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/runner"
 	"github.com/waxwinghaven/waxwinghaven/worker"
 )
 
@@ -207,6 +208,9 @@
 
 // Server serves a worker over HTTP.
 type Server struct {
+	// Runs answers the calls about callers' tasks, nil for none.
+	Runs *Runs
+
 	mu      sync.Mutex
 	Worker  *Worker
 	started time.Time
@@ -224,6 +228,15 @@
 
 // Serve answers the worker's interface.
 func (s *Server) Serve(ctx *fasthttp.RequestCtx) {
+	if s.Runs != nil {
+		if string(ctx.Path()) == "/runs/record" {
+			writeJSON(ctx, s.Runs.Record())
+			return
+		}
+		if runner.Serve(s.Runs, ctx) == nil {
+			return
+		}
+	}
 	s.Do(func(w *Worker, now int64) {
 		switch string(ctx.Path()) {
 		case worker.PathReport:
