--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -22,9 +22,9 @@
 	calmUnder = 0.9
 	// farOver is a tail at which the suspects stop at once.
 	farOver = 1.5
-	// overLimit is the readings in a row with a tail too long after which all
-	// filling runs stop, and not only the likely culprits: 1.5 s of the four.
-	overLimit = 3
+	// overTime is how long a tail may be too long on end before all filling runs
+	// stop, and not only the likely culprits: one second of the four.
+	overTime = time.Second
 	// firstHold is how long a slowed image stays slowed. Each time it has to
 	// be slowed again soon after, the next one is twice as long.
 	firstHold   = 700 * time.Millisecond
@@ -47,13 +47,15 @@
 	// worth moving elsewhere.
 	stallPace = 50
 	stallTime = 1500 * time.Millisecond
-	// ailingAfter is the readings in a row with a tail too long and nothing that
-	// fills at work after which the worker itself is taken to be unwell.
-	ailingAfter = 4
-	// unwellSpan is the readings in a row for which filling runs may work on a
-	// worker that seems to be unwell. The judgement may be wrong: a pace takes
-	// effect late, or its call was lost. Two seconds of four keep the bound.
-	unwellSpan = 4
+	// ailingTime is how long a tail is too long on end, with nothing that fills at
+	// work all the while, until the worker itself is taken to be unwell. A reading
+	// has the last half second in it, and a pace takes up to 0.1 s to take effect.
+	ailingTime = 1800 * time.Millisecond
+	// unwellTime is how long on end filling runs may work beside a tail that is too
+	// long on a worker that seems to be unwell. The judgement may be wrong: a pace
+	// takes effect late, or its call was lost. With a reading each 0.8 s at the
+	// latest, they stand again after 2.3 s of the four.
+	unwellTime = 1500 * time.Millisecond
 	// maxReadings bounds what is kept for the leader.
 	maxReadings = 16
 )
@@ -77,8 +79,8 @@
 	set      map[runKey]int       // by what was last asked for
 	costs    map[imagePair]float64
 	stepped  time.Time // when the pace last followed a reading
-	over     int       // readings in a row with a tail too long
-	alone    int       // of these, the last ones with nothing filling at work
+	over     time.Time // since when a tail is too long on end, zero if none is
+	alone    time.Time // since when, of that, nothing filling is at work
 	unwell   bool      // tails were too long with nothing filling at work
 	worst    float64   // highest tail against its target, of the last reading
 	readings []control.Reading
@@ -173,21 +175,27 @@
 	for _, s := range sc.serving {
 		p.worst = max(p.worst, s.tail/float64(s.targetMS))
 	}
+	if p.worst <= slowAbove {
+		p.over, p.alone = time.Time{}, time.Time{}
+		if p.worst < calmUnder {
+			p.unwell = false
+			p.letGo(now)
+		}
+		return
+	}
+	if p.over.IsZero() {
+		p.over = now
+	}
 	switch {
-	case p.worst > slowAbove && p.nothingFills(sc):
-		if p.alone++; p.alone >= ailingAfter {
-			p.giveUp()
+	case !p.nothingFills(sc):
+		p.alone = time.Time{}
+		if !p.unwell || now.Sub(p.over) >= unwellTime {
+			p.slow(now, sc)
 		}
-	case p.worst > slowAbove && p.unwell && p.over < unwellSpan:
-		p.over++
-	case p.worst > slowAbove:
-		p.over++
-		p.slow(now, sc)
-	case p.worst < calmUnder:
-		p.over, p.alone, p.unwell = 0, 0, false
-		p.letGo(now)
-	default:
-		p.over, p.alone = 0, 0
+	case p.alone.IsZero():
+		p.alone = now
+	case now.Sub(p.alone) >= ailingTime:
+		p.giveUp(now)
 	}
 }
 
@@ -205,9 +213,9 @@
 // too. A
 // worker that is unwell would else be held at a stand, its runs moved one after the
 // other, and its readings taught as the doing of whatever filled there.
-func (p *pacer) giveUp() {
+func (p *pacer) giveUp(now time.Time) {
 	p.unwell = true
-	p.over, p.alone = 0, 0
+	p.over, p.alone = now, time.Time{}
 	p.slowed = make(map[string]*slowdown)
 	p.readings = nil
 }
@@ -221,12 +229,13 @@
 
 func (p *pacer) slow(now time.Time, sc scene) {
 	images := p.suspects(sc)
-	if p.over >= overLimit {
+	long := now.Sub(p.over) >= overTime
+	if long {
 		images = slices.Collect(maps.Keys(sc.count))
 	}
 	for _, image := range images {
 		pace := p.paceOf(image) / 2
-		if pace < lowestPace || p.worst > farOver || p.over >= overLimit {
+		if pace < lowestPace || p.worst > farOver || long {
 			pace = 0
 		}
 		d := p.slowed[image]
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -15,6 +15,7 @@
 	now    time.Time
 	orders map[jobs.Ref]jobs.Order
 	pace   map[string]int // as the worker was told, by image
+	fresh  bool           // a third render of an image of its own is at work
 }
 
 func newStage() *stage {
@@ -22,12 +23,18 @@
 	s.orders[jobs.Ref{Job: "watch"}] = jobs.Order{TargetMS: 50, Image: "watch"}
 	s.orders[jobs.Ref{Job: "heavy"}] = jobs.Order{Fills: true, Image: "heavy"}
 	s.orders[jobs.Ref{Job: "light"}] = jobs.Order{Fills: true, Image: "light"}
+	s.orders[jobs.Ref{Job: "fresh"}] = jobs.Order{Fills: true, Image: "fresh"}
 	return s
 }
 
-func (s *stage) read(tail float64) {
-	s.now = s.now.Add(readingSpan)
+func (s *stage) read(tail float64) { s.readAfter(readingSpan, tail) }
+
+func (s *stage) readAfter(d time.Duration, tail float64) {
+	s.now = s.now.Add(d)
 	running := []RunningRun{{Task: jobs.Ref{Job: "watch"}, Run: 1, Figure: tail}, {Task: jobs.Ref{Job: "heavy"}, Run: 1}, {Task: jobs.Ref{Job: "light"}, Run: 1}}
+	if s.fresh {
+		running = append(running, RunningRun{Task: jobs.Ref{Job: "fresh"}, Run: 1})
+	}
 	calls := s.p.next(s.now, running, func(r jobs.Ref, _ uint32) (jobs.Order, bool) { o, ok := s.orders[r]; return o, ok })
 	for _, c := range calls {
 		s.pace[c.Task.Job] = c.Percent
@@ -165,3 +172,49 @@
 		t.Error("it is taken to be unwell for ever")
 	}
 }
+
+// A watcher's tail is too long for a moment with every render at a stand. A new render
+// comes, disturbs and is stopped, and the next reading still has half a second of it in
+// it. Taken for a sign that the worker is unwell, it would let everything work again for
+// seconds while the watcher is over its target.
+func TestAStoppedRendersLastReadingIsNoSignOfAnUnwellWorker(t *testing.T) {
+	s := newStage()
+	for s.pace["heavy"] != 0 || s.pace["light"] != 0 {
+		s.read(60)
+	}
+	for range 3 {
+		s.read(56)
+	}
+	s.fresh, s.pace["fresh"] = true, 100
+	s.read(250)
+	if s.pace["fresh"] != 0 {
+		t.Fatalf("paces are %v", s.pace)
+	}
+	s.read(82)
+	if s.p.ailing() || s.pace["heavy"]+s.pace["light"]+s.pace["fresh"] != 0 {
+		t.Fatalf("ailing %v, paces are %v", s.p.ailing(), s.pace)
+	}
+}
+
+// Readings come up to 0.8 s apart. However they come, renders beside a watcher that is
+// over its target must not work on for three of the four seconds that it may be.
+func TestRendersStandInTimeHoweverReadingsCome(t *testing.T) {
+	for _, every := range []time.Duration{150, 250, 400, 600, 800} {
+		every *= time.Millisecond
+		s := newStage()
+		var since time.Time
+		for range 200 {
+			s.readAfter(every, 300)
+			if s.pace["heavy"]+s.pace["light"] == 0 {
+				since = time.Time{}
+				continue
+			}
+			if since.IsZero() {
+				since = s.now
+			}
+			if d := s.now.Sub(since) + every; d > 3*time.Second {
+				t.Fatalf("with a reading each %v they work on for %v", every, d)
+			}
+		}
+	}
+}
