--- a/transport/client.go
+++ b/transport/client.go
@@ -38,6 +38,9 @@
 // Dialer returns a dial function bound to the local address.
 func (c *Client) Dialer() fasthttp.DialFunc {
 	return func(addr string) (net.Conn, error) {
+		if n := network.Load(); n != nil {
+			return (*n).Dial(c.local.String(), addr, dialTimeout)
+		}
 		d := net.Dialer{Timeout: dialTimeout}
 		if c.local != nil {
 			d.LocalAddr = &net.TCPAddr{IP: c.local}
--- a/transport/server.go
+++ b/transport/server.go
@@ -134,11 +134,14 @@
 
 // ServeHTTP runs a server until the context ends, then shuts it down.
 func ServeHTTP(ctx context.Context, server *fasthttp.Server, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { shutdown(server) })
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		shutdown(server)
+	})
 	err := server.Serve(ln)
-	if ctx.Err() != nil {
-		shutdown(server) // waits for the requests in progress
+	if !stop() {
+		<-ended // the requests in progress have finished
 		return nil
 	}
 	return Error.Wrap(err)
@@ -211,6 +214,9 @@
 
 // Listen opens a listener on an address from settings.
 func Listen(address string) (net.Listener, error) {
+	if n := network.Load(); n != nil {
+		return (*n).Listen(address)
+	}
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, Error.New("cannot listen on %s (%v); check that the address belongs to this instance and is free", address, err)
