Clocks that jump: tests for due times and for how long ended jobs are known

The fuzz of everything plays tasks that outlast a cut, and its workers have more room. A first run of it found one task in two places; the oracle was wrong: the stand-in recorded the lapse of a lease when it next looked, not when the lease ended.

--- /dev/null
+++ b/control/clock_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/settings"
+)
+
+// A caller's job is due at a time of day. The clocks of two of five instances jump by
+// hours, ahead and back, and so does the leader's own; nothing may begin early or late
+// for it. When most clocks agree on another time, that is the time.
+func TestDueTimesFollowTheMedianOfManyClocks(t *testing.T) {
+	d := newDispatcher(newBareReplica(t))
+	truth := time.Now().Add(-24 * time.Hour) // the leader's own clock is a day ahead
+	tell := func(agent int, off time.Duration) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.noteClock(fmt.Sprint(agent), truth.Add(time.Since(d.started)+off).UnixMilli(), time.Now())
+	}
+	off := func() time.Duration {
+		return time.Duration(d.nowMS()-truth.Add(time.Since(d.started)).UnixMilli()) * time.Millisecond
+	}
+	for i := range 5 {
+		tell(i, time.Duration(i)*time.Millisecond)
+	}
+	if o := off(); o < -time.Second || o > time.Second {
+		t.Fatalf("the time is off by %v", o)
+	}
+	tell(0, 3*time.Hour)
+	tell(1, -5*time.Hour)
+	if o := off(); o < -time.Second || o > time.Second {
+		t.Fatalf("two of five clocks jumped, the time is off by %v", o)
+	}
+	for i := range 3 {
+		tell(i, 3*time.Hour)
+	}
+	if o := off(); o < 3*time.Hour-time.Second || o > 3*time.Hour+time.Second {
+		t.Fatalf("three of five clocks say three hours later, the time is off by %v", o)
+	}
+}
+
+// A job that ended is known for as long as callers may ask, counted on the leader's
+// steady clock from when it first saw it ended: a time of day that jumps ahead by a year
+// makes nothing forgotten.
+func TestEndedJobsAreKnownHoweverClocksJump(t *testing.T) {
+	r := newBareReplica(t)
+	d := newDispatcher(r)
+	const id = "00000000000000aa"
+	s := r.machine.state.Jobs
+	if err := s.ApplySubmit(jobs.Submit{ID: id, Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1}}}}, 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	s.ApplyCancel(id, 2)
+	d.noteClock("a", time.Now().AddDate(1, 0, 0).UnixMilli(), time.Now())
+	if ids := d.forgettable(time.Now()); len(ids) != 0 {
+		t.Fatalf("%v are forgotten when they are first seen", ids)
+	}
+	if ids := d.forgettable(time.Now().Add(forgetAfter - time.Second)); len(ids) != 0 {
+		t.Fatalf("%v are forgotten too early", ids)
+	}
+	if ids := d.forgettable(time.Now().Add(forgetAfter + time.Second)); len(ids) != 1 {
+		t.Fatalf("%v are forgotten in the end", ids)
+	}
+}
+
+// newBareReplica is a replica with a state and nothing else.
+func newBareReplica(t *testing.T) *Replica {
+	t.Helper()
+	return &Replica{machine: NewMachine(), set: &settings.Settings{Control: &settings.Control{}}}
+}
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -232,8 +232,26 @@
 // leader's steady clock from when it first saw them so: a jump of the time of
 // day can't make it forget early, a new leader only remembers longer.
 func (d *dispatcher) forget() {
-	now := time.Now()
-	var ids []string
+	ids := d.forgettable(time.Now())
+	d.r.machine.Read(func(s *State) {
+		d.starts.forget(func(job string) bool { return s.Jobs.Jobs[job] != nil })
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.consult.book.Forget(func(step jobs.GroupKey) bool {
+			j := s.Jobs.Jobs[step.Job]
+			return j != nil && !j.Phase.Over()
+		})
+	})
+	if len(ids) == 0 {
+		return
+	}
+	if _, err := d.r.proposeJob(JobCommand{Forget: ids}); err != nil {
+		logrus.Warnf("control: Could not commit the forgetting of %d jobs: %v.", len(ids), err)
+	}
+}
+
+// forgettable returns the jobs that were over for long.
+func (d *dispatcher) forgettable(now time.Time) (ids []string) {
 	d.r.machine.Read(func(s *State) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -249,20 +267,6 @@
 			}
 		}
 	})
-	d.r.machine.Read(func(s *State) {
-		d.starts.forget(func(job string) bool { return s.Jobs.Jobs[job] != nil })
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.consult.book.Forget(func(step jobs.GroupKey) bool {
-			j := s.Jobs.Jobs[step.Job]
-			return j != nil && !j.Phase.Over()
-		})
-	})
-	if len(ids) == 0 {
-		return
-	}
 	slices.Sort(ids)
-	if _, err := d.r.proposeJob(JobCommand{Forget: ids}); err != nil {
-		logrus.Warnf("control: Could not commit the forgetting of %d jobs: %v.", len(ids), err)
-	}
+	return ids
 }
--- a/proof/everything_test.go
+++ b/proof/everything_test.go
@@ -197,7 +197,7 @@
 	a := e.agents[i]
 	a.beat++
 	a.runner.Announce(runner.Announcement{Worker: a.life.runs.Name(), Service: "vault", Labels: []string{"a"}, Rack: "r",
-		Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 4000}, Sequence: a.beat})
+		Capacity: resource.Vector{MilliCPU: 12_000, MemoryMB: 4000}, Sequence: a.beat})
 }
 
 func newEverything(t *testing.T, ctx context.Context, seed int64) *everything {
@@ -256,7 +256,11 @@
 	need := resource.Vector{MilliCPU: int64(300 + e.rng.Intn(1500)), MemoryMB: 10}
 	first := jobs.Step{Count: 1 + e.rng.Intn(4), Need: need, EstimateMS: 300, Speculative: e.rng.Intn(2) == 0, Checkpointing: e.rng.Intn(2) == 0}
 	second := jobs.Step{Count: 1 + e.rng.Intn(3), Need: need, EstimateMS: 300, DependsOn: []int{0}}
-	spec := jobs.Spec{Payload: fmt.Sprintf("ms=%d&fails=%d", 50+e.rng.Intn(1500), e.rng.Intn(2)), Steps: []jobs.Step{first, second}}
+	work := 50 + e.rng.Intn(1500)
+	if e.rng.Intn(4) == 0 {
+		work += 4000 // its worker is cut off while it runs
+	}
+	spec := jobs.Spec{Payload: fmt.Sprintf("ms=%d&fails=%d", work, e.rng.Intn(2)), Steps: []jobs.Step{first, second}}
 	e.mu.Lock()
 	e.jobs[id] = &submitted{spec: spec}
 	e.mu.Unlock()
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -92,13 +92,13 @@
 // clock is the worker's steady clock, in ms.
 func (w *Runs) clock() int64 { return time.Since(w.begun).Milliseconds() + 1 }
 
-// expire ends everything if the lease has ended.
+// expire ends everything if the lease has ended, as of the lease's end.
 func (w *Runs) expire() {
 	if w.clock() < w.leaseEnd {
 		return
 	}
 	for id := range w.running {
-		w.finish(id, jobs.OutcomeLost, "lapsed")
+		w.finish(id, jobs.OutcomeLost, "lapsed", w.begun.Add(time.Duration(w.leaseEnd)*time.Millisecond))
 	}
 }
 
@@ -174,11 +174,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expire()
-	w.finish(id, o, o.String())
+	w.finish(id, o, o.String(), time.Now())
 }
 
 // finish lists the end of a run that is at work.
-func (w *Runs) finish(id runID, o jobs.Outcome, how string) {
+func (w *Runs) finish(id runID, o jobs.Outcome, how string, at time.Time) {
 	run := w.running[id]
 	if run == nil {
 		return
@@ -193,7 +193,7 @@
 	w.finished = append(w.finished, f)
 	for i := range w.record {
 		if r := &w.record[i]; r.Task == id.task.String() && r.Run == id.run {
-			r.EndMS, r.How = time.Now().UnixMilli(), how
+			r.EndMS, r.How = at.UnixMilli(), how
 		}
 	}
 	close(w.changed)
