Moves of machines by operators; a loss of power in the fuzz of everything

Machines could be listed and taken down, not moved. Nothing joined the log's promise, that what is acknowledged is synced, with a whole system that loses power.

`machines move` goes to the leader, which refuses it while a caller's standing tasks can't be spared. The fuzz takes the power of one replica, or of all at once: their disks keep only the files and lengths that were synced at that moment (quorum tells a watch of each sync; tests set it).

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -23,6 +23,7 @@
 	r.server.Handle(PathGetConfig, handle(r.onGetConfig), control)
 	r.server.Handle(PathStartWave, handle(r.StartWave), control)
 	r.server.Handle(PathGetWave, handle(r.GetWave), control)
+	r.server.Handle(PathMoveMachine, handle(r.MoveMachine), control)
 	r.server.Handle(PathRegister, handle(r.onRegister), agent)
 	r.server.Handle(PathLease, handle(r.onLease), agent)
 	r.server.Handle(PathOrders, handle(r.onOrders), agent)
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -21,6 +21,8 @@
 	PathReplicas   = "/replicas"
 	PathStartWave  = "/waves/start"
 	PathGetWave    = "/waves/get"
+
+	PathMoveMachine = "/machines/move"
 )
 
 // SubmitJob hands in a job. The queue is chosen by host and path when the
--- a/control/operator_jobs.go
+++ b/control/operator_jobs.go
@@ -53,6 +53,7 @@
 	routes["POST /v1/job-cancellations"] = r.postJobCancellation
 	routes["GET /v1/workers"] = r.getWorkers
 	routes["GET /v1/machines"] = r.getMachines
+	routes["POST /v1/machine-moves"] = r.postMachineMove
 	routes["GET /v1/waves"] = r.getWaves
 	routes["POST /v1/waves"] = r.postWave
 }
@@ -160,6 +161,14 @@
 	return list, nil
 }
 
+func (r *Replica) postMachineMove(q *fasthttp.RequestCtx) (any, error) {
+	var m MachineMove
+	if err := readJSON(q, &m); err != nil {
+		return nil, err
+	}
+	return r.MoveMachine(m)
+}
+
 func (r *Replica) getWaves(*fasthttp.RequestCtx) (any, error) {
 	out := []WaveView{}
 	err := r.confirmed(func(s *State) {
--- a/control/waves.go
+++ b/control/waves.go
@@ -251,3 +251,79 @@
 	}
 	return v
 }
+
+// MachineMove asks for a machine in another pool.
+type MachineMove struct {
+	Machine string `json:"machine" msgpack:"m"`
+	Pool    string `json:"pool" msgpack:"p"`
+}
+
+// MoveMachine moves a machine into another pool; everything on it ends. It is refused
+// while that took more standing tasks of a step away than its caller allows. Sent again
+// it does no more.
+func (r *Replica) MoveMachine(m MachineMove) (Empty, error) {
+	if addr := r.leaderElsewhere(); addr != "" {
+		return Empty{}, r.client.Call(addr, PathMoveMachine, passOnTimeout, &m, nil)
+	}
+	if m.Machine == "" || m.Pool == "" {
+		return Empty{}, refusal.New(refusal.Invalid, "name a machine and a pool", "the move names no machine or pool")
+	}
+	return Empty{}, r.waves.move(m)
+}
+
+func (w *waves) move(m MachineMove) error {
+	if w.machines == nil {
+		return refusal.New(refusal.NoUpstream, "name the platform's interface for machines in the control's settings", "no interface for machines is set")
+	}
+	token, ok := w.right()
+	if !ok {
+		e := refusal.New(refusal.NoQuorum, "ask again in a moment", "this replica may not give orders about machines yet")
+		e.RetryAfter = refusal.Spread(w.lease)
+		return e
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), machineTimeout)
+	defer cancel()
+	list, err := w.machines.List(ctx)
+	if err != nil {
+		return refusal.New(refusal.Unreachable, "check the platform's interface for machines", "the machines can't be listed: %v", err)
+	}
+	if !w.mayEnd(list, m.Machine) {
+		return refusal.New(refusal.Conflict, "wait until its standing tasks are at work elsewhere", "machine %s runs standing tasks that their caller can't spare now", m.Machine)
+	}
+	if err := w.r.confirmedLeader(); err != nil {
+		return err
+	}
+	v, err := w.machines.Move(ctx, MachineOrder{Machine: m.Machine, Pool: m.Pool, Holder: w.r.self.Name, Token: token})
+	if err != nil {
+		return refusal.New(refusal.UnknownOutcome, "send the same again", "the platform did not answer: %v", err)
+	}
+	logrus.WithFields(logrus.Fields{"machine": m.Machine, "pool": m.Pool, "token": token, "verdict": v.String()}).Info("control: The platform answered a move's order.")
+	return moveRefusal(m, v)
+}
+
+// mayEnd reports whether a listed machine's worker may be ended now.
+func (w *waves) mayEnd(list []upkeep.Machine, machine string) (may bool) {
+	now := w.r.dispatcher.nowMS()
+	may = true
+	for _, x := range list {
+		if x.Name == machine && x.Worker != "" {
+			w.r.machine.Read(func(s *State) { may = dispatch.Spared(s.Jobs, x.Worker, now) })
+		}
+	}
+	return may
+}
+
+// moveRefusal tells an operator what became of a move.
+func moveRefusal(m MachineMove, v MachineVerdict) error {
+	switch v {
+	case MachineDone:
+		return nil
+	case MachineUnknown:
+		return refusal.New(refusal.NotFound, "see the list of machines and pools", "there is no machine %s, or no pool %s that it could join", m.Machine, m.Pool)
+	case MachineBusy:
+		return refusal.New(refusal.Conflict, "wait until it is up", "machine %s is not up, or about to end by itself", m.Machine)
+	case MachineFenced:
+		return refusal.New(refusal.NotLeader, "ask the leader", "a later leader gives orders about machines")
+	}
+	return refusal.New(refusal.Unreachable, "ask again in a moment", "the platform takes no move now: %s", v)
+}
--- a/control/waves_test.go
+++ b/control/waves_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/upkeep"
 )
 
@@ -68,8 +69,50 @@
 	return p.token
 }
 
-func (p *platformMachines) Move(context.Context, MachineOrder) (MachineVerdict, error) {
-	return MachineLater, nil
+func (p *platformMachines) Move(_ context.Context, o MachineOrder) (MachineVerdict, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.list {
+		if p.list[i].Name == o.Machine {
+			p.list[i].Pool = o.Pool
+			return MachineDone, nil
+		}
+	}
+	return MachineUnknown, nil
+}
+
+// An operator moves a machine to another pool, by whichever replica, while a caller's
+// standing task runs on it that may not be away. The move is refused until the task is
+// gone, and one of an unknown machine always.
+func TestAMoveTakesNoStandingTaskAway(t *testing.T) {
+	p := &platformMachines{taken: make(map[string]int), list: []upkeep.Machine{{Name: "m0", Pool: "vault", Up: true, Worker: "w"}}}
+	c := newClusterWith(t, "20ms", func(r *Replica) { r.SetMachines(p, 10*time.Millisecond) })
+	c.prepareJobs(4)
+	job := standingJob("00000000000000aa", 2)
+	job.Spec.Steps[0].Count, job.Spec.Steps[0].Need.MilliCPU, job.Spec.Steps[0].MaxUnavailable = 2, 1000, 1
+	l := c.leader()
+	if _, err := c.replicas[l].onSubmitJob(job); err != nil {
+		t.Fatal(err)
+	}
+	c.wait("its tasks are placed", func() bool {
+		runs := 0
+		c.replicas[l].machine.Read(func(s *State) { runs = len(s.Jobs.RunsOn("w")) })
+		return runs == 2
+	})
+	move := MachineMove{Machine: "m0", Pool: "other"}
+	if _, err := c.replicas[(l+1)%3].MoveMachine(move); !refusal.Is(err, refusal.Conflict) {
+		t.Fatalf("with standing tasks on it: %v", err)
+	}
+	if _, err := c.replicas[l].onCancelJob(JobCall{job.Host, job.Path}); err != nil {
+		t.Fatal(err)
+	}
+	c.wait("the move is taken", func() bool { _, err := c.replicas[(l+1)%3].MoveMachine(move); return err == nil })
+	if list, _ := p.List(context.Background()); list[0].Pool != "other" {
+		t.Errorf("the machines are %+v", list)
+	}
+	if _, err := c.replicas[l].MoveMachine(MachineMove{Machine: "m9", Pool: "other"}); !refusal.Is(err, refusal.NotFound) {
+		t.Errorf("an unknown machine: %v", err)
+	}
 }
 
 // An operator's wave is at work when its leader is cut off, the answers to two orders
--- a/operator/client.go
+++ b/operator/client.go
@@ -240,6 +240,11 @@
 	return out, err
 }
 
+// MoveMachine puts a machine into another pool.
+func (c *Client) MoveMachine(m control.MachineMove) error {
+	return c.call("POST", "/v1/machine-moves", m, nil)
+}
+
 // StartWave asks for the upkeep of machines; sent again it stays one wave.
 func (c *Client) StartWave(w upkeep.Wave) error { return c.call("POST", "/v1/waves", w, nil) }
 
--- a/proof/everything_acts_test.go
+++ b/proof/everything_acts_test.go
@@ -110,6 +110,8 @@
 		e.announce(i)
 	case n < 16:
 		e.crashWorker(e.rng.Intn(fuzzWorkers))
+	case n < 17 && e.rng.Intn(3) == 0:
+		e.blackout(hurt)
 	case n < 19:
 		ip := agentIP(e.rng.Intn(fuzzWorkers))
 		on := e.rng.Intn(2) == 0
@@ -143,6 +145,7 @@
 	hurtCut
 	hurtDown
 	hurtWiped
+	hurtPower
 )
 
 // strike hurts a replica if all are well.
@@ -150,13 +153,17 @@
 	if h.how != hurtNone {
 		return
 	}
-	h.which, h.how = e.rng.Intn(fuzzReplicas), 1+e.rng.Intn(3)
+	h.which, h.how = e.rng.Intn(fuzzReplicas), 1+e.rng.Intn(4)
 	h.until = time.Now().Add(time.Duration(500+e.rng.Intn(6000)) * time.Millisecond)
-	e.note("replica %d: %s", h.which, [...]string{"", "cut off", "down", "down, its disk lost"}[h.how])
+	e.note("replica %d: %s", h.which, [...]string{"", "cut off", "down", "down, its disk lost", "without power"}[h.how])
 	if h.how == hurtCut {
 		e.net.isolate(replicaIP(h.which), true)
 		return
 	}
+	if h.how == hurtPower {
+		e.losePower(h.which)
+		return
+	}
 	e.replicas[h.which].end()
 	if h.how == hurtWiped {
 		if err := os.RemoveAll(e.disk(h.which)); err != nil {
@@ -165,6 +172,38 @@
 	}
 }
 
+// losePower ends replicas at one moment, with what their disks had not synced by then.
+// What they write or say after that moment is as if it had never been.
+func (e *everything) losePower(which ...int) {
+	left := make(map[int]map[string][]byte)
+	for _, i := range which {
+		e.net.isolate(replicaIP(i), true)
+	}
+	for _, i := range which {
+		left[i] = e.power.left(e.disk(i))
+	}
+	for _, i := range which {
+		e.replicas[i].end()
+		e.power.restore(e.disk(i), left[i])
+		e.net.isolate(replicaIP(i), false)
+	}
+}
+
+// blackout takes the power of all replicas at once, and gives it back.
+func (e *everything) blackout(h *hurtReplica) {
+	if h.how != hurtNone {
+		return
+	}
+	e.note("all replicas are without power")
+	e.losePower(0, 1, 2)
+	time.Sleep(time.Duration(e.rng.Intn(3000)) * time.Millisecond)
+	e.note("the power is back")
+	for i := range e.replicas {
+		e.startReplica(i)
+	}
+	h.how, h.which, h.until = hurtDown, -1, time.Now()
+}
+
 // heal brings the replica back when its time is over. Another may be hurt once it has
 // had the time to catch up.
 func (h *hurtReplica) heal(e *everything, now time.Time) {
--- a/proof/everything_test.go
+++ b/proof/everything_test.go
@@ -18,6 +18,7 @@
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/entry"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/resource"
 	"github.com/waxwinghaven/waxwinghaven/runner"
 	"github.com/waxwinghaven/waxwinghaven/settings"
@@ -39,11 +40,12 @@
 // everything is a whole system in one process and in virtual time: replicas with their
 // disks, an entry, agents' runners, workers. What goes wrong is drawn from a seed.
 type everything struct {
-	t   *testing.T
-	rng *rand.Rand // of the main loop only
-	net *memoryNetwork
-	dir string
-	ctx context.Context
+	t     *testing.T
+	rng   *rand.Rand // of the main loop only
+	net   *memoryNetwork
+	power *powerBook
+	dir   string
+	ctx   context.Context
 
 	begun    time.Time
 	formed   bool // the replica set has formed: an empty disk is a lost one
@@ -64,7 +66,7 @@
 // process is a replica that can be stopped and started.
 type process struct {
 	stop  context.CancelFunc
-	ended chan error
+	ended chan struct{}
 }
 
 // agentProcess is a runner beside a worker.
@@ -123,15 +125,21 @@
 		e.t.Errorf("replica %d does not start: %v", i, err)
 		return
 	}
-	e.replicas[i] = start(e.ctx, r.Run)
+	e.replicas[i] = e.start(r.Run)
 }
 
 func (e *everything) disk(i int) string { return filepath.Join(e.dir, fmt.Sprint(i)) }
 
-func start(ctx context.Context, run func(context.Context) error) *process {
-	ctx, cancel := context.WithCancel(ctx)
-	p := &process{stop: cancel, ended: make(chan error, 1)}
-	go func() { p.ended <- run(ctx) }()
+func (e *everything) start(run func(context.Context) error) *process {
+	ctx, cancel := context.WithCancel(e.ctx)
+	p := &process{stop: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		if err := run(ctx); err != nil && ctx.Err() == nil {
+			e.note("a process ended: %v", err)
+			e.t.Errorf("a process ended: %v", err)
+		}
+	}()
 	return p
 }
 
@@ -145,7 +153,7 @@
 	a := e.agents[i]
 	ctl := control.NewClient("agent", transport.NewClient(nil, agentIP(i)), contacts, i)
 	a.runner = runner.New(agentIP(i), ctl, &lateWorker{Runs: a.life.runs, rng: rand.New(rand.NewSource(e.rng.Int63()))})
-	a.process = *start(e.ctx, a.runner.Run)
+	a.process = *e.start(a.runner.Run)
 }
 
 // startWorker begins a new incarnation of a worker.
@@ -163,8 +171,9 @@
 }
 
 func newEverything(t *testing.T, ctx context.Context, seed int64) *everything {
-	e := &everything{t: t, rng: rand.New(rand.NewSource(seed)), net: newMemoryNetwork(), dir: t.TempDir(), ctx: ctx, begun: time.Now(), jobs: make(map[string]*submitted)}
+	e := &everything{t: t, rng: rand.New(rand.NewSource(seed)), net: newMemoryNetwork(), power: newPowerBook(t), dir: t.TempDir(), ctx: ctx, begun: time.Now(), jobs: make(map[string]*submitted)}
 	transport.SetNetwork(e.net)
+	quorum.WatchSyncs(e.power)
 	for i := range e.replicas {
 		e.startReplica(i)
 	}
@@ -218,7 +227,8 @@
 }
 
 // Callers hand jobs in and cancel them, operators change the configuration, and all the
-// while replicas are cut off, stopped and lose their disks one at a time, agents start
+// while replicas are cut off, stopped, lose their disks or their power one at a time, or
+// all their power at once, with whatever was not synced; agents start
 // anew, are cut off, workers crash, and leave calls unanswered that they carry out
 // seconds later. When it is over every job that was taken is
 // done, nothing was started twice or too early, nothing acknowledged is forgotten.
@@ -226,6 +236,7 @@
 	logrus.SetOutput(io.Discard)
 	defer logrus.SetOutput(os.Stderr)
 	defer transport.SetNetwork(nil)
+	defer quorum.WatchSyncs(nil)
 	for seed := range int64(*everythingRuns) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playEverything(t, seed) })
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -332,6 +332,7 @@
 		return Error.Wrap(err)
 	}
 	d.size += int64(len(b))
+	fileSynced(d.wal.Name(), d.size)
 	return nil
 }
 
@@ -396,10 +397,14 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = d.write(f, appendRecord(nil, payload))
+	record := appendRecord(nil, payload)
+	_, err = d.write(f, record)
 	if err == nil {
 		err = f.Sync()
 	}
+	if err == nil {
+		fileSynced(f.Name(), int64(len(record)))
+	}
 	if cerr := f.Close(); err == nil {
 		err = cerr
 	}
@@ -422,7 +427,11 @@
 		return err
 	}
 	defer f.Close()
-	return f.Sync()
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	folderSynced(d.dir)
+	return nil
 }
 
 // Full reports whether the disk has less room than MinFreeBytes.
