--- a/control/client_test.go
+++ b/control/client_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// An agent starts while two of its three seeds are dead, the first one included. It finds
+// the third, and stays with it.
+func TestDeadSeedsAtTheStartArePassedOver(t *testing.T) {
+	var calls atomic.Int32
+	serve(t, "127.0.8.53:7880", func() error { calls.Add(1); return nil })
+	c := clientOf("127.0.8.51:7880", "127.0.8.52:7880", "127.0.8.53:7880")
+	for range 3 {
+		if err := c.Call(PathPutConfig, 30*time.Second, &Empty{}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if calls.Load() != 3 || c.current() != "127.0.8.53:7880" {
+		t.Errorf("%d calls arrived, the next one goes to %s", calls.Load(), c.current())
+	}
+}
+
 // The seeds in the settings are all gone; the replicas that were heard of since
 // are not.
 func TestLearnedReplicasOutliveTheSeeds(t *testing.T) {
