--- a/agent/agent.go
+++ b/agent/agent.go
@@ -302,26 +302,14 @@
 }
 
 func (g *Agent) callWorker(addr, method, path string, body, out any) error {
-	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(q)
-	defer fasthttp.ReleaseResponse(p)
-	q.Header.SetMethod(method)
-	q.SetRequestURI(path)
-	q.Header.SetHost(addr)
-	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return err
-		}
-		q.SetBodyRaw(b)
-	}
-	if err := g.plain.Host(addr).DoTimeout(q, p, workerTimeout); err != nil {
+	status, answer, err := transport.CallJSON(g.plain.Host(addr), transport.JSONCall{Method: method, Path: path, Body: body, Timeout: workerTimeout})
+	if err != nil {
 		return err
 	}
-	if p.StatusCode() != fasthttp.StatusOK {
-		return errors.New("status " + fasthttp.StatusMessage(p.StatusCode()))
+	if status != fasthttp.StatusOK {
+		return errors.New("status " + fasthttp.StatusMessage(status))
 	}
-	return json.Unmarshal(p.Body(), out)
+	return json.Unmarshal(answer, out)
 }
 
 func (g *Agent) renewal(report worker.Report) control.Renew {
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -12,6 +12,7 @@
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
 // Announcement is what an upstream posts to its agent's local port, again and
@@ -63,7 +64,7 @@
 	if a.Running != nil && *a.Running < 0 {
 		return bad("count the requests in progress", "running %d is less than nothing", *a.Running)
 	}
-	if a.Capacity.MilliCPU < 0 || a.Capacity.MemoryMB < 0 || a.Capacity.Accelerators < 0 {
+	if a.Capacity.Negative() {
 		return bad("give amounts of 0 or more", "the capacity is less than nothing")
 	}
 	if a.Runs != nil {
@@ -101,10 +102,9 @@
 
 func localError(ctx *fasthttp.RequestCtx, status int, e *refusal.Error) {
 	refusal.Count("announce", e.Code)
-	b, _ := json.Marshal(e)
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(append(b, '\n'))
+	if transport.WriteJSON(ctx, status, e) {
+		ctx.Response.AppendBodyString("\n")
+	}
 }
 
 func (g *Agent) postAnnounce(ctx *fasthttp.RequestCtx) {
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -33,7 +33,7 @@
 	if a.Incarnation == "" {
 		return refusal.New(refusal.Invalid, "name each start of the worker anew", "runs.incarnation is missing")
 	}
-	if a.Capacity.MilliCPU < 0 || a.Capacity.MemoryMB < 0 || a.Capacity.Accelerators < 0 {
+	if a.Capacity.Negative() {
 		return refusal.New(refusal.Invalid, "give amounts of 0 or more", "runs.capacity is less than nothing")
 	}
 	return nil
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -62,11 +62,8 @@
 	r.dispatcher.submitted(&c)
 	r.logCall("submit", JobCall{c.Host, c.Path}, err)
 	if err == nil {
-		r.machine.Read(func(s *State) {
-			if _, _, id, err := s.findQueue(JobCall{c.Host, c.Path}); err == nil {
-				r.dispatcher.starts.submitted(id, arrived)
-			}
-		})
+		// A path that was taken ends with the job's id.
+		r.dispatcher.starts.submitted(c.Path[len(c.Path)-jobs.IDLength:], arrived)
 		logrus.WithFields(logrus.Fields{"job": c.Path, "steps": c.Spec.String()}).Info("control: Took a job in.")
 		r.dispatcher.wake()
 	}
--- a/control/operator.go
+++ b/control/operator.go
@@ -85,14 +85,9 @@
 }
 
 func writeJSON(q *fasthttp.RequestCtx, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		q.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
+	if transport.WriteJSON(q, status, v) {
+		q.Response.AppendBodyString("\n") // for whoever reads it in a terminal
 	}
-	q.SetStatusCode(status)
-	q.SetContentType("application/json")
-	q.SetBody(append(b, '\n'))
 }
 
 // statusOf maps a refusal to an HTTP status.
--- a/control/operator_jobs.go
+++ b/control/operator_jobs.go
@@ -150,7 +150,7 @@
 
 func (r *Replica) getMachines(*fasthttp.RequestCtx) (any, error) {
 	if r.waves.machines == nil {
-		return nil, refusal.New(refusal.NotFound, "name the platform's interface for machines in the control's settings", "no interface for machines is set")
+		return nil, noMachines(refusal.NotFound)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), machineTimeout)
 	defer cancel()
--- a/control/waves.go
+++ b/control/waves.go
@@ -209,7 +209,7 @@
 		return Empty{}, r.client.Call(addr, PathStartWave, passOnTimeout, &w, nil)
 	}
 	if r.waves.machines == nil {
-		return Empty{}, refusal.New(refusal.NoUpstream, "name the platform's interface for machines in the control's settings", "no interface for machines is set")
+		return Empty{}, noMachines(refusal.NoUpstream)
 	}
 	_, err := r.proposeJob(JobCommand{Wave: &StartWave{w, r.dispatcher.nowMS()}})
 	if err == nil {
@@ -218,6 +218,10 @@
 	return Empty{}, err
 }
 
+func noMachines(code refusal.Code) error {
+	return refusal.New(code, "name the platform's interface for machines in the control's settings", "no interface for machines is set")
+}
+
 // WaveView is a wave as operators see it.
 type WaveView struct {
 	upkeep.Wave
@@ -273,7 +277,7 @@
 
 func (w *waves) move(m MachineMove) error {
 	if w.machines == nil {
-		return refusal.New(refusal.NoUpstream, "name the platform's interface for machines in the control's settings", "no interface for machines is set")
+		return noMachines(refusal.NoUpstream)
 	}
 	token, ok := w.right()
 	if !ok {
--- a/dispatch/advised.go
+++ b/dispatch/advised.go
@@ -18,8 +18,12 @@
 	Advice queues.Advice
 }
 
-// Advised returns the steps of advised queues whose tasks wait, the most urgent first.
+// Advised returns the steps of advised queues whose tasks wait, the most urgent first. It
+// is asked after each pass, so where no queue is advised it looks at nothing else.
 func Advised(in Input) []Wanted {
+	if !in.Config.Advised() {
+		return nil
+	}
 	p := &planner{in: in}
 	var out []Wanted
 	for _, r := range p.requests() {
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -58,7 +58,7 @@
 	switch {
 	case st.Count < 1:
 		return invalid("give each step one task or more", "step %d has %d tasks", i, st.Count)
-	case st.Need.MilliCPU < 0 || st.Need.MemoryMB < 0 || st.Need.Accelerators < 0:
+	case st.Need.Negative():
 		return invalid("ask for amounts of 0 or more", "step %d asks for a negative amount", i)
 	case st.Need.MilliCPU > maxAmount || st.Need.MemoryMB > maxAmount || st.Need.Accelerators > maxAmount:
 		return invalid("ask for what a worker can have", "step %d asks for more than any worker has", i)
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -4,6 +4,7 @@
 package queues
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/waxwinghaven/waxwinghaven/refusal"
@@ -121,6 +122,11 @@
 	return q, path[len(q.Prefix):]
 }
 
+// Advised reports whether any queue needs an advisor.
+func (c *Config) Advised() bool {
+	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Advice != nil })
+}
+
 // At returns the queue at exactly this host and prefix, nil for none.
 func (c *Config) At(host, prefix string) *Queue {
 	for i := range c.Queues {
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -19,6 +19,9 @@
 	return Vector{v.MilliCPU - o.MilliCPU, v.MemoryMB - o.MemoryMB, v.Accelerators - o.Accelerators}
 }
 
+// Negative reports whether any amount is below 0.
+func (v Vector) Negative() bool { return v.MilliCPU < 0 || v.MemoryMB < 0 || v.Accelerators < 0 }
+
 // Fits reports whether v is no more than room in every resource.
 func (v Vector) Fits(room Vector) bool {
 	return v.MilliCPU <= room.MilliCPU && v.MemoryMB <= room.MemoryMB && v.Accelerators <= room.Accelerators
--- a/runner/remote.go
+++ b/runner/remote.go
@@ -20,13 +20,12 @@
 )
 
 const (
-	// remoteTimeout bounds a call to the worker on the same instance, whose answer
+	// CallTimeout bounds a call to the worker on the same instance, whose answer
 	// takes a few milliseconds. One that takes longer was lost.
-	remoteTimeout = 500 * time.Millisecond
-	// remoteConns bounds the connections to it: its calls may take half a second
+	CallTimeout = 500 * time.Millisecond
+	// CallConns bounds the connections to it: its calls may take half a second
 	// each when answers are lost.
-	remoteConns = 32
-	remoteIdle  = 5 * time.Second
+	CallConns = 32
 )
 
 // Remote is a worker behind its HTTP interface.
@@ -34,9 +33,7 @@
 
 // NewRemote returns a client of the worker at addr.
 func NewRemote(addr, from string) *Remote {
-	h := transport.NewHost(addr, transport.NewClient(nil, from).Dialer(), remoteConns)
-	h.MaxIdleConnDuration = remoteIdle
-	return &Remote{h}
+	return &Remote{transport.NewJSONHost(addr, from, CallConns)}
 }
 
 // Start implements Worker.
@@ -60,7 +57,7 @@
 }
 
 func (r *Remote) call(path string, c any, wait time.Duration, reply any) error {
-	status, answer, err := transport.CallJSON(r.host, transport.JSONCall{Path: path, Body: c, Timeout: wait + remoteTimeout})
+	status, answer, err := transport.CallJSON(r.host, transport.JSONCall{Path: path, Body: c, Timeout: wait + CallTimeout})
 	if err != nil {
 		return err
 	}
@@ -99,11 +96,6 @@
 		q.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return nil
 	}
-	b, err := json.Marshal(reply)
-	if err != nil {
-		return err
-	}
-	q.SetContentType("application/json")
-	q.SetBody(b)
+	transport.WriteJSON(q, fasthttp.StatusOK, reply)
 	return nil
 }
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -150,7 +150,7 @@
 	if a.Worker == "" || a.Service == "" {
 		return errors.New("the announcement names no worker or service")
 	}
-	if a.Capacity.MilliCPU < 0 || a.Capacity.MemoryMB < 0 || a.Capacity.Accelerators < 0 {
+	if a.Capacity.Negative() {
 		return errors.New("the announcement has a negative capacity")
 	}
 	return nil
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -45,7 +45,6 @@
 	began time.Time
 	work  time.Duration // 0 for a run that lasts
 	saved time.Duration // that it resumed from
-	pace  int
 }
 
 // RunInterval is one run's time on the worker.
@@ -150,7 +149,7 @@
 		todo = nil
 	}
 	number := func(key string) int { n, _ := strconv.Atoi(todo.Get(key)); return n } // not told is 0
-	run := &stoodRun{began: time.Now(), work: defaultWork, pace: 100}
+	run := &stoodRun{began: time.Now(), work: defaultWork}
 	if ms := number("ms"); ms > 0 {
 		run.work = time.Duration(ms) * time.Millisecond
 	}
@@ -214,14 +213,11 @@
 	return r, nil
 }
 
-// Pace implements runner.Worker. It takes note only: the stand-in's tasks disturb nobody.
+// Pace implements runner.Worker. It changes nothing: the stand-in's tasks disturb nobody.
 func (w *Runs) Pace(c runner.PaceCall) (runner.Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r, ok := w.check(c.Target)
-	if run := w.running[runID{c.Task, c.Run}]; ok && run != nil {
-		run.pace = c.Percent
-	}
+	r, _ := w.check(c.Target)
 	return r, nil
 }
 
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"net"
 	"os"
 	"strconv"
@@ -151,27 +150,17 @@
 		u.beats++
 		a.Runs = &agent.RunsAnnouncement{Address: u.opts.WorkerAddress, Incarnation: u.Tasks.Name(), Capacity: u.opts.RunsCapacity, Sequence: u.beats}
 	}
-	b, err := json.Marshal(&a)
-	if err != nil {
-		return
-	}
-	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(q)
-	defer fasthttp.ReleaseResponse(p)
-	q.Header.SetMethod(fasthttp.MethodPost)
-	q.SetRequestURI("/announce")
-	q.Header.SetHost(u.opts.AgentLocal)
-	q.SetBodyRaw(b)
-	u.client.Host(u.opts.AgentLocal).DoTimeout(q, p, time.Second) // repeated at the next heartbeat
+	// One that fails is repeated at the next heartbeat.
+	transport.CallJSON(u.client.Host(u.opts.AgentLocal), transport.JSONCall{Path: "/announce", Body: &a, Timeout: time.Second})
 }
 
 func (u *Upstream) serve(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/standin/runs":
-		writeJSON(ctx, u.Runs())
+		transport.WriteJSON(ctx, fasthttp.StatusOK, u.Runs())
 		return
 	case "/standin/most":
-		writeJSON(ctx, u.Most.Load())
+		transport.WriteJSON(ctx, fasthttp.StatusOK, u.Most.Load())
 		return
 	case "/standin/fault":
 		u.Fault.Store(int32(ctx.QueryArgs().GetUintOrZero("n")))
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -17,6 +17,7 @@
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/resource"
 	"github.com/waxwinghaven/waxwinghaven/runner"
+	"github.com/waxwinghaven/waxwinghaven/transport"
 	"github.com/waxwinghaven/waxwinghaven/worker"
 )
 
@@ -230,7 +231,7 @@
 func (s *Server) Serve(ctx *fasthttp.RequestCtx) {
 	if s.Runs != nil {
 		if string(ctx.Path()) == "/runs/record" {
-			writeJSON(ctx, s.Runs.Record())
+			transport.WriteJSON(ctx, fasthttp.StatusOK, s.Runs.Record())
 			return
 		}
 		if runner.Serve(s.Runs, ctx) == nil {
@@ -240,16 +241,16 @@
 	s.Do(func(w *Worker, now int64) {
 		switch string(ctx.Path()) {
 		case worker.PathReport:
-			writeJSON(ctx, w.Report(now))
+			transport.WriteJSON(ctx, fasthttp.StatusOK, w.Report(now))
 		case worker.PathSync:
 			var m worker.Sync
 			if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
 				ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 				return
 			}
-			writeJSON(ctx, w.Sync(m, now))
+			transport.WriteJSON(ctx, fasthttp.StatusOK, w.Sync(m, now))
 		case "/worker/intervals":
-			writeJSON(ctx, s.wallIntervals(w, now))
+			transport.WriteJSON(ctx, fasthttp.StatusOK, s.wallIntervals(w, now))
 		case "/worker/fail":
 			w.FailAll = ctx.QueryArgs().GetBool("on")
 		default:
@@ -274,13 +275,3 @@
 	}
 	return out
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
--- a/transport/json.go
+++ b/transport/json.go
@@ -14,6 +14,34 @@
 // made, or none was free.
 var ErrNotSent = errors.New("the call was not sent")
 
+// ContentJSON is the content type of JSON bodies.
+const ContentJSON = "application/json"
+
+// jsonIdle closes the connections to an interface that speaks JSON before its server
+// does.
+const jsonIdle = 5 * time.Second
+
+// NewJSONHost returns a connection pool for an interface that speaks JSON. Paths are
+// sent as they are.
+func NewJSONHost(addr, from string, conns int) *fasthttp.HostClient {
+	h := NewHost(addr, NewClient(nil, from).Dialer(), conns)
+	h.MaxIdleConnDuration, h.DisablePathNormalizing = jsonIdle, true
+	return h
+}
+
+// WriteJSON answers with a JSON value, and reports whether it could be written as such.
+func WriteJSON(q *fasthttp.RequestCtx, status int, v any) bool {
+	b, err := json.Marshal(v)
+	if err != nil {
+		q.SetStatusCode(fasthttp.StatusInternalServerError)
+		return false
+	}
+	q.SetStatusCode(status)
+	q.SetContentType(ContentJSON)
+	q.SetBody(b)
+	return true
+}
+
 // JSONCall is one call of an interface that speaks JSON.
 type JSONCall struct {
 	Method  string // POST if empty
@@ -43,7 +71,7 @@
 		if err != nil {
 			return 0, nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 		}
-		q.Header.SetContentType("application/json")
+		q.Header.SetContentType(ContentJSON)
 		q.SetBodyRaw(b)
 	}
 	switch err := h.DoTimeout(q, p, c.Timeout); {
