An instance's answers don't go back in the order in which the calls came

Each answer was right when it was given, but by when the calls were sent the instance went back.

A leader that serves an old version: each answer follows a majority's word. A bound on how long a look-up is held (250 ms): it would cost every look-up an answer in each of the failovers of 0.5 to 1 s.

Answers and refusals of look-ups carry the configuration's version; the entry withholds an answer by a newer version than a call got that came over 0.1 s later, and the caller asks again, told that nothing has run.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -93,16 +93,25 @@
 		return a, err
 	}
 	r.machine.Read(func(s *State) {
-		var host, prefix, id string
-		if host, prefix, id, err = s.findQueue(c); err != nil {
-			return
-		}
-		if id == "" {
-			a.IsQueue, a.Pending = true, s.Jobs.Pending(host, prefix)
-			return
-		}
-		a.Phase, err = s.Jobs.Lookup(host, prefix, id)
+		a, err = s.lookUp(c)
+		a.Version = s.Queues.Config.Version
 	})
+	if e, ok := refusal.Of(err); ok {
+		e.Revision = a.Version
+	}
+	return a, err
+}
+
+// lookUp tells where a job stands, or how long a queue is.
+func (s *State) lookUp(c JobCall) (a LookUpAnswer, err error) {
+	host, prefix, id, err := s.findQueue(c)
+	if err != nil {
+		return a, err
+	}
+	if id == "" {
+		return LookUpAnswer{IsQueue: true, Pending: s.Jobs.Pending(host, prefix)}, nil
+	}
+	a.Phase, err = s.Jobs.Lookup(host, prefix, id)
 	return a, err
 }
 
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -48,6 +48,8 @@
 	// which nothing has started.
 	IsQueue bool `msgpack:"q,omitempty"`
 	Pending int  `msgpack:"n,omitempty"`
+	// Version is the configuration by which the queue was found.
+	Version uint64 `msgpack:"v,omitempty"`
 }
 
 // PutConfig brings a version of the configuration.
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -32,6 +32,7 @@
 	ctl    *control.Client
 	answer atomic.Int64 // when a replica last answered, since started
 	begun  time.Time
+	order  answerOrder
 }
 
 // NewJobs returns a gateway that is not yet running.
@@ -94,11 +95,31 @@
 
 // LookUp tells where a job stands, or how long a queue is.
 func (j *Jobs) LookUp(host, path string, within time.Duration) (control.LookUpAnswer, error) {
+	arrived := time.Now()
 	var a control.LookUpAnswer
 	err := j.ctl.Call(control.PathLookUp, within-replyMargin, &control.JobCall{Host: host, Path: path}, &a)
+	version := a.Version
+	if e, ok := refusal.Of(err); ok {
+		version = e.Revision
+	}
+	if !j.order.admit(arrived, version) {
+		logrus.WithFields(logrus.Fields{"job": path, "version": version, "held_ms": time.Since(arrived).Milliseconds()}).
+			Info("entry: Withheld an answer: later calls were answered by an older version.")
+		return control.LookUpAnswer{}, outdated()
+	}
 	return a, err
 }
 
+// askAgain is when a caller may come back whose answer was withheld: the leader answers
+// again by then.
+const askAgain = 50 * time.Millisecond
+
+func outdated() error {
+	e := refusal.New(refusal.NoQuorum, "ask again", "the configuration changed while the call was held")
+	e.RetryAfter = refusal.Spread(askAgain)
+	return e
+}
+
 // Cancel ends a job and returns once that is committed.
 func (j *Jobs) Cancel(host, path string, within time.Duration) error {
 	return j.ctl.Call(control.PathCancelJob, within-replyMargin, &control.JobCall{Host: host, Path: path}, nil)
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -68,7 +68,8 @@
 	Leader string `msgpack:"l,omitempty" json:"leader,omitempty"`
 	// Winner is the change that was accepted first, with Conflict.
 	Winner string `msgpack:"w,omitempty" json:"winner,omitempty"`
-	// Revision is the present one, with Conflict.
+	// Revision is the present one, with Conflict, or the version of the configuration
+	// that a look-up was refused by.
 	Revision uint64 `msgpack:"v,omitempty" json:"revision,omitempty"`
 	// RetryAfter is how long to wait before asking again, 0 if it is no use.
 	RetryAfter time.Duration `msgpack:"a,omitempty" json:"retry_after_ns,omitempty"`
