--- a/control/costs.go
+++ b/control/costs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/ablation"
 	"github.com/waxwinghaven/waxwinghaven/interference"
 )
 
@@ -77,6 +78,7 @@
 	mu        sync.Mutex
 	pressures *interference.Pressures
 	log       pairLog
+	without   ablation.Set
 	levels    map[string]*level           // of headroom with nothing beside, by served image
 	crews     map[string]map[crewKey]crew // by worker
 }
@@ -106,8 +108,8 @@
 	return l.mean - lowDeviations*math.Sqrt(math.Max(l.square-l.mean*l.mean, 0))
 }
 
-func newCosts() *costs {
-	return &costs{pressures: interference.NewPressures(), log: newPairLog(), levels: make(map[string]*level), crews: make(map[string]map[crewKey]crew)}
+func newCosts(without ablation.Set) *costs {
+	return &costs{without: without, pressures: interference.NewPressures(), log: newPairLog(), levels: make(map[string]*level), crews: make(map[string]map[crewKey]crew)}
 }
 
 // observe learns from what an agent sends with a renewal, and returns the pairs that have
@@ -123,6 +125,9 @@
 		c.learn(req.Worker, r, now)
 	}
 	c.forgetCrews(req.Worker, now)
+	if c.without.Sharing {
+		return nil, 0
+	}
 	names, next := c.log.since(req.PairsSeen)
 	out := make([]PairCost, 0, len(names))
 	for _, n := range names {
@@ -228,7 +233,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	bound := c.usual(serving)
-	if now, told := c.agentsWord(worker, serving); told {
+	if now, told := c.agentsWord(worker, serving); told && !c.without.AgentsWord {
 		bound = math.Min(bound, now)
 	}
 	return math.Max(leastBound, bound)
--- a/control/costs_test.go
+++ b/control/costs_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwinghaven/waxwinghaven/ablation"
 	"github.com/waxwinghaven/waxwinghaven/interference"
 )
 
@@ -32,7 +33,7 @@
 // else watchers of that image run, renders must not be put beside them any more: what one
 // agent has seen counts on all workers with its next renewal.
 func TestWhatOneWorkerShowedCountsOnAll(t *testing.T) {
-	c := newCosts()
+	c := newCosts(ablation.Set{})
 	now := costsAfter(c, "w1", "heavy", 0.15, 0, 8)
 	if got := c.at(now).Cost("watch", "heavy"); got < 0.1 {
 		t.Errorf("after one start it is taken for %.3f", got)
@@ -51,7 +52,7 @@
 		"long after":  {AtMS: 4000, Runs: 2},
 		"other tasks": {AtMS: 500, Runs: 3},
 	} {
-		c := newCosts()
+		c := newCosts(ablation.Set{})
 		now := time.Unix(100, 0)
 		tell(c, "w1", now, Reading{Image: "watch", Job: "a", Headroom: 3, Own: 3, Runs: 2})
 		next.Image, next.Job, next.Headroom, next.Own, next.Fillers = "watch", "a", 1, 3, map[string]float64{"heavy": 8}
@@ -67,7 +68,7 @@
 // of it is what the usual low leaves, and never more than its agent says that it bears now;
 // what an agent said long ago, or of a worker that is gone, doesn't count.
 func TestBoundIsTheUsualLowOrWhatTheAgentSays(t *testing.T) {
-	c := newCosts()
+	c := newCosts(ablation.Set{})
 	now := time.Unix(100, 0)
 	for i := range 120 {
 		now = now.Add(500 * time.Millisecond)
@@ -98,10 +99,10 @@
 // A new leader knows nothing. The agents tell it what the last one had told them, and it
 // plans by that at once.
 func TestANewLeaderTakesOverWhatAgentsKnow(t *testing.T) {
-	old := newCosts()
+	old := newCosts(ablation.Set{})
 	now := costsAfter(old, "w1", "heavy", 0.15, 0, 8, 0, 8)
 	told := tell(old, "w1", now, Reading{Image: "watch", Job: "a", AtMS: 9000, Headroom: 2, Own: 3, Fillers: map[string]float64{"heavy": 8}})
-	fresh := newCosts()
+	fresh := newCosts(ablation.Set{})
 	fresh.observe(&LeaseRequest{WorkerRef: WorkerRef{Worker: "w1"}, Known: told}, now)
 	if got, want := fresh.at(now).Cost("watch", "heavy"), old.at(now).Cost("watch", "heavy"); got != want {
 		t.Errorf("the new leader takes it for %.3f, the old one for %.3f", got, want)
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -64,7 +64,7 @@
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(), learned: newLearned(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int)}
+	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(r.without), learned: newLearned(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int)}
 	d.consult = newConsultation(d)
 	d.reset(0)
 	return d
@@ -193,7 +193,7 @@
 // input is what every decision is made from.
 func (d *dispatcher) input(s *State) dispatch.Input {
 	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Costs: d.costs.at(time.Now()), Estimates: d.learned.estimates(),
-		Ticket: d.consult.ticket}
+		Ticket: d.consult.ticket, Without: d.r.without}
 }
 
 // noteWaiting keeps since when each group has had tasks that could begin. It is
--- a/control/replica.go
+++ b/control/replica.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/waxwinghaven/waxwinghaven/ablation"
 	"github.com/waxwinghaven/waxwinghaven/claim"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
@@ -40,6 +41,7 @@
 	waves      *waves
 	links      *links
 	shared     *sharedBarrier
+	without    ablation.Set // mechanisms of the policy that are left out
 }
 
 // New opens the data folder and returns a replica that is not yet running.
@@ -52,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{set: set, tls: keys, disk: disk, machine: NewMachine(), rollout: rollout.NewTable(),
+	r := &Replica{set: set, without: ablation.Linked(), tls: keys, disk: disk, machine: NewMachine(), rollout: rollout.NewTable(),
 		client: transport.NewClient(keys, set.Instance.IP), server: transport.NewServer(part, keys)}
 	r.self = quorum.Replica{ID: disk.Stored().ID, Name: set.Instance.Name,
 		Address: set.Address(set.Control.Port), Operator: set.Address(set.Control.OperatorPort)}
--- a/control/workers.go
+++ b/control/workers.go
@@ -41,7 +41,10 @@
 func (d *dispatcher) shunnedNow(now time.Time, workers int) map[string]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := d.health.Shunned(workers, now)
+	var out map[string]bool
+	if !d.r.without.Health {
+		out = d.health.Shunned(workers, now)
+	}
 	if out == nil {
 		out = make(map[string]bool)
 	}
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -47,6 +47,9 @@
 //
 // Only jobs that can still be in time count as ahead; the others give way.
 func Admit(in Input, q *queues.Queue, spec *jobs.Spec) Verdict {
+	if in.Without.Admission {
+		return Verdict{}
+	}
 	if standing(spec) {
 		return admitStanding(in, q, spec)
 	}
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -32,7 +32,7 @@
 
 // overdue returns the tasks whose only run takes so long that a copy should begin.
 func (p *planner) overdue() []jobs.Ref {
-	if !p.in.Copies || p.in.Estimates == nil {
+	if !p.in.Copies || p.in.Estimates == nil || p.in.Without.Copies {
 		return nil
 	}
 	stuck := make(map[jobs.Stop]bool, len(p.in.Stuck))
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -34,7 +34,7 @@
 // worker, with one more filling task there, against what that bears: above 1 its tail would
 // be over its target. It is 0 where nobody serves.
 func (p *planner) disturbance(c *candidate, st *jobs.Step) float64 {
-	if p.in.Costs == nil {
+	if p.in.Costs == nil || p.in.Without.Disturbance {
 		return 0
 	}
 	worst := 0.0
@@ -79,7 +79,7 @@
 // served one, and what one processor of it may take.
 func (p *planner) tries(c *candidate, serving, filling string) (most float64, tried bool) {
 	most, unseen := p.in.Costs.Unseen(serving, filling)
-	return most, unseen && c.fillers[filling] == 0
+	return most, unseen && c.fillers[filling] == 0 && !p.in.Without.Tries
 }
 
 // disturbed is the same for a serving task that comes to a worker with filling
@@ -124,19 +124,22 @@
 	}
 	cost += slowCost * p.slowness(c.worker.ID)
 	if st.Fills && len(c.serving) > 0 {
-		cost += besideCost + disturbCost*p.disturbance(c, st)
+		cost += disturbCost * p.disturbance(c, st)
+		if !p.in.Without.Besides {
+			cost += besideCost
+		}
 	}
 	if st.TargetMS > 0 {
 		cost += disturbCost * p.disturbed(c, st)
 	}
-	if !st.Fills && len(c.serving) > 0 {
+	if !st.Fills && len(c.serving) > 0 && !p.in.Without.Together {
 		cost -= togetherGain
 	}
 	return cost
 }
 
 func (p *planner) slowness(worker string) float64 {
-	if p.in.Slowness == nil {
+	if p.in.Slowness == nil || p.in.Without.Slowness {
 		return 0
 	}
 	return p.in.Slowness(worker)
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -47,7 +47,9 @@
 		return
 	}
 	f := p.in.Estimates.forecast(j, r.queue, r.group.Occurrence())
-	r.outlook = f.outlook(age(j, r.group.DueAt(), p.in.NowMS))
+	if !p.in.Without.Outlook {
+		r.outlook = f.outlook(age(j, r.group.DueAt(), p.in.NowMS))
+	}
 	r.due = max(j.AcceptedAt, r.group.DueAt()) + f.deadline.Milliseconds()
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/waxwinghaven/waxwinghaven/ablation"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/resource"
@@ -77,6 +78,8 @@
 	// Slowness returns how much longer a worker's runs take than expected, as
 	// a logarithm, nil for not at all.
 	Slowness func(worker string) float64
+	// Without are the mechanisms that are left out.
+	Without ablation.Set
 }
 
 // Costs is what is known of how filling tasks disturb serving ones. Images are
@@ -126,8 +129,12 @@
 		return p.plan
 	}
 	p.gather()
-	p.evacuate()
-	p.relieve()
+	if !in.Without.Evacuation {
+		p.evacuate()
+	}
+	if !in.Without.Moves {
+		p.relieve()
+	}
 	for _, r := range requests {
 		if p.placed >= maxPlacements {
 			break
@@ -229,7 +236,7 @@
 	switch {
 	case st.Gang:
 		return len(r.group.Tasks)
-	case !st.Fills || running || p.sparse[r.queue.Service] || r.outlook == Begun || r.waited > starveWait:
+	case !st.Fills || running || p.in.Without.Whole || p.sparse[r.queue.Service] || r.outlook == Begun || r.waited > starveWait:
 		return 1
 	}
 	return int(math.Ceil(wholeShare * float64(r.group.Waiting())))
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/waxwinghaven/waxwinghaven/ablation"
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/interference"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -37,6 +38,7 @@
 // back would be a second old.
 type pacer struct {
 	mu       sync.Mutex
+	without  ablation.Set
 	begun    time.Time
 	stepped  time.Time                      // when the pace last followed a reading
 	pace     map[string]int                 // by filling image; missing means full pace
@@ -50,8 +52,8 @@
 	readings []control.Reading
 }
 
-func newPacer() *pacer {
-	return &pacer{begun: time.Now(), pace: make(map[string]int), slow: make(map[string]time.Time), set: make(map[runKey]int),
+func newPacer(without ablation.Set) *pacer {
+	return &pacer{without: without, begun: time.Now(), pace: make(map[string]int), slow: make(map[string]time.Time), set: make(map[runKey]int),
 		costs: make(map[imagePair]control.PairCost), trackers: make(map[crew]*interference.Tracker)}
 }
 
@@ -81,7 +83,7 @@
 		return nil
 	}
 	p.last.add(RunningRun{Task: key.task, Run: key.run}, o)
-	if len(p.last.serving) > 0 && p.command(now) == steerAll {
+	if len(p.last.serving) > 0 && p.command(now) == steerAll && !p.without.PaceAtStart && !p.without.Pace {
 		p.pace = steer(p.guards(p.last), p.pace, p.last.full, 0, lookAhead+now.Sub(p.stepped))
 		p.noteSlow(now)
 	}
@@ -150,6 +152,9 @@
 // step gives each filling image its pace.
 func (p *pacer) step(now time.Time, sc scene) {
 	p.worst = sc.worst()
+	if p.without.Pace {
+		return
+	}
 	switch p.judgement.note(now, p.worst, p.nothingFills(sc)) {
 	case freeAll:
 		p.setAll(sc, fullPace)
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwinghaven/waxwinghaven/ablation"
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 )
@@ -31,7 +32,7 @@
 const stageProcessors = 8 // of each render
 
 func newStage(t *testing.T) *stage {
-	s := &stage{t: t, p: newPacer(), now: time.Unix(0, 0), orders: make(map[jobs.Ref]jobs.Order), pace: make(map[string]int),
+	s := &stage{t: t, p: newPacer(ablation.Set{}), now: time.Unix(0, 0), orders: make(map[jobs.Ref]jobs.Order), pace: make(map[string]int),
 		own: 3, pressure: map[string]float64{"heavy": 0.2, "light": 0.005, "fresh": 0.2}}
 	s.orders[jobs.Ref{Job: "watch"}] = jobs.Order{TargetMS: 50, Image: "watch"}
 	for _, image := range []string{"heavy", "light", "fresh"} {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/ablation"
 )
 
 // part prefixes this part's log lines and labels its counters.
@@ -27,6 +28,8 @@
 	agent  string // the instance's name
 	ctl    Control
 	worker Worker
+	// without are the mechanisms of the policy that are left out.
+	without ablation.Set
 
 	mu      sync.Mutex
 	newest  *Announcement // of the incarnation that is served or to be served
@@ -36,7 +39,7 @@
 
 // New returns a runner for the worker behind w.
 func New(agent string, ctl Control, w Worker) *Runner {
-	return &Runner{agent: agent, ctl: ctl, worker: w, changed: make(chan struct{}, 1)}
+	return &Runner{agent: agent, ctl: ctl, worker: w, without: ablation.Linked(), changed: make(chan struct{}, 1)}
 }
 
 // ErrStale is returned for an announcement that an older incarnation or an
--- a/runner/session.go
+++ b/runner/session.go
@@ -75,7 +75,7 @@
 }
 
 func newSession(ctx context.Context, r *Runner, a Announcement) *session {
-	s := &session{r: r, life: newLife(), worker: a.Worker, ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(), paces: newPaceQueue(), progress: newProgress(),
+	s := &session{r: r, life: newLife(), worker: a.Worker, ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(r.without), paces: newPaceQueue(), progress: newProgress(),
 		acked: make(chan struct{}, 1), ends: make(chan report, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	return s
