--- a/ablation/ablation.go
+++ b/ablation/ablation.go
@@ -26,8 +26,6 @@
 	AgentsWord bool
 	// Sharing: agents are told what others have learned of pairs.
 	Sharing bool
-	// Besides: a worker with served tasks is dearer for filling ones whatever is known.
-	Besides bool
 	// Together: served tasks gather on the workers that have some.
 	Together bool
 	// Moves: filling runs that are held up are moved.
--- a/cmd/waxwinghaven/main.go
+++ b/cmd/waxwinghaven/main.go
@@ -58,6 +58,7 @@
 	c.taskCommands()
 	c.graphCommands()
 	c.waveCommands()
+	c.lossesCommand()
 	c.clusterCommands()
 	c.benchCommands()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -106,9 +106,6 @@
 	// disturbCost is for the disturbance expected, as a part of what the
 	// disturbed task stands.
 	disturbCost = 2.0
-	// besideCost is for a worker with serving tasks, whatever is known: the
-	// less that is known of a pair, the dearer it is to try.
-	besideCost = 1.0
 	// togetherGain draws serving tasks, and tasks that disturb nobody, to the
 	// workers that have serving tasks already, so that the others stay free
 	// for filling ones.
@@ -125,9 +122,6 @@
 	cost += slowCost * p.slowness(c.worker.ID)
 	if st.Fills && len(c.serving) > 0 {
 		cost += disturbCost * p.disturbance(c, st)
-		if !p.in.Without.Besides {
-			cost += besideCost
-		}
 	}
 	if st.TargetMS > 0 {
 		cost += disturbCost * p.disturbed(c, st)
--- /dev/null
+++ b/losses/losses_test.go
@@ -0,0 +1,145 @@
+package losses
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// at is a log line's time, in milliseconds from the day's first.
+func at(ms int) string {
+	return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(ms) * time.Millisecond).Format(time.RFC3339Nano)
+}
+
+func read(t *testing.T, lines ...string) *Account {
+	t.Helper()
+	var l Log
+	if err := l.Read("test", strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+		t.Fatal(err)
+	}
+	return l.Accounts()
+}
+
+func took(ms int, job, steps string) string {
+	return fmt.Sprintf(`{"msg":"control: Took a job in.","job":"/q/%s","steps":%q,"time":%q}`, job, steps, at(ms))
+}
+
+func run(ms int, what, task string, n int, rest string) string {
+	return fmt.Sprintf(`{"msg":"runner: %s","task":%q,"run":%d%s,"time":%q}`, what, task, n, rest, at(ms))
+}
+
+func start(ms int, task string, n int) string { return run(ms, "Started a run.", task, n, "") }
+
+func end(ms int, task string, n int, how string) string {
+	return run(ms, "A run ended.", task, n, fmt.Sprintf(`,"how":%q`, how))
+}
+
+func wantLost(t *testing.T, j *Job, cause string, want time.Duration) {
+	t.Helper()
+	if got := j.Lost[cause]; got != want {
+		t.Errorf("%s: lost %v, want %v", cause, got, want)
+	}
+}
+
+// A render of two steps. Its first step's slower task waits half a second, is stopped after
+// one, waits again and works two, one of them at half pace. The second step waits a second.
+func TestARendersTimeIsAccountedOnItsCriticalPath(t *testing.T) {
+	a := read(t,
+		took(0, "aa", "2x7000m fills image=x, 1x7000m fills image=x after[0]"),
+		start(100, "aa.0.0.0", 1), end(900, "aa.0.0.0", 1, "done"),
+		start(500, "aa.0.0.1", 1), end(1500, "aa.0.0.1", 1, "stopped"),
+		start(1750, "aa.0.0.1", 2),
+		run(2750, "Set a run's pace.", "aa.0.0.1", 2, `,"percent":50`),
+		end(3750, "aa.0.0.1", 2, "done"),
+		start(4750, "aa.0.1.0", 1), end(5750, "aa.0.1.0", 1, "done"))
+	j := a.Job("aa")
+	if j == nil || !j.Finished || j.Took != 5750*time.Millisecond || j.Kind != Filling {
+		t.Fatalf("the account is %+v", j)
+	}
+	wantLost(t, j, CauseWaiting, 1750*time.Millisecond)
+	wantLost(t, j, CauseRedone, time.Second)
+	wantLost(t, j, CausePaced, 500*time.Millisecond)
+	if j.Worked != 2500*time.Millisecond {
+		t.Errorf("worked %v", j.Worked)
+	}
+	if sum := j.Worked + j.Total(); sum != j.Took {
+		t.Errorf("the parts add up to %v of %v", sum, j.Took)
+	}
+}
+
+// Two of a watcher's tasks are over their target beside a render for three seconds, across
+// the border of two windows, and a third one's worker is lost for two.
+func TestAWatchersTimeOverTargetIsLaidToWhatWasBeside(t *testing.T) {
+	over := func(ms int, what, beside string) string {
+		return fmt.Sprintf(`{"msg":"runner: Served tasks are %s","job":"bb","image":"watch","runs":2,"beside":%q,"time":%q}`, what, beside, at(ms))
+	}
+	a := read(t,
+		took(0, "bb", "3x9000m standing image=watch target=50ms"),
+		start(0, "bb.0.0.0", 1), start(0, "bb.0.0.1", 1), start(0, "bb.0.0.2", 1),
+		over(1000, "over their target.", "x"), over(4000, "within their target again.", "x"),
+		end(5000, "bb.0.0.2", 1, "lapsed"), start(7000, "bb.0.0.2", 2))
+	j := a.Job("bb")
+	wantLost(t, j, causeOver+"x", 6*time.Second)
+	wantLost(t, j, CauseAway, 2*time.Second)
+	if a.Over[0] != 2*time.Second || a.Over[1] != 4*time.Second {
+		t.Errorf("by windows %v", a.Over)
+	}
+	sums := a.Sums()
+	if len(sums) != 2 || sums[0].Cause != causeOver+"x" || sums[0].Jobs != 1 {
+		t.Errorf("the sums are %+v", sums)
+	}
+}
+
+// Collected logs have prefixes, lines of other programs and lines of several processes out
+// of order. A job that never ended counts as unfinished, and nothing is lost by reading on.
+func TestLogsAreReadAsTheyAreCollected(t *testing.T) {
+	var l Log
+	text := strings.Join([]string{
+		"12.5 side-1 " + end(800, "cc.0.0.0", 1, "done"),
+		"12.5 core-1 " + took(0, "cc", "1x1000m"),
+		"panic: nothing of ours", `{"msg":"cut`,
+		"12.5 side-1 " + start(300, "cc.0.0.0", 1),
+		"12.5 core-1 " + took(100, "dd", "1x1000m"),
+		`{"msg":"control: Placed a copy of a run that takes long.","task":[1,2],"time":"` + at(400) + `"}`}, "\n")
+	if err := l.Read("collected", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	a := l.Accounts()
+	if l.Skipped != 2 || len(a.Jobs) != 2 {
+		t.Errorf("skipped %d, jobs %d", l.Skipped, len(a.Jobs))
+	}
+	if j := a.Job("cc"); !j.Finished || j.Took != 800*time.Millisecond {
+		t.Errorf("the finished job is %+v", j)
+	}
+	if a.Job("dd").Finished {
+		t.Error("a job that never began is finished")
+	}
+	if a.Job("ee") != nil {
+		t.Error("a job that no line names has an account")
+	}
+}
+
+// The agent beside a watcher dies while its tail is over the target: no line tells the end.
+// It must not count until the log's last line, and the same job's spell on another worker
+// is not ended for it.
+func TestASpellWhoseEndIsNotToldCountsShortly(t *testing.T) {
+	over := func(ms int, worker, what string) string {
+		return fmt.Sprintf(`{"msg":"runner: Served tasks are %s","worker":%q,"job":"bb","image":"watch","runs":1,"beside":"x","time":%q}`, what, worker, at(ms))
+	}
+	a := read(t, took(0, "bb", "2x9000m standing image=watch target=50ms"),
+		over(1000, "w1", "over their target."), over(2000, "w2", "over their target."),
+		over(4000, "w2", "within their target again."), took(60_000, "cc", "1x1000m"))
+	wantLost(t, a.Job("bb"), causeOver+"x", untoldSpell+2*time.Second)
+}
+
+func TestALineOfEndlessLengthIsAnError(t *testing.T) {
+	var l Log
+	err := l.Read("broken.log", strings.NewReader(strings.Repeat("x", longestLine+1)))
+	if err == nil || !strings.Contains(err.Error(), "broken.log") {
+		t.Errorf("got %v", err)
+	}
+	if a := l.Accounts(); len(a.Jobs) != 0 {
+		t.Errorf("an empty log has jobs: %+v", a.Jobs)
+	}
+}
--- /dev/null
+++ b/losses/parse.go
@@ -0,0 +1,120 @@
+// Package losses accounts for service that was lost, from the structured logs of the
+// processes: for standing jobs the time over their target, by what was at work beside them,
+// and away; for the others where their time went.
+//
+// It answers the on-call engineer's question "what does this day owe its callers, and why",
+// and is pure: it reads lines and returns tables.
+package losses
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Class groups the errors of this package.
+var Class = errs.Class("losses")
+
+// line is what the accounts need of one log line. Fields that a line lacks are zero.
+type line struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	Job     string    `json:"job"`  // path of a caller's call, or a job's id
+	Task    taskName  `json:"task"` // of a run
+	Run     uint32    `json:"run"`
+	Steps   string    `json:"steps"`
+	How     string    `json:"how"`
+	Percent int       `json:"percent"`
+	Image   string    `json:"image"`
+	Worker  string    `json:"worker"`
+	Beside  string    `json:"beside"`
+	Runs    int       `json:"runs"`
+}
+
+// taskName is a task's name. Some lines name several tasks by their indexes; they say
+// nothing that is accounted here.
+type taskName string
+
+// UnmarshalJSON takes a string and skips anything else.
+func (n *taskName) UnmarshalJSON(b []byte) error {
+	if len(b) == 0 || b[0] != '"' {
+		return nil
+	}
+	return json.Unmarshal(b, (*string)(n))
+}
+
+// Messages of the lines that are accounted, as the processes write them.
+const (
+	tookJob   = "control: Took a job in."
+	started   = "runner: Started a run."
+	ended     = "runner: A run ended."
+	paced     = "runner: Set a run's pace."
+	overBegan = "runner: Served tasks are over their target."
+	overEnded = "runner: Served tasks are within their target again."
+)
+
+// longestLine bounds a log line, in bytes; a longer one is an error, since the rest of the
+// file would be misread.
+const longestLine = 1 << 20
+
+// Log collects the lines of several files.
+type Log struct {
+	lines []line
+	// Skipped counts lines without a JSON object.
+	Skipped int
+}
+
+// Read adds a file's lines. Whatever stands before the JSON object of a line is skipped, so
+// that collected logs with a prefix can be read as they are.
+func (l *Log) Read(name string, r io.Reader) error {
+	in := bufio.NewScanner(r)
+	in.Buffer(make([]byte, 0, 1<<16), longestLine)
+	for in.Scan() {
+		at := bytes.IndexByte(in.Bytes(), '{')
+		if at < 0 {
+			l.Skipped++
+			continue
+		}
+		var x line
+		if err := json.Unmarshal(in.Bytes()[at:], &x); err != nil || x.Time.IsZero() {
+			l.Skipped++
+			continue
+		}
+		l.lines = append(l.lines, x)
+	}
+	if err := in.Err(); err != nil {
+		return Class.New("reading %s: %v; give the logs as the processes wrote them, a line each", name, err)
+	}
+	return nil
+}
+
+// sorted returns the lines by time.
+func (l *Log) sorted() []line {
+	slices.SortStableFunc(l.lines, func(a, b line) int { return a.Time.Compare(b.Time) })
+	return l.lines
+}
+
+// jobOf returns the id of the job that a task's name or a call's path belongs to.
+func jobOf(name string) string {
+	if i := strings.LastIndexByte(name, '/'); i >= 0 {
+		name = name[i+1:]
+	}
+	id, _, _ := strings.Cut(name, ".")
+	return id
+}
+
+// stepOf returns the occurrence and step of a task's name ID.K.STEP.INDEX.
+func stepOf(task string) (string, error) {
+	parts := strings.Split(task, ".")
+	if len(parts) != 4 {
+		return "", fmt.Errorf("%q is not a task's name", task)
+	}
+	return parts[1] + "." + parts[2], nil
+}
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +13,19 @@
 func (s *session) pace(running []RunningRun) {
 	s.logReading(running)
 	s.setPaces(s.pacer.next(time.Now(), running, s.lookup))
+	for _, x := range s.pacer.takeSpells() {
+		s.logSpell(x)
+	}
+}
+
+// logSpell tells when served tasks are over their target and when no more.
+func (s *session) logSpell(x spell) {
+	l := logrus.WithFields(logrus.Fields{"worker": s.worker, "job": x.crew.job, "image": x.crew.image, "runs": x.runs, "beside": x.beside})
+	if !x.ended.IsZero() {
+		l.WithField("lasted_ms", x.ended.Sub(x.began).Milliseconds()).Info("runner: Served tasks are within their target again.")
+		return
+	}
+	l.WithFields(logrus.Fields{"tail_ms": x.tailMS, "target_ms": x.target, "own_headroom": math.Round(x.own*100) / 100}).Info("runner: Served tasks are over their target.")
 }
 
 // setPaces tells the worker paces, without waiting for its answers.
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -47,14 +47,16 @@
 	costs    map[imagePair]control.PairCost // as the leader told
 	trackers map[crew]*interference.Tracker
 	judgement
-	last     scene   // the last reading, and the runs begun since
-	worst    float64 // highest tail against its target, of the last reading
+	spells   map[crew]spell // tails that are over their target
+	spelled  []spell        // began or ended with the last reading, for the log
+	last     scene          // the last reading, and the runs begun since
+	worst    float64        // highest tail against its target, of the last reading
 	readings []control.Reading
 }
 
 func newPacer(without ablation.Set) *pacer {
 	return &pacer{without: without, begun: time.Now(), pace: make(map[string]int), slow: make(map[string]time.Time), set: make(map[runKey]int),
-		costs: make(map[imagePair]control.PairCost), trackers: make(map[crew]*interference.Tracker)}
+		costs: make(map[imagePair]control.PairCost), trackers: make(map[crew]*interference.Tracker), spells: make(map[crew]spell)}
 }
 
 // next returns the calls that a reading asks for.
@@ -66,6 +68,7 @@
 		p.stepped = now
 		p.follow(now, sc)
 		p.note(now, sc)
+		p.spelled = append(p.spelled, p.noteSpells(now, sc)...)
 		p.step(now, sc)
 	}
 	p.last = sc
@@ -234,6 +237,15 @@
 	return calls
 }
 
+// takeSpells returns the spells that began or ended since it was last asked.
+func (p *pacer) takeSpells() []spell {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.spelled
+	p.spelled = nil
+	return out
+}
+
 // worstTail returns the highest tail of the last reading against its target.
 func (p *pacer) worstTail() float64 {
 	p.mu.Lock()
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -241,6 +241,28 @@
 	}
 }
 
+// An on-call engineer asks why a watcher's users waited. The log must tell from when to when
+// its tail was over the target, and what at work beside it took most.
+func TestSpellsOverTargetAreTold(t *testing.T) {
+	s := newStage(t)
+	s.knows("heavy", "light")
+	s.read()
+	s.pressure["heavy"] = 0.4
+	s.read()
+	told := s.p.takeSpells()
+	if len(told) != 1 || told[0].beside != "heavy" || told[0].crew.job != "watch" || !told[0].ended.IsZero() {
+		t.Fatalf("told %+v", told)
+	}
+	began := s.now
+	for range 6 {
+		s.read()
+	}
+	told = s.p.takeSpells()
+	if len(told) != 1 || told[0].ended.IsZero() || told[0].began != began {
+		t.Errorf("told then %+v", told)
+	}
+}
+
 // A call that sets a pace goes unanswered: it must be made again, or the render
 // works on at full pace while everybody believes that it stands.
 func TestUnansweredPaceIsSetAgain(t *testing.T) {
