--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -263,6 +263,19 @@
 	}
 }
 
+// A render begins while the readings of just before are being sent to the leader. They are
+// the worker's state of then: changed under the sender's hands, the agent would crash.
+func TestReadingsStayAsTheyWereRead(t *testing.T) {
+	s := newStage(t)
+	s.read()
+	readings, _ := s.p.report(s.now, func() map[runKey]string { return nil })
+	before := len(readings[0].Fillers)
+	s.begin("fresh")
+	if after := len(readings[0].Fillers); after != before {
+		t.Errorf("a reading had %d filling images and now has %d", before, after)
+	}
+}
+
 // A call that sets a pace goes unanswered: it must be made again, or the render
 // works on at full pace while everybody believes that it stands.
 func TestUnansweredPaceIsSetAgain(t *testing.T) {
--- a/runner/spells.go
+++ b/runner/spells.go
@@ -23,11 +23,11 @@
 func (p *pacer) noteSpells(now time.Time, sc scene) []spell {
 	var out []spell
 	for _, c := range sc.crews() {
-		s, open := p.spells[c]
+		_, open := p.spells[c]
 		over := sc.serving[c].headroom() < 1
 		switch {
 		case over && !open:
-			s = spell{crew: c, began: now, runs: len(sc.serving[c].tails), tailMS: sc.serving[c].tail(), target: sc.serving[c].targetMS,
+			s := spell{crew: c, began: now, runs: len(sc.serving[c].tails), tailMS: sc.serving[c].tail(), target: sc.serving[c].targetMS,
 				own: p.trackers[c].Own(), beside: p.beside(c, sc)}
 			p.spells[c] = s
 			out = append(out, s)
