--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -33,6 +33,14 @@
 	rejectNext Verdict
 	away       bool // takes no connections
 	starts     []StartCall
+	figures    map[string]float64 // told of the runs of a job
+	paces      []toldPace
+}
+
+// toldPace is a pace call and when it came.
+type toldPace struct {
+	PaceCall
+	at time.Time
 }
 
 func newFakeWorker(id string) *fakeWorker {
@@ -153,7 +161,7 @@
 	defer w.mu.Unlock()
 	out := HoldReply{Reply: Reply{ClockMS: w.clock()}, Finished: append([]FinishedRun(nil), w.finished...)}
 	for key := range w.running {
-		out.Running = append(out.Running, RunningRun{Task: key.task, Run: key.run, Percent: 100})
+		out.Running = append(out.Running, RunningRun{Task: key.task, Run: key.run, Percent: 100, Figure: w.figures[key.task.Job]})
 	}
 	return out, nil
 }
@@ -162,9 +170,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r, _ := w.check(c.Target)
+	w.paces = append(w.paces, toldPace{c, time.Now()})
 	return r, nil
 }
 
+// paced returns the pace calls so far.
+func (w *fakeWorker) paced() []toldPace {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]toldPace(nil), w.paces...)
+}
+
 func (w *fakeWorker) carryOutLate() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
