What was told of workers that are gone is swept out in one place

Found by reading the whole change: what agents tell of their served tasks was forgotten when a lease ended without a renewal, but not for a worker that said that it left. Each life of a worker has a name of its own, so the leader kept a little more with every restart.

The leader's survey, every two seconds, drops what is too old to count, in place of two calls that each saw a part.

TestBoundIsTheUsualLowOrWhatTheAgentSays: what was just said stays, what is older goes with its worker.

--- a/control/costs.go
+++ b/control/costs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -125,7 +126,6 @@
 	for _, r := range req.Readings {
 		c.learn(req.Worker, r, now)
 	}
-	c.forgetCrews(req.Worker, now)
 	if c.without.Sharing {
 		return nil, 0
 	}
@@ -194,20 +194,18 @@
 	return out
 }
 
-// forgetCrews drops the tasks of a worker that were not told of for long.
-func (c *costs) forgetCrews(worker string, now time.Time) {
-	for key, s := range c.crews[worker] {
-		if now.Sub(s.told) > crewMemory {
-			delete(c.crews[worker], key)
-		}
-	}
-}
-
-// forget drops what was told of a worker that is gone.
-func (c *costs) forget(worker string) {
+// sweep drops what was told so long ago that it doesn't count any more: tasks that ended,
+// and workers that are gone, however they went. Each life of a worker has a name of its own,
+// so what is kept would grow with every restart.
+func (c *costs) sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.crews, worker)
+	for worker, crews := range c.crews {
+		maps.DeleteFunc(crews, func(_ crewKey, s crew) bool { return now.Sub(s.told) > crewMemory })
+		if len(crews) == 0 {
+			delete(c.crews, worker)
+		}
+	}
 }
 
 // at returns what is known at a time, for one decision.
--- a/control/costs_test.go
+++ b/control/costs_test.go
@@ -90,9 +90,13 @@
 		t.Errorf("what was said long ago still counts: %.2f", got)
 	}
 	tell(c, "w3", now, Reading{Image: "watch", Job: "c", Headroom: 1.4, Own: 1.4, Bears: 0.2})
-	c.forget("w3")
-	if got := c.at(now).Bound("w3", "watch"); got < 0.7 {
-		t.Errorf("a worker that is gone still counts: %.2f", got)
+	c.sweep(now.Add(crewMemory / 2))
+	if got := c.at(now).Bound("w3", "watch"); got != 0.2 {
+		t.Errorf("what was just said is swept out: %.2f", got)
+	}
+	c.sweep(now.Add(crewMemory + time.Second))
+	if got := c.at(now).Bound("w3", "watch"); got < 0.7 || len(c.crews) > 0 {
+		t.Errorf("a worker that is gone still counts: %.2f, %d workers are kept", got, len(c.crews))
 	}
 }
 
--- a/control/survey.go
+++ b/control/survey.go
@@ -10,7 +10,7 @@
 const surveyEvery = 2 * time.Second
 
 // survey logs how full the workers are and what waits, for whoever asks later
-// why a job was late or refused.
+// why a job was late or refused, and sweeps out what was learned of workers that are gone.
 func (d *dispatcher) survey() {
 	var workers, draining, serving, waitingTasks int
 	var capacity, held, servingCPU, filling int64
@@ -39,5 +39,6 @@
 	logrus.WithFields(logrus.Fields{"workers": workers, "draining": draining, "serving_workers": serving, "milli_cpu": capacity,
 		"held": held, "serving": servingCPU, "filling": filling, "live_jobs": live, "waiting_steps": groups, "waiting_tasks": waitingTasks}).
 		Info("control: How full the workers are.")
+	d.costs.sweep(time.Now())
 	d.costs.logPairs()
 }
--- a/control/workers.go
+++ b/control/workers.go
@@ -132,7 +132,6 @@
 		id := l.Worker
 		delete(d.offsets, id)
 		d.health.Forget(id)
-		d.costs.forget(id)
 		d.notify(id)
 	}
 	d.mu.Unlock()
