The stand-in's lapsed runs are recorded to end when they ended

Traced: the stand-in's clock shows one more than the milliseconds since its start, a lease ends by that clock, but the end was recorded as the lease's end counted from the start, a millisecond later. A run that begins in that very millisecond, as it may, seemed to overlap.

Ruled out: two runs at once. Both are on one worker, which ended the first before it took the second.

The record converts the clock as it is read. No check is narrowed. The new test plays the very millisecond; before the change it is red.

--- a/standin/runs.go
+++ b/standin/runs.go
@@ -89,7 +89,10 @@
 }
 
 // clock is the worker's steady clock, in ms.
-func (w *Runs) clock() int64 { return time.Since(w.begun).Milliseconds() + 1 }
+func (w *Runs) clock() int64 { return time.Since(w.begun).Milliseconds() + firstClock }
+
+// firstClock is what the clock shows at the worker's start: 0 would be no lease at all.
+const firstClock = 1
 
 // expire ends everything if the lease has ended, as of the lease's end.
 func (w *Runs) expire() {
@@ -97,7 +100,7 @@
 		return
 	}
 	for id := range w.running {
-		w.finish(id, jobs.OutcomeLost, "lapsed", w.begun.Add(time.Duration(w.leaseEnd)*time.Millisecond))
+		w.finish(id, jobs.OutcomeLost, "lapsed", w.begun.Add(time.Duration(w.leaseEnd-firstClock)*time.Millisecond))
 	}
 }
 
--- a/standin/runs_test.go
+++ b/standin/runs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -86,3 +87,31 @@
 		t.Fatalf("after the lease: %+v", r)
 	}
 }
+
+// A worker's lease ends, and in that very millisecond the next run of a task begins there,
+// as it may. Recorded as ending when the clock's number is counted from the start, without
+// its first millisecond, the lapsed run would seem to overlap the next: whoever checks the
+// record would see a task run twice that did not.
+func TestALapsedRunIsRecordedToEndBeforeTheNextBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewRuns("w1")
+		start := func(run uint32, lease int64) runner.Verdict {
+			r, _ := w.Start(runner.StartCall{Target: runner.Target{Worker: "w1", Token: 1}, Task: ref, Run: run, Payload: "lasts=1", LeaseEndMS: lease})
+			return r.Verdict
+		}
+		end := w.clock() + 50
+		if v := start(1, end); v != runner.VerdictDone {
+			t.Fatalf("the first run gets %v", v)
+		}
+		for w.clock() < end {
+			time.Sleep(time.Millisecond)
+		}
+		if v := start(2, end+50); v != runner.VerdictDone {
+			t.Fatalf("the next run gets %v", v)
+		}
+		list := w.Record()
+		if len(list) != 2 || list[0].How != "lapsed" || list[0].EndMS > list[1].StartMS {
+			t.Errorf("recorded %+v", list)
+		}
+	})
+}
