--- a/losses/account.go
+++ b/losses/account.go
@@ -200,7 +200,7 @@
 	ready := j.Arrived
 	j.Finished = len(c.tasks[j.ID]) > 0
 	steps := c.steps(j.ID)
-	for _, name := range slices.Sorted(maps.Keys(steps)) {
+	for _, name := range slices.SortedFunc(maps.Keys(steps), stepName.compare) {
 		end, task, done := c.last(steps[name])
 		if !done {
 			j.Finished = false
@@ -217,10 +217,10 @@
 }
 
 // steps returns the tasks of a job by step.
-func (c *collector) steps(job string) map[string][]string {
-	out := make(map[string][]string)
+func (c *collector) steps(job string) map[stepName][]string {
+	out := make(map[stepName][]string)
 	for _, task := range c.tasks[job] {
-		if step, err := stepOf(task); err == nil {
+		if step, ok := stepOf(task); ok {
 			out[step] = append(out[step], task)
 		}
 	}
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -143,3 +143,18 @@
 		t.Errorf("an empty log has jobs: %+v", a.Jobs)
 	}
 }
+
+// A job of eleven steps, one after the other. Taken by name the eleventh would come before
+// the third, and its wait be counted from the second step's end.
+func TestStepsAreAccountedInTheirOrder(t *testing.T) {
+	lines := []string{took(0, "ff", "1x1000m")}
+	for i := range 11 {
+		task := fmt.Sprintf("ff.0.%d.0", i)
+		lines = append(lines, start(i*1000+100, task, 1), end((i+1)*1000, task, 1, "done"))
+	}
+	j := read(t, lines...).Job("ff")
+	wantLost(t, j, CauseWaiting, 11*100*time.Millisecond)
+	if j.Took != 11*time.Second {
+		t.Errorf("it took %v", j.Took)
+	}
+}
--- a/losses/parse.go
+++ b/losses/parse.go
@@ -9,10 +9,11 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
-	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -109,11 +110,20 @@
 	return id
 }
 
-// stepOf returns the occurrence and step of a task's name ID.K.STEP.INDEX.
-func stepOf(task string) (string, error) {
+// stepName is the occurrence and step of a task.
+type stepName struct{ occurrence, step int }
+
+func (n stepName) compare(other stepName) int {
+	return cmp.Or(cmp.Compare(n.occurrence, other.occurrence), cmp.Compare(n.step, other.step))
+}
+
+// stepOf returns the step of a task's name ID.K.STEP.INDEX, false for another kind of name.
+func stepOf(task string) (n stepName, ok bool) {
 	parts := strings.Split(task, ".")
 	if len(parts) != 4 {
-		return "", fmt.Errorf("%q is not a task's name", task)
+		return n, false
 	}
-	return parts[1] + "." + parts[2], nil
+	occurrence, err1 := strconv.Atoi(parts[1])
+	step, err2 := strconv.Atoi(parts[2])
+	return stepName{occurrence, step}, err1 == nil && err2 == nil
 }
