quorum: contact never waits behind bulk, and a repair never shrinks the set

Each contact sent a part of 256 KB and each answer the next, in one queue; so the parts multiplied, up to 88 in a second (23 MB), and calls of 7 MB never ended within their 0.4 s. The replica heard no leader for 9 to 19 s and cost 150 MB. Meanwhile another one came back without its disk and replaced its old self in two steps; between them the repair saw a learner ready, nobody of its name in the set, and a silent voter, and took that out as well: four voters, of which the next two lost disks left two.

A learner takes the place of its predecessor in one committed step (a joint set), of a silent voter only if that one doesn't ask to join, nobody else comes for it and the set has its size. A silent voter of an even set goes only if the rest bears what the setting bear_losses asks for. A set that bears less is a counter, a log line, and a line in status.

TestNewcomerReplacesASilentVoter and TestSurplusSilentVoterGoes asked for the old order, in which the old voter goes first; the tests in their place ask for one joint step, and for more: what is not to be taken out. The golden dialogues show heartbeats and joint sets; each was read. The network in memory moves from proof to memnet, with a delay and a rate, so that both packages use one.

--- a/cmd/waxwinghaven/cluster.go
+++ b/cmd/waxwinghaven/cluster.go
@@ -96,6 +96,11 @@
 		for _, s := range statuses {
 			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%v\t%d\n", s.Replica, s.Role, s.Term, s.Leader, s.Commit, s.Revision, s.InContact, s.Waiting)
 		}
+		for _, s := range statuses {
+			if s.Short != nil {
+				fmt.Fprintf(w, "\nThe replica set %v.\n", s.Short)
+			}
+		}
 		revision, rows := newest(statuses)
 		fmt.Fprintln(w, "\nINSTANCE\tREVISION\tSTATE\tLAST HEARD")
 		for _, key := range slices.Sorted(maps.Keys(rows)) {
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -276,12 +276,10 @@
 }
 
 func (r *Replica) replicaAddresses() []string {
-	cfg := r.node.View().Config
-	out := make([]string, 0, len(cfg.Voters)+len(cfg.Learners))
-	for _, list := range [][]quorum.Replica{cfg.Voters, cfg.Learners} {
-		for _, v := range list {
-			out = append(out, v.Address)
-		}
+	members := r.node.View().Config.Members()
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.Address)
 	}
 	return out
 }
--- a/control/join.go
+++ b/control/join.go
@@ -14,7 +14,6 @@
 
 const (
 	joinEvery   = 500 * time.Millisecond
-	repairEvery = 200 * time.Millisecond
 	joinTimeout = time.Second
 )
 
@@ -132,23 +131,3 @@
 	}
 	return Empty{}, nil
 }
-
-// repair promotes learners that have caught up, a committed step at a time.
-func (r *Replica) repair(ctx context.Context) {
-	done, err := r.node.Repair(ctx)
-	if err != nil || !done {
-		return
-	}
-	if st, err := r.node.Status(ctx); err == nil {
-		logrus.WithFields(logrus.Fields{"voters": names(st.Config.Voters), "learners": names(st.Config.Learners)}).
-			Info("control: Changed the replica set.")
-	}
-}
-
-func names(list []quorum.Replica) []string {
-	out := make([]string, len(list))
-	for i, r := range list {
-		out[i] = r.Name
-	}
-	return out
-}
--- a/control/links.go
+++ b/control/links.go
@@ -4,32 +4,59 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
-// Bounds of the queue to one replica.
+// Bounds of the queues to one replica.
 const (
 	linkQueue = 128
 	linkBatch = 32
 	// linkTimeout gives up a connection that has gone silent before the
 	// followers behind it elect another leader, after 0.8 s.
 	linkTimeout = 400 * time.Millisecond
+	// bulkBytes is how much one call of the bulk lane carries, and smallBytes how
+	// much still goes with the contact: a millisecond of a link of 200 Mbit/s.
+	bulkBytes  = 512 << 10
+	smallBytes = 16 << 10
+	// slowLink is the rate, in bytes a second, at which a bulk call must get on: a
+	// twenty-fifth of 200 Mbit/s. A bound that doesn't follow from the size cuts off
+	// each large call on a link that is shared, and what it carried is sent again
+	// without end.
+	slowLink = 1 << 20
 )
 
-// links sends log messages, one goroutine and one call at a time per replica,
-// so messages keep their order. A slow replica loses messages, never holds
-// up the others.
+var bulkLost = metrics.NewCounter(`waxwinghaven_replication_lost_total`)
+
+// links sends log messages in two lanes to each replica. Contact, votes, answers and
+// small appends have one, entries in bulk and snapshots the other: a leader whose
+// contact waits behind bulk is taken for gone, by the very replica that it brings up.
+// Each lane makes one call at a time, so what it carries keeps its order. A slow
+// replica loses messages, never holds up the others.
 type links struct {
 	self   quorum.Replica
 	client *transport.Client
+	// lost is told that entries or a part of a snapshot may not have reached a
+	// replica.
+	lost   func(id uint64)
 	mu     sync.Mutex
-	queues map[string]chan []quorum.Message
+	peers  map[string]*peerLink
 	closed bool
 }
 
+// peerLink is the two lanes to one replica.
+type peerLink struct {
+	contact, bulk chan []quorum.Message
+	// bulkBusy counts the messages of the bulk lane that are queued or under way.
+	// While there are any, small appends follow them: overtaking, they would be
+	// refused for the entries before them.
+	mu       sync.Mutex
+	bulkBusy int
+}
+
 func newLinks(self quorum.Replica, c *transport.Client) *links {
-	return &links{self: self, client: c, queues: make(map[string]chan []quorum.Message)}
+	return &links{self: self, client: c, lost: func(uint64) {}, peers: make(map[string]*peerLink)}
 }
 
 // Send implements quorum.Sender.
@@ -37,42 +64,129 @@
 	if to.Address == "" {
 		return // not in the configuration any more
 	}
+	p := l.peer(to.Address)
+	contact, bulk := p.split(msgs)
+	offer(p.contact, contact)
+	if len(bulk) > 0 && !offer(p.bulk, bulk) {
+		p.finished(len(bulk))
+		l.dropped(bulk)
+	}
+}
+
+// offer queues messages unless the queue is full, and reports whether it did.
+func offer(q chan []quorum.Message, msgs []quorum.Message) bool {
+	if len(msgs) == 0 {
+		return true
+	}
 	select {
-	case l.queue(to.Address) <- msgs:
-	default: // the protocol sends again
+	case q <- msgs:
+		return true
+	default:
+		return false
 	}
 }
 
-func (l *links) queue(addr string) chan []quorum.Message {
+// split sorts messages by lane.
+func (p *peerLink) split(msgs []quorum.Message) (contact, bulk []quorum.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range msgs {
+		size := m.PayloadBytes()
+		if size > smallBytes || (size > 0 && p.bulkBusy > 0) {
+			bulk = append(bulk, m)
+			p.bulkBusy++
+			continue
+		}
+		contact = append(contact, m)
+	}
+	return contact, bulk
+}
+
+func (p *peerLink) finished(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bulkBusy -= n
+}
+
+func (l *links) peer(addr string) *peerLink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	q := l.queues[addr]
-	if q == nil {
-		q = make(chan []quorum.Message, linkQueue)
-		l.queues[addr] = q
+	p := l.peers[addr]
+	if p == nil {
+		p = &peerLink{contact: make(chan []quorum.Message, linkQueue), bulk: make(chan []quorum.Message, linkQueue)}
+		l.peers[addr] = p
 		if !l.closed {
-			go l.run(addr, q)
+			go l.runContact(addr, p)
+			go l.runBulk(addr, p)
+		}
+	}
+	return p
+}
+
+func (l *links) runContact(addr string, p *peerLink) {
+	for msgs := range p.contact {
+		batch := append([]quorum.Message(nil), msgs...)
+		for len(batch) < linkBatch && len(p.contact) > 0 {
+			batch = append(batch, <-p.contact...)
+		}
+		if l.call(addr, batch, linkTimeout) != nil {
+			l.dropped(batch)
 		}
 	}
-	return q
 }
 
-func (l *links) run(addr string, q chan []quorum.Message) {
-	for msgs := range q {
+// runBulk sends entries and snapshots. After a call that failed it drops what is
+// queued behind: the leader goes back to what was acknowledged last, and sends from
+// there.
+func (l *links) runBulk(addr string, p *peerLink) {
+	for msgs := range p.bulk {
 		batch := append([]quorum.Message(nil), msgs...)
-		for len(batch) < linkBatch && len(q) > 0 {
-			batch = append(batch, <-q...)
+		size := payloadBytes(batch)
+		for size < bulkBytes && len(p.bulk) > 0 {
+			more := <-p.bulk
+			batch, size = append(batch, more...), size+payloadBytes(more)
 		}
-		l.client.Call(addr, PathQuorum, linkTimeout, &QuorumBatch{l.self, batch}, nil)
+		err := l.call(addr, batch, linkTimeout+time.Duration(size)*time.Second/slowLink)
+		for err != nil && len(p.bulk) > 0 {
+			batch = append(batch, <-p.bulk...)
+		}
+		p.finished(len(batch))
+		if err != nil {
+			l.dropped(batch)
+		}
+	}
+}
+
+func (l *links) call(addr string, batch []quorum.Message, timeout time.Duration) error {
+	return l.client.Call(addr, PathQuorum, timeout, &QuorumBatch{l.self, batch}, nil)
+}
+
+// dropped tells of the first lost message that the leader must send again.
+func (l *links) dropped(batch []quorum.Message) {
+	for _, m := range batch {
+		if m.PayloadBytes() > 0 {
+			bulkLost.Inc()
+			l.lost(m.To)
+			return
+		}
+	}
+}
+
+func payloadBytes(msgs []quorum.Message) int {
+	n := 0
+	for _, m := range msgs {
+		n += m.PayloadBytes()
 	}
+	return n
 }
 
 func (l *links) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
-	for addr, q := range l.queues {
-		close(q)
-		delete(l.queues, addr)
+	for addr, p := range l.peers {
+		close(p.contact)
+		close(p.bulk)
+		delete(l.peers, addr)
 	}
 }
--- a/control/operator.go
+++ b/control/operator.go
@@ -195,15 +195,17 @@
 
 // StatusAnswer is one replica's view. Only the leader's is confirmed.
 type StatusAnswer struct {
-	Replica    string             `json:"replica"`
-	Role       string             `json:"role"`
-	Term       uint64             `json:"term"`
-	Leader     string             `json:"leader"`
-	LeaderAt   string             `json:"leader_operator_address"`
-	InContact  bool               `json:"in_contact"`
-	Commit     uint64             `json:"commit"`
-	Revision   uint64             `json:"revision"`
-	Replicas   quorum.Config      `json:"replicas"`
+	Replica   string        `json:"replica"`
+	Role      string        `json:"role"`
+	Term      uint64        `json:"term"`
+	Leader    string        `json:"leader"`
+	LeaderAt  string        `json:"leader_operator_address"`
+	InContact bool          `json:"in_contact"`
+	Commit    uint64        `json:"commit"`
+	Revision  uint64        `json:"revision"`
+	Replicas  quorum.Config `json:"replicas"`
+	// Short is the leader's alone, and absent while the set is whole.
+	Short      *Shortage          `json:"short,omitempty"`
 	Instances  []rollout.Instance `json:"instances"`
 	Waiting    int                `json:"tasks_waiting"`
 	Tasks      int                `json:"tasks_kept"`
@@ -218,7 +220,7 @@
 		return nil, r.refusalOf(err)
 	}
 	a := StatusAnswer{Replica: r.self.Name, Role: st.Role.String(), Term: st.Term, InContact: st.InContact,
-		Commit: st.Commit, Replicas: st.Config, Instances: r.rollout.List()}
+		Commit: st.Commit, Replicas: st.Config, Short: r.setWatch.current(), Instances: r.rollout.List()}
 	if l, ok := st.Config.Find(st.Leader); ok {
 		a.Leader, a.LeaderAt = l.Name, l.Operator
 	}
--- a/control/replica.go
+++ b/control/replica.go
@@ -40,6 +40,7 @@
 	dispatcher *dispatcher
 	waves      *waves
 	links      *links
+	setWatch   setWatch
 	shared     *sharedBarrier
 	without    ablation.Set // mechanisms of the policy that are left out
 }
@@ -64,6 +65,7 @@
 	if err != nil {
 		return nil, errors.Join(err, disk.Close())
 	}
+	r.links.lost = r.node.Unreachable
 	r.shared = &sharedBarrier{confirm: r.barrier}
 	r.leader = newLeader(r)
 	r.dispatcher = newDispatcher(r)
@@ -215,7 +217,9 @@
 }
 
 func (r *Replica) onQuorum(b QuorumBatch) (Empty, error) {
-	r.node.Deliver(b.From, b.Messages)
+	if !r.node.Deliver(b.From, b.Messages) {
+		return Empty{}, refusal.New(refusal.Overloaded, "send it again", "%s takes no more messages now", r.self.Name)
+	}
 	return Empty{}, nil
 }
 
--- a/quorum/calls.go
+++ b/quorum/calls.go
@@ -16,17 +16,30 @@
 
 func (v View) same(o View) bool {
 	return v.Role == o.Role && v.Term == o.Term && v.Leader == o.Leader && v.InContact == o.InContact &&
-		slices.Equal(v.Config.Voters, o.Config.Voters) && slices.Equal(v.Config.Learners, o.Config.Learners)
+		slices.Equal(v.Config.Voters, o.Config.Voters) && slices.Equal(v.Config.Learners, o.Config.Learners) &&
+		slices.Equal(v.Config.Old, o.Config.Old)
 }
 
 // View returns the newest view.
 func (n *Node) View() View { return *n.view.Load() }
 
-// Deliver hands over messages from another replica. It drops them when the
-// replica is overloaded; the protocol sends them again.
-func (n *Node) Deliver(from Replica, msgs []Message) {
+// Deliver hands over messages from another replica. It drops them when the replica
+// is overloaded, and reports whether it took them, so that their sender needn't wait
+// to find out.
+func (n *Node) Deliver(from Replica, msgs []Message) bool {
 	select {
 	case n.inbox <- delivery{from, msgs}:
+		return true
+	default:
+		return false
+	}
+}
+
+// Unreachable tells that entries or a part of a snapshot sent to a replica may not
+// have arrived. It never blocks; what is missed here the core notices by itself.
+func (n *Node) Unreachable(id uint64) {
+	select {
+	case n.lost <- id:
 	default:
 	}
 }
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -22,25 +22,12 @@
 	// short enough that a replacement votes within four seconds of its start.
 	SilentTicks = 40
 
-	maxAppendBytes = 1 << 20
+	// maxAppendBytes bounds one append, and chunkBytes one part of a snapshot: 10 ms
+	// of a link of 200 Mbit/s, and still under half a second of one of 5 Mbit/s.
+	maxAppendBytes = 256 << 10
 	chunkBytes     = 256 << 10
 )
 
-// progress is what a leader knows of one replica.
-type progress struct {
-	match       uint64 // highest index known to be on the replica's disk
-	next        uint64 // next index to send
-	round       uint64 // highest contact round echoed
-	lastContact uint64 // tick of the last answer in this term
-	snapshot    *Snapshot
-	offset      int // acknowledged bytes of snapshot
-	// probe is set after a rejected append until the replica accepts one.
-	// Nothing but empty appends is sent meanwhile: a replica that was frozen
-	// answers everything that piled up with a rejection each, and the whole
-	// tail of the log sent again for each took a leader over 200 MB.
-	probe bool
-}
-
 // pendingRead waits until a majority has echoed its round.
 type pendingRead struct {
 	Read
@@ -125,8 +112,8 @@
 	// Match is, at a leader, how far the replicas that answered lately have
 	// the log on their disks.
 	Match map[uint64]uint64
-	// Silent lists, at a leader, the voters that have not answered for
-	// SilentTicks.
+	// Silent lists, at a leader, the voters that have neither answered nor asked
+	// to be let in for SilentTicks.
 	Silent []uint64
 	// InContact tells whether the replica heard from a majority's leader
 	// within the election timeout. What it has applied is stale otherwise.
@@ -143,14 +130,37 @@
 			if p.match > 0 && p.lastContact+ElectionTicks >= c.now {
 				s.Match[id] = p.match
 			}
-			if p.lastContact+SilentTicks < c.now && s.Config.IsVoter(id) && id != c.id {
-				s.Silent = append(s.Silent, id)
+		}
+		for _, v := range s.Config.Voters {
+			if v.ID != c.id && c.silent(c.peers[v.ID]) {
+				s.Silent = append(s.Silent, v.ID)
 			}
 		}
 	}
 	return s
 }
 
+// answers reports, at a leader, whether a replica has answered lately.
+func (c *Core) answers(id uint64) bool {
+	p := c.peers[id]
+	return id == c.id || (p != nil && p.lastContact+ElectionTicks >= c.now)
+}
+
+// silent reports whether a voter neither answers nor asks to be let in. One that
+// asks is alive, whatever keeps it from answering: taken out, the set would stand one
+// loss less, and its copy of the log would count for nothing.
+func (c *Core) silent(p *progress) bool {
+	return p.lastContact+SilentTicks < c.now && p.asked+SilentTicks < c.now
+}
+
+// Asked notes, at a leader, that a replica of the set asks to be let in: it hears no
+// leader, but it is alive.
+func (c *Core) Asked(id uint64) {
+	if p := c.peers[id]; c.role == Leader && p != nil {
+		p.asked = c.now
+	}
+}
+
 // Tick advances time by one unit.
 func (c *Core) Tick() {
 	c.now++
@@ -165,7 +175,7 @@
 }
 
 func (c *Core) tickLeader() {
-	if !c.majority(func(p *progress) bool { return p.lastContact+ElectionTicks >= c.now }) {
+	if !c.log.config().config.majority(c.answers) {
 		// Cut off from the majority: another leader may be elected soon.
 		// Symptom without this: two leaders, one of which accepts changes
 		// that are never committed. Stepping down within one election
@@ -177,6 +187,7 @@
 		c.transfer = 0
 	}
 	if c.now%HeartbeatTicks == 0 {
+		c.resendLost()
 		c.broadcast(true)
 	}
 }
@@ -213,11 +224,9 @@
 	return index, c.term, nil
 }
 
-// ProposeConfig appends a new set of replicas, one step from the present one.
-//
-// One step keeps every old majority and every new one overlapping. An earlier
-// step must be committed first, and so must an entry of this term, else two
-// leaders could each commit under sets that do not overlap.
+// ProposeConfig appends a new set of replicas, one step from the present one (see
+// validStep). An earlier step must be committed first, and so must an entry of this
+// term, else two leaders could each commit under sets that do not overlap.
 func (c *Core) ProposeConfig(next Config) error {
 	if c.role != Leader {
 		return ErrNotLeader
@@ -226,7 +235,7 @@
 	if t, _ := c.log.term(c.log.committed); cur.index > c.log.committed || t != c.term {
 		return ErrBusy
 	}
-	if voterDiff(cur.config, next) > 1 || len(next.Voters) == 0 {
+	if !validStep(cur.config, next) {
 		return ErrConfig
 	}
 	c.appendOwn(EntryConfig, encodeConfig(next))
@@ -286,7 +295,7 @@
 }
 
 // Compact replaces the log up to s.Index, which must have been applied.
-func (c *Core) Compact(s Snapshot) { c.log.compact(s) }
+func (c *Core) Compact(s Snapshot) { c.log.compact(s, c.neededFrom()) }
 
 // SnapshotAt returns the header of a snapshot at an applied index.
 func (c *Core) SnapshotAt(index uint64) Snapshot {
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -26,8 +26,8 @@
 	if pre {
 		kind, term = MsgPreVote, c.term+1
 	}
-	for _, r := range c.log.config().config.Voters {
-		if r.ID != c.id {
+	for _, r := range c.log.config().config.Members() {
+		if r.ID != c.id && c.log.config().config.IsVoter(r.ID) {
 			c.messages = append(c.messages, Message{Kind: kind, From: c.id, To: r.ID, Term: term,
 				Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer})
 		}
@@ -35,14 +35,7 @@
 }
 
 func (c *Core) wonVotes() bool {
-	voters := c.log.config().config.Voters
-	n := 0
-	for _, r := range voters {
-		if c.votes[r.ID] {
-			n++
-		}
-	}
-	return n*2 > len(voters)
+	return c.log.config().config.majority(func(id uint64) bool { return c.votes[id] })
 }
 
 func (c *Core) win() {
@@ -57,18 +50,20 @@
 	c.role, c.leader, c.votes = Leader, c.id, nil
 	c.peers = make(map[uint64]*progress)
 	c.syncPeers()
+	for _, p := range c.peers {
+		p.probe = false // most lack nothing but what comes next
+	}
 	c.appendOwn(EntryNoop, nil)
 	c.broadcast(true)
 }
 
-// syncPeers makes the set of followed replicas equal to the configuration.
+// syncPeers makes the set of followed replicas equal to the configuration. What a
+// newcomer holds is not known.
 func (c *Core) syncPeers() {
 	cfg := c.log.config().config
-	for _, list := range [][]Replica{cfg.Voters, cfg.Learners} {
-		for _, r := range list {
-			if c.peers[r.ID] == nil {
-				c.peers[r.ID] = &progress{next: c.log.last() + 1, lastContact: c.now}
-			}
+	for _, r := range cfg.Members() {
+		if c.peers[r.ID] == nil {
+			c.peers[r.ID] = &progress{next: c.log.last() + 1, lastContact: c.now, probe: true}
 		}
 	}
 	for id := range c.peers {
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -62,7 +62,7 @@
 	all := l.entries[lo-l.base-1:]
 	size := 0
 	for i, e := range all {
-		size += len(e.Data) + entryOverhead
+		size += e.bytes()
 		if size > maxBytes && i > 0 {
 			return all[:i:i]
 		}
@@ -73,6 +73,16 @@
 // entryOverhead is the encoded size of an entry without its data, in bytes.
 const entryOverhead = 24
 
+func (e Entry) bytes() int { return len(e.Data) + entryOverhead }
+
+func entriesBytes(entries []Entry) int {
+	n := 0
+	for _, e := range entries {
+		n += e.bytes()
+	}
+	return n
+}
+
 func (l *memLog) append(entries []Entry) {
 	for _, e := range entries {
 		l.entries = append(l.entries, e)
@@ -131,8 +141,9 @@
 }
 
 // compact takes a snapshot of the applied part and forgets the entries behind
-// it, but for the last few.
-func (l *memLog) compact(s Snapshot) {
+// it, but for the last few and for those that are needed from an index on, as long
+// as these take no more than pinnedBytes.
+func (l *memLog) compact(s Snapshot, needed uint64) {
 	if s.Index <= l.snap.Index || s.Index > l.applied {
 		return
 	}
@@ -141,6 +152,9 @@
 		return
 	}
 	base := s.Index - retainedEntries
+	if needed < base && needed >= l.base && entriesBytes(l.entries[needed-l.base:base-l.base]) <= pinnedBytes {
+		base = needed
+	}
 	term, _ := l.term(base)
 	config := l.configUpTo(base)
 	l.entries = append([]Entry(nil), l.entries[base-l.base:]...)
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -41,6 +41,9 @@
 // maxBatch bounds the proposals that share one sync of the disk.
 const maxBatch = 512
 
+// maxLost bounds the reports of lost messages that wait to be taken.
+const maxLost = 64
+
 // proposal is a command on its way to being applied.
 type proposal struct {
 	data []byte
@@ -77,6 +80,7 @@
 	proposals chan proposal
 	calls     chan func()
 	reads     chan chan outcome
+	lost      chan uint64 // replicas that something sent may not have reached
 	stopped   chan struct{}
 	ending    <-chan struct{} // closed when Run is to end
 
@@ -116,6 +120,7 @@
 		proposals: make(chan proposal, maxBatch),
 		calls:     make(chan func()),
 		reads:     make(chan chan outcome, maxBatch),
+		lost:      make(chan uint64, maxLost),
 		stopped:   make(chan struct{}),
 		waiting:   make(map[uint64]proposal),
 		readers:   make(map[uint64][]chan outcome),
@@ -155,6 +160,8 @@
 			n.propose(p)
 		case r := <-n.reads:
 			n.read(r)
+		case id := <-n.lost:
+			n.core.Unreachable(id)
 		case f := <-n.calls:
 			f()
 		}
--- a/quorum/repair.go
+++ b/quorum/repair.go
@@ -6,10 +6,11 @@
 const catchUpSlack = 64
 
 // Join answers a replica that asks to belong to the cluster. A replica known by
-// its identity stays what it is; a new identity becomes a learner.
+// its identity stays what it is, and counts as alive; a new identity becomes a
+// learner.
 func (n *Node) Join(ctx context.Context, r Replica) error {
-	st, err := n.Status(ctx)
-	if err != nil {
+	var st Status
+	if err := n.call(ctx, func() { n.core.Asked(r.ID); st = n.core.Status() }); err != nil {
 		return err
 	}
 	if st.Role != Leader {
@@ -18,54 +19,130 @@
 	if _, ok := st.Config.Find(r.ID); ok {
 		return nil
 	}
-	return n.ChangeConfig(ctx, func(c Config) Config {
-		for _, old := range c.Learners {
-			if old.Name == r.Name || old.Address == r.Address {
-				c = c.Without(old.ID)
-			}
+	return n.ChangeConfig(ctx, func(c Config) Config { return c.Joined(r) })
+}
+
+// Joined returns the configuration with r added as a learner, in place of a learner
+// from the same host whose disk is gone.
+func (c Config) Joined(r Replica) Config {
+	out := c
+	for _, old := range c.Learners {
+		if sameHost(old, r) {
+			out = out.Without(old.ID)
+		}
+	}
+	return out.WithLearner(r)
+}
+
+// Repair takes the next step towards a whole replica set, and reports whether it
+// took one. Call it regularly on the leader. bear is the number of replicas that may
+// be lost at once. Each step is committed before the next begins.
+func (n *Node) Repair(ctx context.Context, bear int) (took bool, err error) {
+	cerr := n.call(ctx, func() {
+		st := n.core.Status()
+		if st.Role != Leader {
+			return
+		}
+		var next Config
+		if next, took = nextStep(st, bear); took {
+			err = n.core.ProposeConfig(next)
 		}
-		return c.WithLearner(r)
 	})
+	if cerr != nil {
+		return false, cerr
+	}
+	return took, err
 }
 
-// Repair takes the next step towards every learner being a voter, and reports
-// whether it took one. Call it regularly on the leader.
-//
-// A learner that has caught up first removes the voter of the same name: that
-// voter's disk is gone, and it would count against every majority. Only then is
-// the learner promoted. Each step is committed before the next, so losing a
-// second replica in between leaves a majority of one configuration or the next.
-func (n *Node) Repair(ctx context.Context) (bool, error) {
-	st, err := n.Status(ctx)
-	if err != nil || st.Role != Leader {
-		return false, err
+// nextStep returns the next step of the repair, if there is one to take. No step
+// lowers the number of losses that the set bears: a learner that has caught up takes
+// the place of a voter that is gone in one committed step, or is added; and a silent
+// voter goes without a successor only if the rest bears what it must.
+func nextStep(st Status, bear int) (Config, bool) {
+	if st.Config.Joint() {
+		return Config{}, false // its leader ends it by itself
 	}
 	for _, l := range st.Config.Learners {
 		if !caughtUp(st, l) {
 			continue
 		}
-		return true, n.ChangeConfig(ctx, func(c Config) Config { return repairStep(c, l, st.Silent) })
+		if id, ok := replacedBy(st, l, bear); ok {
+			return st.Config.Replacing(id, l), true
+		}
+		return st.Config.WithVoter(l), true
 	}
-	if v, ok := surplusVoter(st); ok {
-		return true, n.ChangeConfig(ctx, func(c Config) Config { return c.Without(v) })
+	if id, ok := surplusVoter(st, bear); ok {
+		return st.Config.Without(id), true
 	}
-	return false, nil
+	return Config{}, false
 }
 
-// minVoters is the size of a replica set below which a silent voter is kept:
-// it may come back, and taking it out would not make the set safer.
-const minVoters = 3
+// replacedBy returns the voter whose place a learner takes. That is the one of the
+// same host, whose disk is gone: no other, since each learner of a wiped host comes
+// for its own predecessor. A learner of another host takes the place of a silent
+// voter that nobody else comes for, once the set has its full size; below it, the
+// learner makes the set larger.
+func replacedBy(st Status, learner Replica, bear int) (uint64, bool) {
+	for _, v := range st.Config.Voters {
+		if sameHost(v, learner) {
+			return v.ID, true
+		}
+	}
+	if len(st.Config.Voters) < FullSize(bear) {
+		return 0, false
+	}
+	return awaitedByNobody(st)
+}
 
-// surplusVoter returns a silent voter of a set with an even number of voters.
-// Such a set stands any loss no better than the next smaller one does, so taking
-// the silent one out only helps: after a planned replacement the set would
-// otherwise lose its majority with the second loss.
-func surplusVoter(st Status) (uint64, bool) {
-	n := len(st.Config.Voters)
-	if n <= minVoters || n%2 != 0 || len(st.Silent) == 0 {
+// FullSize is the number of voters of which so many may be lost.
+func FullSize(bear int) int { return 2*bear + 1 }
+
+// awaitedByNobody returns a silent voter whose host has not come back as a learner.
+func awaitedByNobody(st Status) (uint64, bool) {
+	for _, id := range st.Silent {
+		v, _ := find(st.Config.Voters, id)
+		if v.ID != 0 && !hasSuccessor(st.Config, v) {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+func hasSuccessor(c Config, voter Replica) bool {
+	for _, l := range c.Learners {
+		if sameHost(voter, l) {
+			return true
+		}
+	}
+	return false
+}
+
+func sameHost(a, b Replica) bool { return a.Name == b.Name || a.Address == b.Address }
+
+// surplusVoter returns a silent voter of a set with an even number of voters. Such a
+// set bears no more losses than the next smaller one, so after a planned replacement
+// the old voter, which will never answer again, would count as a loss for good. It
+// stays unless those that answer bear bear losses without it: a set below its size
+// must not become smaller, whatever keeps a voter from answering.
+func surplusVoter(st Status, bear int) (uint64, bool) {
+	if len(st.Config.Voters)%2 != 0 {
+		return 0, false
+	}
+	id, ok := awaitedByNobody(st)
+	if !ok || st.Config.Without(id).Spare(st.answers) < bear {
 		return 0, false
 	}
-	return st.Silent[0], true
+	return id, true
+}
+
+// Spare returns, at a leader, how many more voters may be lost before those that
+// answer are no majority.
+func (s Status) Spare() int { return s.Config.Spare(s.answers) }
+
+// answers reports whether a replica answers the leader, whose status this is.
+func (s Status) answers(id uint64) bool {
+	_, ok := s.Match[id]
+	return ok || id == s.ID
 }
 
 // caughtUp reports whether a learner answers and lacks almost nothing. One that
@@ -75,20 +152,3 @@
 	match, answers := st.Match[learner.ID]
 	return answers && match+catchUpSlack >= st.Last
 }
-
-// repairStep is the next step for a learner that has caught up. The voter that
-// it replaces goes first: the one of the same name or address, whose disk is
-// gone, or else one that has been silent for long.
-func repairStep(c Config, learner Replica, silent []uint64) Config {
-	for _, v := range c.Voters {
-		if v.Name == learner.Name || v.Address == learner.Address {
-			return c.Without(v.ID)
-		}
-	}
-	for _, id := range silent {
-		if c.IsVoter(id) && len(c.Voters) >= minVoters {
-			return c.Without(id)
-		}
-	}
-	return c.WithVoter(learner)
-}
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -14,9 +14,9 @@
 		}
 	case MsgVoteResp:
 		c.onVoteResponse(m, Candidate)
-	case MsgAppend, MsgChunk:
+	case MsgAppend, MsgChunk, MsgHeartbeat:
 		c.onLeaderContact(m)
-	case MsgAppendResp, MsgChunkResp:
+	case MsgAppendResp, MsgChunkResp, MsgHeartbeatResp:
 		c.onFollowerAnswer(m)
 	case MsgTimeoutNow:
 		c.onTimeoutNow()
@@ -37,7 +37,7 @@
 			return true
 		}
 		leader := uint64(0)
-		if m.Kind == MsgAppend || m.Kind == MsgChunk {
+		if m.fromLeader() {
 			leader = m.From
 		}
 		c.becomeFollower(m.Term, leader)
@@ -52,25 +52,40 @@
 // answerStale tells a sender of an older term about the newer one. Without it
 // a leader of an older term never learns that this replica moved on.
 func (c *Core) answerStale(m Message) {
-	switch m.Kind {
-	case MsgAppend, MsgChunk:
+	switch {
+	case m.fromLeader():
 		c.messages = append(c.messages, Message{Kind: MsgAppendResp, From: c.id, To: m.From, Term: c.term, Reject: true})
-	case MsgPreVote:
+	case m.Kind == MsgPreVote:
 		c.messages = append(c.messages, Message{Kind: MsgPreVoteResp, From: c.id, To: m.From, Term: c.term, Reject: true})
 	}
 }
 
+// fromLeader reports whether only the leader of a term sends such a message.
+func (m Message) fromLeader() bool {
+	return m.Kind == MsgAppend || m.Kind == MsgChunk || m.Kind == MsgHeartbeat
+}
+
 func (c *Core) onLeaderContact(m Message) {
 	if c.role != Follower {
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.leader = m.From
 	c.silence = 0
-	if m.Kind == MsgChunk {
+	switch m.Kind {
+	case MsgChunk:
 		c.onChunk(m)
-		return
+	case MsgHeartbeat:
+		c.onHeartbeat(m)
+	default:
+		c.messages = append(c.messages, c.handleAppend(m))
 	}
-	c.messages = append(c.messages, c.handleAppend(m))
+}
+
+// onHeartbeat takes the leader's commit index. The leader sends no more of it than
+// it knows this replica to hold.
+func (c *Core) onHeartbeat(m Message) {
+	c.log.commitTo(m.Commit)
+	c.messages = append(c.messages, Message{Kind: MsgHeartbeatResp, From: c.id, To: m.From, Term: c.term, Round: m.Round})
 }
 
 func (c *Core) handleAppend(m Message) Message {
@@ -146,65 +161,6 @@
 	c.snapshot = &s
 }
 
-func (c *Core) onFollowerAnswer(m Message) {
-	p := c.peers[m.From]
-	if c.role != Leader || p == nil {
-		return
-	}
-	p.lastContact = c.now
-	p.round = max(p.round, m.Round)
-	switch {
-	case m.Kind == MsgChunkResp:
-		c.onChunkResponse(m, p)
-	case m.Reject:
-		if p.probe && m.Prev != p.next-1 {
-			break // answers an append from before the last rejection
-		}
-		p.next = max(p.match, min(m.Index, p.next-1)) + 1
-		p.probe = true
-		c.sendAppend(m.From, p, false)
-	default:
-		c.onAck(m, p)
-	}
-	c.answerReads()
-}
-
-func (c *Core) onChunkResponse(m Message, p *progress) {
-	if p.snapshot == nil || m.Chunk == nil || m.Chunk.Index != p.snapshot.Index {
-		return
-	}
-	p.offset = min(m.Chunk.Offset, len(p.snapshot.Data))
-	c.sendChunk(m.From, p)
-}
-
-func (c *Core) onAck(m Message, p *progress) {
-	if m.Index > p.match {
-		p.match = m.Index
-	}
-	p.next = max(p.next, p.match+1)
-	p.probe = false
-	if p.snapshot != nil && p.match >= p.snapshot.Index {
-		p.snapshot, p.offset = nil, 0
-	}
-	c.maybeCommit()
-	if c.role == Leader {
-		c.maybeTransfer(m.From)
-	}
-}
-
-// majority reports whether more than half of the voters satisfy ok. The leader
-// counts itself as in contact with itself.
-func (c *Core) majority(ok func(*progress) bool) bool {
-	voters := c.log.config().config.Voters
-	n := 0
-	for _, r := range voters {
-		if r.ID == c.id || ok(c.peers[r.ID]) {
-			n++
-		}
-	}
-	return n*2 > len(voters)
-}
-
 // maybeCommit commits the highest entry of this term that a majority holds.
 // An entry of an older term is never committed by counting: a later leader
 // could still replace it.
@@ -215,6 +171,7 @@
 		}
 		if c.heldByMajority(i) {
 			c.log.commitTo(i)
+			c.leaveJoint()
 			c.stepDownIfRemoved()
 			return
 		}
@@ -222,18 +179,23 @@
 }
 
 func (c *Core) heldByMajority(index uint64) bool {
-	voters := c.log.config().config.Voters
-	n := 0
-	for _, r := range voters {
-		match := c.persisted
-		if r.ID != c.id {
-			match = c.peers[r.ID].match
-		}
-		if match >= index {
-			n++
+	return c.log.config().config.majority(func(id uint64) bool {
+		if id == c.id {
+			return c.persisted >= index
 		}
+		return c.peers[id].match >= index
+	})
+}
+
+// leaveJoint ends the replacement of a voter once its joint set is committed. A
+// leader that finds a joint set committed by an earlier one ends it likewise, with
+// the first entry of its own term.
+func (c *Core) leaveJoint() {
+	cfg := c.log.config()
+	if cfg.config.Joint() && cfg.index <= c.log.committed {
+		c.appendOwn(EntryConfig, encodeConfig(cfg.config.Settled()))
+		c.syncPeers()
 	}
-	return n*2 > len(voters)
 }
 
 func (c *Core) stepDownIfRemoved() {
@@ -246,7 +208,7 @@
 func (c *Core) answerReads() {
 	rest := c.reads[:0]
 	for _, r := range c.reads {
-		if r.round <= c.round && c.majority(func(p *progress) bool { return p.round >= r.round }) {
+		if r.round <= c.round && c.echoed(r.round) {
 			c.done = append(c.done, r.Read)
 			continue
 		}
@@ -255,54 +217,7 @@
 	c.reads = rest
 }
 
-// broadcast sends every replica what it lacks. With contact set it also sends
-// to those that lack nothing, and opens a new contact round.
-func (c *Core) broadcast(contact bool) {
-	if contact {
-		c.round++
-	}
-	cfg := c.log.config().config
-	for _, list := range [][]Replica{cfg.Voters, cfg.Learners} {
-		for _, r := range list {
-			if r.ID != c.id {
-				c.sendIfNeeded(r.ID, c.peers[r.ID], contact)
-			}
-		}
-	}
-}
-
-func (c *Core) sendIfNeeded(id uint64, p *progress, contact bool) {
-	if p.snapshot != nil {
-		if contact {
-			c.sendChunk(id, p)
-		}
-		return
-	}
-	if contact || (!p.probe && p.next <= c.log.last()) {
-		c.sendAppend(id, p, contact)
-	}
-}
-
-func (c *Core) sendAppend(id uint64, p *progress, contact bool) {
-	prevTerm, ok := c.log.term(p.next - 1)
-	if !ok {
-		s := c.log.snap
-		p.snapshot, p.offset = &s, 0
-		c.sendChunk(id, p)
-		return
-	}
-	var entries []Entry
-	if !p.probe {
-		entries = c.log.slice(p.next, maxAppendBytes)
-	}
-	c.early = append(c.early, Message{Kind: MsgAppend, From: c.id, To: id, Term: c.term,
-		Index: p.next - 1, LogTerm: prevTerm, Commit: c.log.committed, Entries: entries, Round: c.round})
-	p.next += uint64(len(entries))
-}
-
-func (c *Core) sendChunk(id uint64, p *progress) {
-	s := p.snapshot
-	end := min(p.offset+chunkBytes, len(s.Data))
-	c.early = append(c.early, Message{Kind: MsgChunk, From: c.id, To: id, Term: c.term, Round: c.round,
-		Chunk: &Chunk{Index: s.Index, Term: s.Term, Config: s.Config, Offset: p.offset, Size: len(s.Data), Data: s.Data[p.offset:end]}})
+// echoed reports whether a majority has echoed a contact round.
+func (c *Core) echoed(round uint64) bool {
+	return c.log.config().config.majority(func(id uint64) bool { return id == c.id || c.peers[id].round >= round })
 }
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -37,13 +37,6 @@
 	Operator string `msgpack:"o" json:"operator"`
 }
 
-// Config is the set of replicas that hold the log. Only voters count for a
-// majority; learners receive the log until they have caught up.
-type Config struct {
-	Voters   []Replica `msgpack:"v" json:"voters"`
-	Learners []Replica `msgpack:"l" json:"learners"`
-}
-
 // HardState is what a replica must never forget: a vote given twice in one
 // term would elect two leaders.
 type HardState struct {
@@ -85,9 +78,13 @@
 	MsgChunk
 	MsgChunkResp
 	MsgTimeoutNow
+	// MsgHeartbeat is the leader's contact. It carries nothing else, so that it
+	// never waits behind entries or a snapshot.
+	MsgHeartbeat
+	MsgHeartbeatResp
 )
 
-var messageNames = [...]string{"PreVote", "PreVoteResp", "Vote", "VoteResp", "Append", "AppendResp", "Chunk", "ChunkResp", "TimeoutNow"}
+var messageNames = [...]string{"PreVote", "PreVoteResp", "Vote", "VoteResp", "Append", "AppendResp", "Chunk", "ChunkResp", "TimeoutNow", "Heartbeat", "HeartbeatResp"}
 
 // String returns the kind's name, as golden files show it.
 func (k MessageKind) String() string {
@@ -114,6 +111,16 @@
 	Prev     uint64      `msgpack:"p,omitempty"` // with a rejected append: the index it was to follow
 }
 
+// PayloadBytes is what a message carries of the log or of a snapshot, 0 for contact,
+// votes and answers.
+func (m Message) PayloadBytes() int {
+	n := entriesBytes(m.Entries)
+	if m.Chunk != nil {
+		n += len(m.Chunk.Data)
+	}
+	return n
+}
+
 // Read is a confirmed majority read: the state applied up to Index is current.
 type Read struct {
 	ID    uint64
@@ -158,80 +165,4 @@
 var ErrBusy = Error.New("an earlier change is still under way; try again in a moment")
 
 // ErrConfig is returned for a change of the replica set that is more than one step.
-var ErrConfig = Error.New("only one voter may be added or removed at a time; split the change")
-
-func (c Config) clone() Config {
-	return Config{
-		Voters:   append([]Replica(nil), c.Voters...),
-		Learners: append([]Replica(nil), c.Learners...),
-	}
-}
-
-func find(list []Replica, id uint64) (Replica, bool) {
-	for _, r := range list {
-		if r.ID == id {
-			return r, true
-		}
-	}
-	return Replica{}, false
-}
-
-// Find returns the voter or learner with this identity.
-func (c Config) Find(id uint64) (Replica, bool) {
-	if r, ok := find(c.Voters, id); ok {
-		return r, true
-	}
-	return find(c.Learners, id)
-}
-
-// IsVoter reports whether id counts for a majority.
-func (c Config) IsVoter(id uint64) bool {
-	_, ok := find(c.Voters, id)
-	return ok
-}
-
-func without(list []Replica, id uint64) []Replica {
-	out := make([]Replica, 0, len(list))
-	for _, r := range list {
-		if r.ID != id {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// WithLearner returns the configuration with r added as a learner.
-func (c Config) WithLearner(r Replica) Config {
-	out := c.clone()
-	out.Learners = append(without(out.Learners, r.ID), r)
-	return out
-}
-
-// WithVoter returns the configuration with the learner r made a voter.
-func (c Config) WithVoter(r Replica) Config {
-	out := c.clone()
-	out.Learners = without(out.Learners, r.ID)
-	out.Voters = append(without(out.Voters, r.ID), r)
-	return out
-}
-
-// Without returns the configuration with the replica removed.
-func (c Config) Without(id uint64) Config {
-	return Config{Voters: without(c.Voters, id), Learners: without(c.Learners, id)}
-}
-
-// voterDiff counts the voters in which two configurations differ.
-func voterDiff(a, b Config) int {
-	n := 0
-	for _, r := range a.Voters {
-		if !b.IsVoter(r.ID) {
-			n++
-		}
-	}
-	for _, r := range b.Voters {
-		if !a.IsVoter(r.ID) {
-			n++
-		}
-	}
-	return n
-}
+var ErrConfig = Error.New("only one voter may be added, removed or replaced at a time; split the change")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,11 +99,26 @@
 	Lease           Duration `toml:"lease"`
 	SnapshotEntries uint64   `toml:"snapshot_entries"`
 	Schedule        Duration `toml:"schedule"`
+	// BearLosses is how many control replicas may be lost at once while nothing
+	// stops and nothing is lost. It is nil if it isn't given; see Losses.
+	BearLosses *int `toml:"bear_losses"`
 	// FormFromSeeds makes the seeds the first replica set. It is for the very
 	// first start of the whole system only.
 	FormFromSeeds bool `toml:"form_from_seeds"`
 }
 
+// Losses returns how many control replicas may be lost at once: as given, or what
+// the listed ones bear.
+func (s *Settings) Losses() int {
+	switch {
+	case s.Control != nil && s.Control.BearLosses != nil:
+		return *s.Control.BearLosses
+	case len(s.Peers.Control) > 0:
+		return (len(s.Peers.Control) - 1) / 2
+	}
+	return DefaultBearLosses
+}
+
 // Platform makes the process speak the users' platform's protocol in place of
 // the system's own towards callers, operators and workers. Addresses are an IP
 // number and a port; those that are not the role's business stay empty.
@@ -165,6 +180,9 @@
 	DefaultTick            = 50 * time.Millisecond
 	DefaultLease           = 8 * time.Second
 	DefaultSnapshotEntries = 20_000
+	// DefaultBearLosses is for replicas that are told first contacts only: what the
+	// smallest set that outlives a loss bears, one of three.
+	DefaultBearLosses      = 1
 	DefaultSchedule        = 100 * time.Millisecond
 	DefaultMaxBody         = 8 << 20
 	DefaultSync            = 500 * time.Millisecond
@@ -316,6 +334,23 @@
 	if s.Control != nil && s.Control.DataFolder == "" {
 		return fmt.Errorf("control.data_folder is missing; name a folder on the instance's disk")
 	}
+	return s.checkLosses()
+}
+
+// maxBearLosses needs nine replicas, each of which every change is sent to.
+const maxBearLosses = 4
+
+func (s *Settings) checkLosses() error {
+	if s.Control == nil || s.Control.BearLosses == nil {
+		return nil
+	}
+	bear, listed := *s.Control.BearLosses, len(s.Peers.Control)
+	if bear < 0 || bear > maxBearLosses {
+		return fmt.Errorf("control.bear_losses is %d; give the number of control replicas that may be lost at once, 0 to %d", bear, maxBearLosses)
+	}
+	if listed > 0 && listed < 2*bear+1 {
+		return fmt.Errorf("control.bear_losses is %d, which takes %d control replicas; peers.control lists %d", bear, 2*bear+1, listed)
+	}
 	return nil
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -51,3 +51,26 @@
 		t.Errorf("front: %+v %+v", s.Control, s.Entry)
 	}
 }
+
+// A replica set that is to bear no loss is a choice, not a value left out; and where
+// every replica is listed, the list tells what it bears.
+func TestLossesToBear(t *testing.T) {
+	const head = "[instance]\nname=\"i\"\ndata_centre=\"dc\"\nip=\"10.0.0.1\"\n[control]\nport=7101\noperator_port=7102\ndata_folder=\"/d\"\n"
+	cases := []struct {
+		text string
+		want int
+	}{
+		{head + "[peers]\nseeds=[\"10.0.0.1:7101\"]\n", DefaultBearLosses},
+		{head + "bear_losses=0\n[peers]\nseeds=[\"10.0.0.1:7101\"]\n", 0},
+		{head + "bear_losses=2\n[peers]\nseeds=[\"10.0.0.1:7101\"]\n", 2},
+		{head + "[peers]\ncontrol=[\"10.0.0.1:7101\",\"10.0.0.2:7101\",\"10.0.0.3:7101\",\"10.0.0.4:7101\",\"10.0.0.5:7101\"]\n", 2},
+	}
+	for _, c := range cases {
+		s, err := Parse("test", c.text)
+		if err != nil {
+			t.Errorf("%q: %v", c.text, err)
+		} else if s.Losses() != c.want {
+			t.Errorf("%q: %d losses, want %d", c.text, s.Losses(), c.want)
+		}
+	}
+}
