quorum: a property test of the replica set, and every repair of a small set

TestEveryRepairOfASmallSet goes through all states of the hosts of sets of three and five, with and without a newcomer: majorities of neighbouring sets overlap.

--- a/control/replicaset.go
+++ b/control/replicaset.go
@@ -74,8 +74,8 @@
 	return w.short
 }
 
-// shortageOf says which voters do not answer, who is catching up, and whether the set
-// is too small.
+// shortageOf says which voters do not answer, which are being replaced, who is catching
+// up, and whether the set is too small.
 func shortageOf(st quorum.Status, must int) string {
 	var why []string
 	for _, v := range st.Config.Voters {
@@ -83,6 +83,9 @@
 			why = append(why, v.Name+" does not answer")
 		}
 	}
+	for _, v := range st.Config.Replaced() {
+		why = append(why, v.Name+" is being replaced")
+	}
 	for _, l := range st.Config.Learners {
 		why = append(why, fmt.Sprintf("%s has %d of %d entries", l.Name, st.Match[l.ID], st.Last))
 	}
--- a/quorum/catchup_test.go
+++ b/quorum/catchup_test.go
@@ -131,3 +131,74 @@
 		t.Errorf("the replica heard nothing for %d ticks", l.silence)
 	}
 }
+
+// A replica that is slow to answer, or away, must not have the whole tail of the log put
+// on the link for it: whatever is cut off there is sent again from the start, and the
+// contact of the other replicas suffers.
+func TestWhatIsUnderWayIsBounded(t *testing.T) {
+	w, leader := settled(t, 3)
+	slow := w.others(leader)[0]
+	pad := make([]byte, 64<<10)
+	sent := 0
+	for range 100 {
+		if _, _, err := leader.core.Propose(pad); err != nil {
+			t.Fatal(err)
+		}
+		rd := leader.core.Ready()
+		for _, m := range append(rd.Early, rd.Messages...) {
+			if m.To == slow.disk.id {
+				sent += m.PayloadBytes()
+			}
+		}
+	}
+	if most := windowBytes + maxAppendBytes; sent > most {
+		t.Errorf("%d bytes are under way, at most %d may be", sent, most)
+	}
+}
+
+// The leader takes snapshots faster than one of them gets to a replica on a slow link.
+// Without the entries behind the snapshot that it was sent the replica would need the
+// next snapshot, and again the next: it would never belong to the majority again.
+func TestSnapshotOfASlowLinkIsOfUse(t *testing.T) {
+	l, leader := behind(t, 1500, 1000, true)
+	leader.core.log.retain = 10
+	l.perTick = 20 << 10 // 75 ticks for the snapshot
+	index := leader.core.log.snap.Index
+	for tick := range 400 {
+		if term := leader.core.Status().Term; l.to.at < index || l.to.core.log.committed < leader.core.log.committed {
+			at, _, err := leader.core.Propose([]byte("more"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			leader.acked[at] = term
+		}
+		l.tick()
+		if tick%10 == 0 {
+			l.compact(leader)
+		}
+	}
+	if l.to.core.log.committed+10 < leader.core.log.committed {
+		t.Errorf("it has %d of %d entries", l.to.core.log.committed, leader.core.log.committed)
+	}
+	if size := 1500 * 1000; l.sent > size*3/2 {
+		t.Errorf("%d bytes were sent for a snapshot of %d", l.sent, size)
+	}
+}
+
+// A replica was cut off, and what was sent to it meanwhile is lost. Its first answer
+// tells that it is back: it must be sent what it lacks then, and not only once the
+// leader has waited for an acknowledgement in vain.
+func TestReplicaThatIsBackIsSentWhatItLacks(t *testing.T) {
+	w, leader := settled(t, 3)
+	away := w.others(leader)[0]
+	w.isolate(away)
+	for range 2 * ElectionTicks {
+		w.propose(leader)
+		w.settle(1)
+	}
+	clear(w.cut)
+	w.settle(3 * HeartbeatTicks)
+	if away.core.log.last() < leader.core.log.last() {
+		t.Errorf("it has %d of %d entries", away.core.log.last(), leader.core.log.last())
+	}
+}
--- a/quorum/config.go
+++ b/quorum/config.go
@@ -125,6 +125,17 @@
 	return out
 }
 
+// Replaced returns the old voters that a joint set gives up.
+func (c Config) Replaced() []Replica {
+	var out []Replica
+	for _, r := range c.Old {
+		if _, stays := find(c.Voters, r.ID); !stays {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Settled returns the configuration that follows a joint one.
 func (c Config) Settled() Config {
 	out := c.clone()
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -56,6 +56,7 @@
 	transferT uint64 // tick at which the hand-over began
 	partial   *Snapshot
 	partSize  int
+	chunk     int // bytes of one part of a snapshot
 
 	saved    HardState
 	snapshot *Snapshot
@@ -67,7 +68,7 @@
 // NewCore returns a core that starts from what its disk holds. The generator
 // only spreads election timeouts.
 func NewCore(id uint64, hs HardState, snap Snapshot, entries []Entry, rng *rand.Rand) *Core {
-	c := &Core{id: id, rng: rng, term: hs.Term, vote: hs.Vote, saved: hs}
+	c := &Core{id: id, rng: rng, term: hs.Term, vote: hs.Vote, saved: hs, chunk: chunkBytes}
 	c.log = newMemLog(snap, entries, hs.Commit)
 	c.persisted = c.log.last()
 	c.resetTimeout()
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -19,6 +19,7 @@
 	applied   uint64 // handed out in Ready.Committed
 	handed    uint64 // handed out in Ready.Entries
 	configs   []configAt
+	retain    uint64 // entries that stay in memory behind a snapshot
 }
 
 // configAt is a configuration in force from the moment it is appended.
@@ -28,7 +29,8 @@
 }
 
 func newMemLog(snap Snapshot, entries []Entry, committed uint64) *memLog {
-	l := &memLog{snap: snap, base: snap.Index, baseTerm: snap.Term, committed: snap.Index, applied: snap.Index, handed: snap.Index}
+	l := &memLog{snap: snap, base: snap.Index, baseTerm: snap.Term, committed: snap.Index, applied: snap.Index, handed: snap.Index,
+		retain: retainedEntries}
 	l.configs = []configAt{{snap.Index, snap.Config}}
 	l.append(entries)
 	l.handed = l.last()
@@ -148,10 +150,10 @@
 		return
 	}
 	l.snap = s
-	if s.Index < l.base+retainedEntries {
+	if s.Index < l.base+l.retain {
 		return
 	}
-	base := s.Index - retainedEntries
+	base := s.Index - l.retain
 	if needed < base && needed >= l.base && entriesBytes(l.entries[needed-l.base:base-l.base]) <= pinnedBytes {
 		base = needed
 	}
@@ -177,7 +179,7 @@
 
 // restore replaces the whole log by a snapshot from the leader.
 func (l *memLog) restore(s Snapshot) {
-	*l = memLog{snap: s, base: s.Index, baseTerm: s.Term, committed: s.Index, applied: s.Index, handed: s.Index}
+	*l = memLog{snap: s, base: s.Index, baseTerm: s.Term, committed: s.Index, applied: s.Index, handed: s.Index, retain: l.retain}
 	l.configs = []configAt{{s.Index, s.Config}}
 }
 
--- a/quorum/network_test.go
+++ b/quorum/network_test.go
@@ -65,11 +65,16 @@
 	acked     []string          // oracle: proposals that were acknowledged
 	ackedAt   uint64            // highest acknowledged index
 	log       strings.Builder
-	errors    []string
+	quiet     bool // keeps no log
+	// tune adapts a core that has just been made.
+	tune   func(*Core)
+	errors []string
 }
 
-func newNetwork(n int, seed int64) *network {
-	w := &network{rng: rand.New(rand.NewSource(seed)), cut: make(map[[2]uint64]bool), committed: make(map[uint64]string), leaders: make(map[uint64]uint64)}
+func newNetwork(n int, seed int64) *network { return newTunedNetwork(n, seed, nil) }
+
+func newTunedNetwork(n int, seed int64, tune func(*Core)) *network {
+	w := &network{tune: tune, rng: rand.New(rand.NewSource(seed)), cut: make(map[[2]uint64]bool), committed: make(map[uint64]string), leaders: make(map[uint64]uint64)}
 	for i := range n {
 		w.replicas = append(w.replicas, &fakeReplica{name: fmt.Sprintf("r%d", i+1)})
 		w.wipe(w.replicas[i])
@@ -95,6 +100,9 @@
 func (w *network) start(r *fakeReplica) {
 	d := r.disk
 	r.core = NewCore(d.id, d.hard, d.snap, slices.Clone(d.entries), rand.New(rand.NewSource(w.rng.Int63())))
+	if w.tune != nil {
+		w.tune(r.core)
+	}
 	r.applied, r.at, r.frozen, r.dies = decodeApplied(d.snap.Data), d.snap.Index, false, false
 	r.acked, r.reads = make(map[uint64]uint64), make(map[uint64]int)
 	w.process(r)
@@ -212,6 +220,9 @@
 }
 
 func (w *network) note(m Message) {
+	if w.quiet {
+		return
+	}
 	fmt.Fprintf(&w.log, "%s %d->%d term=%d index=%d entries=%d commit=%d reject=%v\n", m.Kind, m.From, m.To, m.Term, m.Index, len(m.Entries), m.Commit, m.Reject)
 }
 
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -226,7 +226,7 @@
 // sendChunk sends the next part of the snapshot.
 func (c *Core) sendChunk(id uint64, p *progress) {
 	s := p.snapshot
-	end := min(p.offset+chunkBytes, len(s.Data))
+	end := min(p.offset+c.chunk, len(s.Data))
 	c.early = append(c.early, Message{Kind: MsgChunk, From: c.id, To: id, Term: c.term, Round: c.round,
 		Chunk: &Chunk{Index: s.Index, Term: s.Term, Config: s.Config, Offset: p.offset, Size: len(s.Data), Data: s.Data[p.offset:end]}})
 	p.sent(c.now, s.Index, end-p.offset)
--- a/quorum/repair_test.go
+++ b/quorum/repair_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"math/rand"
 	"slices"
 	"testing"
 )
@@ -138,3 +139,190 @@
 		t.Fatalf("the set does not return to its full size: %+v", got)
 	}
 }
+
+// A voter that answers nothing and still asks to be let in is alive: something keeps the
+// leader from reaching it. A newcomer must not take its place.
+func TestVoterThatAsksIsNotSilent(t *testing.T) {
+	w, l := settled(t, 3)
+	deaf := w.others(l)[0]
+	w.isolate(deaf)
+	silent := func(asks bool) []uint64 {
+		for range 2 * SilentTicks {
+			if asks {
+				l.core.Asked(deaf.disk.id)
+			}
+			w.settle(1)
+		}
+		return l.core.Status().Silent
+	}
+	if got := silent(true); len(got) > 0 {
+		t.Errorf("silent though it asks: %v", got)
+	}
+	if got := silent(false); !slices.Equal(got, []uint64{deaf.disk.id}) {
+		t.Errorf("silent: %v, want %d", got, deaf.disk.id)
+	}
+}
+
+// While a voter is replaced, old and new voters both count: three of the new ones may be
+// no majority of the old ones, and those could elect another leader, or commit something
+// else.
+func TestJointSetNeedsBothMajorities(t *testing.T) {
+	joint := Config{Voters: voterSet(1, 2, 3), Learners: voterSet(9)}.Replacing(3, voterSet(9)[0])
+	answers := func(ids ...uint64) func(uint64) bool {
+		return func(id uint64) bool { return slices.Contains(ids, id) }
+	}
+	cases := []struct {
+		ids []uint64
+		ok  bool
+	}{
+		{[]uint64{1, 2}, true},
+		{[]uint64{1, 9}, false},
+		{[]uint64{1, 3}, false},
+		{[]uint64{1, 3, 9}, true},
+		{[]uint64{3, 9}, false},
+	}
+	for _, c := range cases {
+		if got := joint.majority(answers(c.ids...)); got != c.ok {
+			t.Errorf("%v: majority %v", c.ids, got)
+		}
+		votes := NewCore(1, HardState{}, Snapshot{Config: joint}, nil, rand.New(rand.NewSource(1)))
+		votes.votes = make(map[uint64]bool)
+		for _, id := range c.ids {
+			votes.votes[id] = true
+		}
+		if got := votes.wonVotes(); got != c.ok {
+			t.Errorf("%v: elected %v", c.ids, got)
+		}
+	}
+	five := Config{Voters: voterSet(1, 2, 3, 4, 5)}
+	two := five.Replacing(4, voterSet(8)[0])
+	two.Voters = append(without(two.Voters, 5), voterSet(9)...)
+	if validStep(five, two) {
+		t.Error("two voters are replaced in one step")
+	}
+	if validStep(five, Config{Voters: five.Voters, Old: voterSet(1, 2, 3)}) {
+		t.Error("a joint set whose old voters aren't the present ones")
+	}
+}
+
+// hostState is one host of a small replica set, as the leader sees it.
+type hostState int
+
+const (
+	sound hostState = iota
+	unheard
+	wipedBehind // its voter is gone, its new identity a learner that lacks much
+	wipedReady  // the same, caught up
+	hostStates
+)
+
+// modelled builds the leader's status of a set in which each host but the leader's has a
+// state, and a newcomer of another host may be ready. there holds the identities that
+// exist: a host that is not heard may be alive.
+func modelled(states []hostState, newcomer bool) (st Status, there map[uint64]bool) {
+	st = Status{ID: 1, Role: Leader, Last: 1000, Match: make(map[uint64]uint64)}
+	there = map[uint64]bool{1: true}
+	learner := func(of Replica, match uint64) {
+		of.ID += 100
+		st.Config.Learners = append(st.Config.Learners, of)
+		st.Match[of.ID] = match
+		there[of.ID] = true
+	}
+	for i := range len(states) + 1 {
+		v := voterSet(uint64(i + 1))[0]
+		st.Config.Voters = append(st.Config.Voters, v)
+		if i == 0 {
+			continue
+		}
+		switch states[i-1] {
+		case sound:
+			st.Match[v.ID] = st.Last
+			there[v.ID] = true
+		case unheard:
+			st.Silent = append(st.Silent, v.ID)
+			there[v.ID] = true
+		case wipedBehind, wipedReady:
+			st.Silent = append(st.Silent, v.ID)
+			learner(v, map[hostState]uint64{wipedBehind: 1, wipedReady: st.Last}[states[i-1]])
+		}
+	}
+	if newcomer {
+		learner(voterSet(50)[0], st.Last)
+	}
+	return st, there
+}
+
+// overlap reports whether every majority of one set has a member in common with every
+// majority of another.
+func overlap(a, b Config) bool {
+	var ids []uint64
+	for _, r := range append(a.Members(), b.Members()...) {
+		if !slices.Contains(ids, r.ID) {
+			ids = append(ids, r.ID)
+		}
+	}
+	within := func(bits int) func(uint64) bool {
+		return func(id uint64) bool { return bits>>slices.Index(ids, id)&1 == 1 }
+	}
+	for bits := range 1 << len(ids) {
+		// The rest is the largest set that has nothing in common with bits.
+		if a.majority(within(bits)) && b.majority(within(^bits)) {
+			return false
+		}
+	}
+	return true
+}
+
+// All small sets of three and five, in every state of their hosts: the repair's steps,
+// one after the other, keep majorities that overlap, bear as many losses as before at
+// each of them, and end with every learner that is ready as a voter.
+func TestEveryRepairOfASmallSet(t *testing.T) {
+	for _, n := range []int{3, 5} {
+		bear := (n - 1) / 2
+		total := 1
+		for range n - 1 {
+			total *= int(hostStates)
+		}
+		for code := range 2 * total {
+			var states []hostState
+			for c, i := code/2, 0; i < n-1; i++ {
+				states = append(states, hostState(c%int(hostStates)))
+				c /= int(hostStates)
+			}
+			st, there := modelled(states, code%2 == 1)
+			checkRepair(t, states, st, there, bear)
+		}
+	}
+}
+
+func checkRepair(t *testing.T, states []hostState, st Status, there map[uint64]bool, bear int) {
+	t.Helper()
+	exists := func(id uint64) bool { return there[id] }
+	const mostSteps = 10
+	for step := 0; ; step++ {
+		next, ok := nextStep(st, bear)
+		if st.Config.Joint() {
+			next, ok = st.Config.Settled(), true
+		}
+		if !ok {
+			break
+		}
+		if step == mostSteps {
+			t.Fatalf("%v: the repair does not end: %+v", states, next)
+		}
+		if !validStep(st.Config, next) || !overlap(st.Config, next) {
+			t.Fatalf("%v: majorities may not overlap: %+v to %+v", states, st.Config, next)
+		}
+		before, after := st.Config.Spare(exists), next.Spare(exists)
+		if after < min(before, bear) {
+			t.Fatalf("%v: from %d to %d losses borne: %+v to %+v", states, before, after, st.Config, next)
+		}
+		st.Config = next
+		st.Silent = slices.DeleteFunc(st.Silent, func(id uint64) bool { return !next.IsVoter(id) })
+	}
+	for _, l := range st.Config.Learners {
+		if caughtUp(st, l) {
+			t.Errorf("%v: %d is ready and no voter: %+v", states, l.ID, st.Config)
+		}
+	}
+}
