platform, runner: words of another writer give no worker to use

Heartbeats and lists may be written by something else than workers and the platform. Read on the code: a heartbeat with any State registered a worker; one row that could not be read made the whole answer of a worker unreadable; a heartbeat with a high Sequence silenced the true worker behind it; the first heartbeat heard was believed whoever stood at the address; any service was registered.

A worker that stands elsewhere is not announced, and one of a service that the configuration in force does not name is not registered, unless it was registered before.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -171,6 +171,9 @@
 	if w.ID == "" || w.Agent == "" || w.Life == "" {
 		return Registered{}, refusal.New(refusal.Invalid, "run the same version on both sides", "the registration names no worker, agent or life")
 	}
+	if err := r.serviceKnown(&w); err != nil {
+		return Registered{}, err
+	}
 	v, err := r.proposeJob(JobCommand{Register: &w})
 	if err != nil {
 		return Registered{}, err
@@ -182,6 +185,22 @@
 	return Registered{token}, nil
 }
 
+// serviceKnown refuses, at the leader, a service that the configuration in force does
+// not name: nothing may ever run there, and the name may be a stranger's. Before the
+// first configuration every service is taken, since workers may be there sooner, and a
+// worker that is registered stays: what it runs goes on when its service is taken out.
+func (r *Replica) serviceKnown(w *jobs.Worker) (err error) {
+	if r.node.View().Role != quorum.Leader {
+		return nil // the proposal tells who leads
+	}
+	r.machine.Read(func(s *State) {
+		if s.Jobs.Workers[w.ID] == nil && !s.Queues.Knows(w.Service) {
+			err = refusal.New(refusal.UnknownService, "add the service to the configuration, or correct the worker", "no service %q is configured", w.Service)
+		}
+	})
+	return err
+}
+
 // known returns the registration by which this life of an agent speaks for its
 // worker, or refuses.
 func (r *Replica) known(ref WorkerRef) (registered uint64, err error) {
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -142,6 +142,20 @@
 	Config Config `msgpack:"c"`
 }
 
+// Knows reports whether the configuration names a service. Before the first one every
+// name may become one.
+func (s *State) Knows(service string) bool {
+	if s.Config.Version == 0 {
+		return true
+	}
+	for _, x := range s.Config.Services {
+		if x.Name == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Apply puts a configuration in force if its version is higher than the one
 // held. It is idempotent: a version that is not higher changes nothing,
 // whatever its content, so a late copy can never undo a newer change.
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -34,6 +34,7 @@
 	TooLarge       Code = "too-large"
 	NoConfig       Code = "no-configuration"
 	NotRegistered  Code = "not-registered"
+	UnknownService Code = "unknown-service"
 )
 
 // Codes told to callers.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"sync"
 	"time"
 
@@ -33,6 +32,7 @@
 
 	mu      sync.Mutex
 	newest  *Announcement // of the incarnation that is served or to be served
+	doubted *Announcement // the last one that contradicted newest
 	session *session
 	changed chan struct{} // signalled when newest changes
 }
@@ -42,59 +42,6 @@
 	return &Runner{agent: agent, ctl: ctl, worker: w, without: ablation.Linked(), changed: make(chan struct{}, 1)}
 }
 
-// ErrStale is returned for an announcement that an older incarnation or an
-// earlier moment sent.
-var ErrStale = errors.New("a newer announcement is known")
-
-// Announce takes in a heartbeat. When it returns nil and the worker drains, no
-// run is started on it any more.
-func (r *Runner) Announce(a Announcement) error {
-	if err := a.Validate(); err != nil {
-		return err
-	}
-	r.mu.Lock()
-	old := r.newest
-	if old != nil && old.Worker == a.Worker {
-		if a.Sequence <= old.Sequence {
-			r.mu.Unlock()
-			return ErrStale
-		}
-		a.Draining = a.Draining || old.Draining
-		news := a.Draining != old.Draining || a.Capacity != old.Capacity
-		r.newest = &a
-		s := r.session
-		r.mu.Unlock()
-		if news && s != nil {
-			s.announce(a)
-		}
-		return nil
-	}
-	r.mu.Unlock()
-	if old != nil && !r.standsHere(a.Worker) {
-		return ErrStale
-	}
-	r.mu.Lock()
-	if r.newest == old {
-		r.newest = &a
-	}
-	s := r.session
-	r.mu.Unlock()
-	logrus.WithFields(logrus.Fields{"worker": a.Worker, "service": a.Service, "draining": a.Draining}).Info("runner: A worker announced itself.")
-	if s != nil {
-		s.end("another incarnation announced itself")
-	}
-	r.signal()
-	return nil
-}
-
-// standsHere asks whether an incarnation is the one at the worker's address. A
-// heartbeat held up by a cut may come from one that has crashed since; believing
-// it would end the newer one's runs in the books while they run on.
-func (r *Runner) standsHere(worker string) bool {
-	reply, err := r.worker.Hold(HoldCall{Target: Target{Worker: worker}})
-	return err == nil && reply.Verdict != VerdictElsewhere
-}
-
 // Left takes in a worker's word that it ends.
 func (r *Runner) Left(worker string) {
 	r.mu.Lock()
--- a/runner/session.go
+++ b/runner/session.go
@@ -152,6 +152,15 @@
 		if err == nil {
 			return true
 		}
+		if codeOf(err) == refusal.UnknownService {
+			// The worker's next heartbeat begins anew: the service may be
+			// added in between, and a name that nobody knows costs no more
+			// than that.
+			refusal.Count(part, refusal.UnknownService)
+			s.gone.Store(true)
+			s.end("no configuration names the worker's service")
+			return false
+		}
 		refusal.CountRetry(part, codeOf(err))
 		s.sleep(callPause)
 	}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -4,11 +4,9 @@
 package runner
 
 import (
-	"errors"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
-	"github.com/waxwinghaven/waxwinghaven/resource"
 	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
@@ -131,27 +129,3 @@
 	How        string       `json:"how"` // the worker's own word, for logs
 	Checkpoint string       `json:"checkpoint,omitempty"`
 }
-
-// Announcement is a worker's heartbeat.
-type Announcement struct {
-	Worker     string // incarnation
-	Service    string
-	DataCentre string
-	Labels     []string
-	Rack       string // one of the labels, "" if it is not known
-	Capacity   resource.Vector
-	Draining   bool
-	// Sequence rises with each heartbeat of an incarnation.
-	Sequence uint64
-}
-
-// Validate reports what makes an announcement unusable.
-func (a *Announcement) Validate() error {
-	if a.Worker == "" || a.Service == "" {
-		return errors.New("the announcement names no worker or service")
-	}
-	if a.Capacity.Negative() {
-		return errors.New("the announcement has a negative capacity")
-	}
-	return nil
-}
