quorum: of two campaigns of the same moment one goes first

The property test's 10,000 seeds by hand found one (seed 8181, three replicas; five replicas had none): no leader for 96 ticks with one of three lost. Traced: the two that are left campaigned in the same tick three times in a row, each granted the other's pre-vote, both voted for themselves and refused the other.

A replica that has just begun to campaign with as good a log refuses a pre-vote to one of a lower name, for four ticks from the start of its own campaign. Weighed: for as long as it campaigns; then one that hears too few would keep one from leading that all hear (TestReplicaInTheMiddleIsElected).

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -84,7 +84,7 @@
 func (c *Core) onVoteRequest(m Message) {
 	pre := m.Kind == MsgPreVote
 	free := c.vote == m.From || (c.vote == 0 && c.leader == 0) || (pre && m.Term > c.term)
-	grant := free && c.upToDate(m)
+	grant := free && c.upToDate(m) && !(pre && c.goesFirst(m))
 	resp := Message{Kind: MsgVoteResp, From: c.id, To: m.From, Term: m.Term, Reject: !grant}
 	if pre {
 		resp.Kind = MsgPreVoteResp
@@ -98,6 +98,20 @@
 	c.messages = append(c.messages, resp)
 }
 
+// campaignStart is how long after the start of its own campaign a replica takes another's
+// for one of the same moment: a round trip between regions and a tick.
+const campaignStart = HeartbeatTicks
+
+// goesFirst reports whether this replica has just begun to campaign with as good a log as
+// the one that asks, and goes first by its name. Granting each other's pre-vote both would
+// go on, vote for themselves and refuse each other; the callers then wait for another
+// election timeout. It holds for the first moment only: a replica whose campaigns get
+// nowhere must not keep one from leading that more of the others hear.
+func (c *Core) goesFirst(m Message) bool {
+	return c.role == PreCandidate && c.silence < campaignStart && c.id > m.From &&
+		m.LogTerm == c.log.lastTerm() && m.Index == c.log.last()
+}
+
 func (c *Core) onVoteResponse(m Message, want Role) {
 	if c.role != want || m.Reject {
 		return
--- a/quorum/replicaset_test.go
+++ b/quorum/replicaset_test.go
@@ -376,6 +376,14 @@
 	players.Wait()
 }
 
+// Three elections in a row were split by two replicas that campaigned in the same tick:
+// callers would have waited for three seconds, though the group bears its losses.
+func TestSetWithSplitElections(t *testing.T) {
+	if err := newReplicaSet(3, 8181).play(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Replicas restart in any order, lose their disks, are cut off one way or both, have
 // slow links, freeze, and the leader changes in between. Callers find what was
 // acknowledged, a leader is there whenever the group bears its losses, no step of the
