control, interference: filling work is placed by a forecast of the served tasks' load

Hypothesis: what binds on the further customer is waiting beside tasks whom the work would disturb, and their load is a wave that can be foreseen; by the usual low work waits in the trough and is held up at the crest.

--- a/ablation/ablation.go
+++ b/ablation/ablation.go
@@ -24,6 +24,8 @@
 	Tries bool
 	// AgentsWord: placing goes by what agents say that their served tasks bear.
 	AgentsWord bool
+	// Foresight: placing goes by a forecast of the served tasks' own load.
+	Foresight bool
 	// Sharing: agents are told what others have learned of pairs.
 	Sharing bool
 	// Together: served tasks gather on the workers that have some.
--- a/control/costs.go
+++ b/control/costs.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
 	"sync"
 	"time"
@@ -13,29 +12,11 @@
 )
 
 const (
-	// leastHeadroom is what filling work leaves a served image of its usual low.
-	leastHeadroom = 1.0
-	// defaultHeadroom stands in until a served image was read.
-	defaultHeadroom = 2.0
-	// leastBound keeps a served image that is near its target by itself from
-	// having no bound at all.
-	leastBound = 0.1
 	// stepLeast and stepMost are the times between two readings from which is learned:
 	// closer they cover the same half second, further apart the served task's own load
 	// has moved too much.
 	stepLeast = 450 * time.Millisecond
 	stepMost  = 1500 * time.Millisecond
-	// crewMemory is how long what was told of a worker's served tasks counts: four
-	// renewals.
-	crewMemory = 3 * time.Second
-	// levelMemory is the number of readings after which an older one has little weight
-	// in the level of a served image's own headroom: a swing of 14 s on one worker.
-	levelMemory = 30
-	// lowDeviations is how far under its mean an image's usual low is. With 0.5 served
-	// tasks were over their target for 124 s a day, with 1 for 93 s (standard error of
-	// the difference 4.6 s, 24 paired days of a vat planner), with as many filling jobs
-	// in time.
-	lowDeviations = 1.0
 	// unseenDeviations is how far above its mean a pair never seen is tried: seven in a
 	// hundred take more.
 	unseenDeviations = 1.5
@@ -80,38 +61,11 @@
 	pressures *interference.Pressures
 	log       pairLog
 	without   ablation.Set
-	levels    map[string]*level           // of headroom with nothing beside, by served image
-	crews     map[string]map[crewKey]crew // by worker
-}
-
-// crewKey is the served tasks of one job and image on a worker.
-type crewKey struct{ image, job string }
-
-// crew is what was told of them.
-type crew struct {
-	last Reading // the last one that a step is counted from
-	told time.Time
-	// bears is the headroom that filling work may take of them.
-	bears float64
-}
-
-// level is the mean and spread of a headroom, and forgets.
-type level struct{ mean, square, n float64 }
-
-func (l *level) add(v float64) {
-	l.n = math.Min(l.n+1, levelMemory)
-	l.mean += (v - l.mean) / l.n
-	l.square += (v*v - l.square) / l.n
-}
-
-// low is what it rarely falls below.
-func (l *level) low() float64 {
-	return l.mean - lowDeviations*math.Sqrt(math.Max(l.square-l.mean*l.mean, 0))
+	headrooms
 }
 
 func newCosts(without ablation.Set) *costs {
-	return &costs{without: without, pressures: interference.NewPressures(), log: newPairLog(),
-		levels: make(map[string]*level), crews: make(map[string]map[crewKey]crew)}
+	return &costs{without: without, pressures: interference.NewPressures(), log: newPairLog(), headrooms: newHeadrooms(without)}
 }
 
 // observe learns from what an agent sends with a renewal, and returns the pairs that have
@@ -145,32 +99,15 @@
 }
 
 func (c *costs) learn(worker string, r Reading, now time.Time) {
-	crews := c.crews[worker]
-	if crews == nil {
-		crews = make(map[crewKey]crew)
-		c.crews[worker] = crews
-	}
-	key := crewKey{r.Image, r.Job}
-	s, seen := crews[key]
-	over := time.Duration(r.AtMS-s.last.AtMS) * time.Millisecond
-	if seen && s.last.Runs == r.Runs && over >= stepLeast && over <= stepMost {
-		step := s.last.step(&r, over)
-		c.pressures.Observe(r.Image, step)
-		for filling := range step.Fillers {
-			c.notePair(r.Image, filling)
-		}
-	}
-	if !seen || over >= stepLeast || over < 0 {
-		s.last = r
+	last, over := c.note(worker, &r, now)
+	if last == nil || last.Runs != r.Runs || over < stepLeast || over > stepMost {
+		return
 	}
-	s.told, s.bears = now, r.Bears
-	crews[key] = s
-	l := c.levels[r.Image]
-	if l == nil {
-		l = &level{}
-		c.levels[r.Image] = l
+	step := last.step(&r, over)
+	c.pressures.Observe(r.Image, step)
+	for filling := range step.Fillers {
+		c.notePair(r.Image, filling)
 	}
-	l.add(r.Own)
 }
 
 // step returns the change from one reading to a later one, without what the served tasks'
@@ -194,29 +131,28 @@
 	return out
 }
 
-// sweep drops what was told so long ago that it doesn't count any more: tasks that ended,
-// and workers that are gone, however they went. Each life of a worker has a name of its own,
-// so what is kept would grow with every restart.
+// sweep drops what was told so long ago that it doesn't count any more.
 func (c *costs) sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for worker, crews := range c.crews {
-		maps.DeleteFunc(crews, func(_ crewKey, s crew) bool { return now.Sub(s.told) > crewMemory })
-		if len(crews) == 0 {
-			delete(c.crews, worker)
-		}
-	}
+	c.forget(now)
 }
 
 // at returns what is known at a time, for one decision.
-func (c *costs) at(now time.Time) costsAt { return costsAt{c, now} }
+func (c *costs) at(now time.Time) costsAt { return costsAt{c, now, make(map[place]float64)} }
 
 // costsAt implements dispatch.Costs.
 type costsAt struct {
 	*costs
 	now time.Time
+	// bounds are those worked out for this decision: each is asked for once a task and
+	// worker, and takes a look at several seconds of a forecast.
+	bounds map[place]float64
 }
 
+// place is a served image on a worker.
+type place struct{ worker, serving string }
+
 // Cost implements dispatch.Costs.
 func (c costsAt) Cost(serving, filling string) float64 {
 	c.mu.Lock()
@@ -224,48 +160,24 @@
 	return c.pressures.Of(serving, filling).Mean
 }
 
-// Bound implements dispatch.Costs. It is the less of what the image's usual low leaves and
-// of what the agent says that its tasks bear now. By the low alone two in five filling
-// runs of a vat planner's day had to be slowed at their start; the agents' word gains 0.02
-// of worth there (12 paired days, standard error 0.01).
+// Bound implements dispatch.Costs.
 func (c costsAt) Bound(worker, serving string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	bound := c.usual(serving)
-	if now, told := c.agentsWord(worker, serving); told && !c.without.AgentsWord {
-		bound = math.Min(bound, now)
-	}
-	return math.Max(leastBound, bound)
-}
-
-// usual is what the image's usual low leaves.
-func (c costsAt) usual(serving string) float64 {
-	if l := c.levels[serving]; l != nil {
-		return l.low() - leastHeadroom
+	key := place{worker, serving}
+	bound, known := c.bounds[key]
+	if !known {
+		bound = c.bound(worker, serving, c.now)
+		c.bounds[key] = bound
 	}
-	return defaultHeadroom - leastHeadroom
-}
-
-// agentsWord is what the agent says that its tasks of the image bear now.
-func (c costsAt) agentsWord(worker, serving string) (bears float64, told bool) {
-	bears = math.Inf(1)
-	for key, s := range c.crews[worker] {
-		if key.image == serving && c.now.Sub(s.told) <= crewMemory {
-			bears, told = math.Min(bears, s.bears), true
-		}
-	}
-	return bears, told
+	return bound
 }
 
 // Now implements dispatch.Costs.
 func (c costsAt) Now(worker, serving string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	bound, told := c.agentsWord(worker, serving)
-	if !told {
-		bound = c.usual(serving)
-	}
-	return math.Max(leastBound, bound)
+	return c.bearsNow(worker, serving, c.now)
 }
 
 // Unseen implements dispatch.Costs.
--- a/control/costs_test.go
+++ b/control/costs_test.go
@@ -67,8 +67,10 @@
 // A watcher's own load swings between a headroom of 1.7 and 3.9. What filling work may take
 // of it is what the usual low leaves, and never more than its agent says that it bears now;
 // what an agent said long ago, or of a worker that is gone, doesn't count.
+//
+// Without the forecast, as it is for a crew of which nothing was told yet.
 func TestBoundIsTheUsualLowOrWhatTheAgentSays(t *testing.T) {
-	c := newCosts(ablation.Set{})
+	c := newCosts(ablation.Set{Foresight: true})
 	now := time.Unix(100, 0)
 	for i := range 120 {
 		now = now.Add(500 * time.Millisecond)
