--- a/quorum/catchup_test.go
+++ b/quorum/catchup_test.go
@@ -193,6 +193,9 @@
 	away := w.others(leader)[0]
 	w.isolate(away)
 	for range 2 * ElectionTicks {
+		w.settle(1)
+	}
+	for range 3 { // just before it is back
 		w.propose(leader)
 		w.settle(1)
 	}
