control: entries keep their order between the two lanes to a replica

Read on the code: an append of over 16 KB went to the bulk lane while smaller ones before it were still queued in the contact's; at a burst it would overtake them, be refused for what lies before it and be sent again, a round trip later. And the contact's lane could carry 512 KB of small appends in a call that has 0.4 s.

The bulk lane now waits until no entries are in the contact's, which holds 64 KB at most.

--- a/control/links.go
+++ b/control/links.go
@@ -17,9 +17,10 @@
 	// followers behind it elect another leader, after 0.8 s.
 	linkTimeout = 400 * time.Millisecond
 	// bulkBytes is how much one call of the bulk lane carries, and smallBytes how
-	// much still goes with the contact: a millisecond of a link of 200 Mbit/s.
+	// much may be in the contact's lane at a time: 3 ms of a link of 200 Mbit/s, and
+	// a quarter of the time that its call has on one of 5 Mbit/s.
 	bulkBytes  = 512 << 10
-	smallBytes = 16 << 10
+	smallBytes = 64 << 10
 	// slowLink is the rate, in bytes a second, at which a bulk call must get on: a
 	// twenty-fifth of 200 Mbit/s. A bound that doesn't follow from the size cuts off
 	// each large call on a link that is shared, and what it carried is sent again
@@ -32,8 +33,9 @@
 // links sends log messages in two lanes to each replica. Contact, votes, answers and
 // small appends have one, entries in bulk and snapshots the other: a leader whose
 // contact waits behind bulk is taken for gone, by the very replica that it brings up.
-// Each lane makes one call at a time, so what it carries keeps its order. A slow
-// replica loses messages, never holds up the others.
+// Each lane makes one call at a time, and entries never overtake others in the other
+// lane: they would be refused for those before them, and sent again. A slow replica
+// loses messages, never holds up the others.
 type links struct {
 	self   quorum.Replica
 	client *transport.Client
@@ -48,11 +50,21 @@
 // peerLink is the two lanes to one replica.
 type peerLink struct {
 	contact, bulk chan []quorum.Message
+
+	mu sync.Mutex
 	// bulkBusy counts the messages of the bulk lane that are queued or under way.
-	// While there are any, small appends follow them: overtaking, they would be
-	// refused for the entries before them.
-	mu       sync.Mutex
+	// While there are any, small appends follow them there.
 	bulkBusy int
+	// small is the bytes of entries in the contact's lane. The bulk lane waits until
+	// there are none.
+	small   int
+	drained *sync.Cond // signalled when small is 0
+}
+
+func newPeerLink() *peerLink {
+	p := &peerLink{contact: make(chan []quorum.Message, linkQueue), bulk: make(chan []quorum.Message, linkQueue)}
+	p.drained = sync.NewCond(&p.mu)
+	return p
 }
 
 func newLinks(self quorum.Replica, c *transport.Client) *links {
@@ -66,7 +78,10 @@
 	}
 	p := l.peer(to.Address)
 	contact, bulk := p.split(msgs)
-	offer(p.contact, contact)
+	if !offer(p.contact, contact) {
+		p.sentSmall(payloadBytes(contact))
+		l.dropped(contact)
+	}
 	if len(bulk) > 0 && !offer(p.bulk, bulk) {
 		p.finished(len(bulk))
 		l.dropped(bulk)
@@ -92,16 +107,35 @@
 	defer p.mu.Unlock()
 	for _, m := range msgs {
 		size := m.PayloadBytes()
-		if size > smallBytes || (size > 0 && p.bulkBusy > 0) {
+		if size > 0 && (p.bulkBusy > 0 || p.small+size > smallBytes) {
 			bulk = append(bulk, m)
 			p.bulkBusy++
 			continue
 		}
 		contact = append(contact, m)
+		p.small += size
 	}
 	return contact, bulk
 }
 
+// sentSmall notes that entries have left the contact's lane, whether they arrived or not.
+func (p *peerLink) sentSmall(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.small -= bytes; p.small == 0 {
+		p.drained.Signal()
+	}
+}
+
+// awaitSmall waits until no entries are in the contact's lane: one call there, at most.
+func (p *peerLink) awaitSmall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.small > 0 {
+		p.drained.Wait()
+	}
+}
+
 func (p *peerLink) finished(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -113,7 +147,7 @@
 	defer l.mu.Unlock()
 	p := l.peers[addr]
 	if p == nil {
-		p = &peerLink{contact: make(chan []quorum.Message, linkQueue), bulk: make(chan []quorum.Message, linkQueue)}
+		p = newPeerLink()
 		l.peers[addr] = p
 		if !l.closed {
 			go l.runContact(addr, p)
@@ -129,7 +163,9 @@
 		for len(batch) < linkBatch && len(p.contact) > 0 {
 			batch = append(batch, <-p.contact...)
 		}
-		if l.call(addr, batch, linkTimeout) != nil {
+		err := l.call(addr, batch, linkTimeout)
+		p.sentSmall(payloadBytes(batch))
+		if err != nil {
 			l.dropped(batch)
 		}
 	}
@@ -146,6 +182,7 @@
 			more := <-p.bulk
 			batch, size = append(batch, more...), size+payloadBytes(more)
 		}
+		p.awaitSmall()
 		err := l.call(addr, batch, linkTimeout+time.Duration(size)*time.Second/slowLink)
 		for err != nil && len(p.bulk) > 0 {
 			batch = append(batch, <-p.bulk...)
