--- a/quorum/catchup_test.go
+++ b/quorum/catchup_test.go
@@ -7,14 +7,8 @@
 
 // messageBytes is about what a message takes on the wire.
 func messageBytes(m Message) int {
-	n := 64
-	for _, e := range m.Entries {
-		n += len(e.Data) + entryOverhead
-	}
-	if m.Chunk != nil {
-		n += len(m.Chunk.Data)
-	}
-	return n
+	const framing = 64
+	return framing + m.PayloadBytes()
 }
 
 // narrowLink carries what the leader sends to one replica, in order and a bounded
--- a/runner/announce.go
+++ b/runner/announce.go
@@ -88,15 +88,16 @@
 		r.mu.Unlock()
 		return r.announceAnother(a, old)
 	}
-	if a.relationTo(old) == contradicts && !r.confirmed(&a) {
+	relation := a.relationTo(old)
+	if relation == contradicts && !r.confirmed(&a) {
 		r.mu.Unlock()
 		return ErrDoubted
 	}
-	if a.relationTo(old) == isStale {
+	if relation == isStale {
 		r.mu.Unlock()
 		return ErrStale
 	}
-	a.Draining = a.Draining || (old.Draining && a.relationTo(old) == follows)
+	a.Draining = a.Draining || (old.Draining && relation == follows)
 	news := a.Draining != old.Draining || a.Capacity != old.Capacity || a.Service != old.Service
 	r.newest, r.doubted = &a, nil
 	s := r.session
