A failing test: a task that crashes its workers is started without end

The whole system in virtual time: three replicas, an entry, six agents beside workers that crash 10 ms after a certain task's start and are back after 3.5 s.

--- a/proof/everything_acts_test.go
+++ b/proof/everything_acts_test.go
@@ -120,15 +120,13 @@
 	}
 }
 
-// crashWorker ends a worker with everything that runs on it. The agent beside it hears
-// of the new one by its heartbeat.
+// crashWorker ends a worker with everything that runs on it, and its agent, as a loss of
+// their instance does.
 func (e *everything) crashWorker(i int) {
 	e.note("worker %d crashes", i)
 	a := e.agents[i]
 	a.end()
-	a.life.ended = time.Now()
-	e.past = append(e.past, a.life)
-	e.startWorker(i)
+	a.host.Replace()
 	e.startAgent(i)
 	e.announce(i)
 }
@@ -228,7 +226,7 @@
 // lateWorker leaves one call in eight without an answer and carries it out up to four
 // seconds later, when newer ones have long been.
 type lateWorker struct {
-	*standin.Runs
+	*standin.Host
 	mu  sync.Mutex
 	rng *rand.Rand
 }
@@ -247,16 +245,16 @@
 
 func (w *lateWorker) Start(c runner.StartCall) (runner.Reply, error) {
 	if d := w.late(); d > 0 {
-		time.AfterFunc(d, func() { w.Runs.Start(c) })
+		time.AfterFunc(d, func() { w.Host.Start(c) })
 		return runner.Reply{}, errNoAnswer
 	}
-	return w.Runs.Start(c)
+	return w.Host.Start(c)
 }
 
 func (w *lateWorker) Stop(c runner.StopCall) (runner.Reply, error) {
 	if d := w.late(); d > 0 {
-		time.AfterFunc(d, func() { w.Runs.Stop(c) })
+		time.AfterFunc(d, func() { w.Host.Stop(c) })
 		return runner.Reply{}, errNoAnswer
 	}
-	return w.Runs.Stop(c)
+	return w.Host.Stop(c)
 }
--- a/proof/everything_check_test.go
+++ b/proof/everything_check_test.go
@@ -50,23 +50,18 @@
 
 func (e *everything) runsOf(id string) map[string][]ran {
 	out := make(map[string][]ran)
-	lives := append([]life(nil), e.past...)
 	for _, a := range e.agents {
-		lives = append(lives, a.life)
-	}
-	for _, l := range lives {
-		for _, r := range l.runs.Record() {
-			if !strings.HasPrefix(r.Task, id+".") {
-				continue
-			}
-			x := ran{r, l.runs.Name(), r.EndMS}
-			if x.end == 0 || (!l.ended.IsZero() && x.end > l.ended.UnixMilli()) {
-				x.end, x.How = time.Now().UnixMilli(), "" // it runs still
-				if !l.ended.IsZero() {
-					x.end = l.ended.UnixMilli()
+		for _, l := range a.host.Lives() {
+			for _, r := range l.Record() {
+				if !strings.HasPrefix(r.Task, id+".") {
+					continue
+				}
+				x := ran{r, l.Name(), r.EndMS}
+				if x.end == 0 { // it runs still
+					x.end = time.Now().UnixMilli()
 				}
+				out[r.Task] = append(out[r.Task], x)
 			}
-			out[r.Task] = append(out[r.Task], x)
 		}
 	}
 	return out
@@ -128,7 +123,10 @@
 
 // worthIt reports a play in which too little happened to prove anything.
 func (e *everything) worthIt() error {
-	taken, runs := 0, 0
+	taken, runs, lives := 0, 0, 0
+	for _, a := range e.agents {
+		lives += len(a.host.Lives())
+	}
 	for id, j := range e.jobs {
 		if j.taken {
 			taken++
@@ -137,7 +135,7 @@
 			runs += len(r)
 		}
 	}
-	e.t.Logf("%d jobs, %d taken, %d runs, %d incarnations, version %d", len(e.jobs), taken, runs, e.lives, e.confirmed)
+	e.t.Logf("%d jobs, %d taken, %d runs, %d incarnations, version %d", len(e.jobs), taken, runs, lives, e.confirmed)
 	if taken < len(e.jobs)/2 || runs < 3*taken/2 {
 		return fmt.Errorf("only %d of %d jobs were taken, with %d runs", taken, len(e.jobs), runs)
 	}
--- a/proof/everything_test.go
+++ b/proof/everything_test.go
@@ -48,11 +48,12 @@
 	dir   string
 	ctx   context.Context
 
+	punctual bool // workers carry all calls out at once
 	begun    time.Time
 	formed   bool // the replica set has formed: an empty disk is a lost one
 	log      []string
 	replicas [fuzzReplicas]*process
-	agents   [fuzzWorkers]*agentProcess
+	agents   []*agentProcess
 	gateway  *entry.Jobs
 
 	mu        sync.Mutex
@@ -60,8 +61,6 @@
 	jobs      map[string]*submitted
 	version   uint64 // sent
 	confirmed uint64 // highest that was acknowledged
-	past      []life
-	lives     int
 }
 
 // process is a replica that can be stopped and started.
@@ -74,16 +73,11 @@
 type agentProcess struct {
 	process
 	runner *runner.Runner
-	life   life
+	host   *standin.Host
+	worker string // the incarnation that it announced last
 	beat   uint64
 }
 
-// life is one incarnation of a worker, and when it ended, zero while it goes on.
-type life struct {
-	runs  *standin.Runs
-	ended time.Time
-}
-
 // submitted is what a caller knows of its job.
 type submitted struct {
 	spec      jobs.Spec
@@ -153,37 +147,52 @@
 func (e *everything) startAgent(i int) {
 	a := e.agents[i]
 	ctl := control.NewClient("agent", transport.NewClient(nil, agentIP(i)), contacts, i)
-	a.runner = runner.New(agentIP(i), ctl, &lateWorker{Runs: a.life.runs, rng: rand.New(rand.NewSource(e.rng.Int63()))})
+	a.runner = runner.New(agentIP(i), ctl, e.callsTo(a.host))
 	a.process = *e.start(a.runner.Run)
 }
 
-// startWorker begins a new incarnation of a worker.
-func (e *everything) startWorker(i int) {
-	e.lives++
-	e.agents[i].life = life{runs: standin.NewRuns(fmt.Sprintf("w%d-%d", i, e.lives))}
-	e.agents[i].beat = 0
+// callsTo is how an agent's calls reach a worker: some late, if the play has that.
+func (e *everything) callsTo(h *standin.Host) runner.Worker {
+	if e.punctual {
+		return h
+	}
+	return &lateWorker{Host: h, rng: rand.New(rand.NewSource(e.rng.Int63()))}
+}
+
+// backAfter is how long a worker's next incarnation takes to come after a crash.
+const backAfter = 3500 * time.Millisecond
+
+// startAgents begins agents beside new workers.
+func (e *everything) startAgents(n int) {
+	for i := range n {
+		e.agents = append(e.agents, &agentProcess{host: standin.NewHost(fmt.Sprintf("w%d", i), backAfter)})
+		e.startAgent(i)
+	}
 }
 
 func (e *everything) announce(i int) {
 	a := e.agents[i]
+	r := a.host.Current()
+	if r == nil {
+		return
+	}
+	if a.worker != r.Name() {
+		a.worker, a.beat = r.Name(), 0
+	}
 	a.beat++
-	a.runner.Announce(runner.Announcement{Worker: a.life.runs.Name(), Service: "vault", Labels: []string{"a"}, Rack: "r",
+	a.runner.Announce(runner.Announcement{Worker: a.worker, Service: "vault", Labels: []string{"a"}, Rack: "r",
 		Capacity: resource.Vector{MilliCPU: 12_000, MemoryMB: 4000}, Sequence: a.beat})
 }
 
-func newEverything(t *testing.T, ctx context.Context, seed int64) *everything {
-	e := &everything{t: t, rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), power: newPowerBook(t), dir: t.TempDir(), ctx: ctx, begun: time.Now(), jobs: make(map[string]*submitted)}
+func newEverything(t *testing.T, ctx context.Context, seed int64, workers int, punctual bool) *everything {
+	e := &everything{t: t, punctual: punctual, rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), power: newPowerBook(t), dir: t.TempDir(), ctx: ctx, begun: time.Now(), jobs: make(map[string]*submitted)}
 	transport.SetNetwork(e.net)
 	quorum.WatchSyncs(e.power)
 	for i := range e.replicas {
 		e.startReplica(i)
 	}
 	e.formed = true
-	for i := range e.agents {
-		e.agents[i] = &agentProcess{}
-		e.startWorker(i)
-		e.startAgent(i)
-	}
+	e.startAgents(workers)
 	gateway, err := entry.NewJobs(e.settingsOf("10.0.2.1", "[entry]\nport = 7105\nhealth_port = 7106"))
 	if err != nil {
 		t.Fatal(err)
@@ -247,9 +256,20 @@
 
 func playEverything(t *testing.T, seed int64) {
 	ctx, cancel := context.WithCancel(context.Background())
-	e := newEverything(t, ctx, seed)
+	e := newEverything(t, ctx, seed, fuzzWorkers, false)
 	e.play()
 	err := e.check()
+	e.end(cancel)
+	if err == nil {
+		err = e.worthIt()
+	}
+	if err != nil {
+		t.Fatalf("seed %d: %v\n%s", seed, err, strings.Join(e.log, "\n"))
+	}
+}
+
+// end ends all processes.
+func (e *everything) end(cancel context.CancelFunc) {
 	for _, a := range e.agents {
 		a.end()
 	}
@@ -258,10 +278,4 @@
 	}
 	cancel()
 	time.Sleep(time.Minute) // the connections' idle times
-	if err == nil {
-		err = e.worthIt()
-	}
-	if err != nil {
-		t.Fatalf("seed %d: %v\n%s", seed, err, strings.Join(e.log, "\n"))
-	}
 }
--- a/runner/contact.go
+++ b/runner/contact.go
@@ -71,8 +71,8 @@
 func (c *contact) extended(worker string, left time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if worker == c.worker && left > 0 {
-		c.held = now.Add(left)
+	if end := now.Add(left); worker == c.worker && end.After(c.held) {
+		c.held = end
 	}
 }
 
@@ -94,6 +94,9 @@
 func (o observed) Start(c StartCall) (Reply, error) {
 	r, err := o.worker.Start(c)
 	o.note(c.Worker, r.Verdict, err)
+	if err == nil && r.Verdict == VerdictDone {
+		o.contact.extended(c.Worker, time.Duration(c.LeaseEndMS-r.ClockMS)*time.Millisecond, time.Now())
+	}
 	return r, err
 }
 
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -19,8 +19,11 @@
 // Runs is a stand-in for a worker that runs callers' tasks. It starts them under a
 // lease and a fencing token and lets time pass. A task's payload tells what it does, as
 // a query: "ms=300" works for 300 ms, "fails=2" fails in its first two runs, "lasts=1"
-// works until it is stopped.
+// works until it is stopped, "crash=0.3" crashes the worker if it is task 3 of step 0.
 type Runs struct {
+	// OnCrash is called once the worker has crashed, nil for nothing.
+	OnCrash func()
+
 	mu       sync.Mutex
 	ticket   string // that a start has to bring
 	worker   string // incarnation
@@ -33,6 +36,7 @@
 	number   uint64
 	changed  chan struct{}
 	record   []RunInterval
+	crashed  bool
 }
 
 // runID names one run.
@@ -104,6 +108,41 @@
 	}
 }
 
+// crashAfter is how long a task that crashes its worker takes for it.
+const crashAfter = 10 * time.Millisecond
+
+// howCrashed is how runs end whose worker crashes, in the record.
+const howCrashed = "crashed"
+
+// Crash ends the worker at once with everything on it. Calls under way get no answer,
+// and later ones none either.
+func (w *Runs) Crash() {
+	w.mu.Lock()
+	if w.crashed {
+		w.mu.Unlock()
+		return
+	}
+	w.expire()
+	for id := range w.running {
+		w.finish(id, jobs.OutcomeLost, howCrashed, time.Now())
+	}
+	w.crashed = true
+	close(w.changed) // calls that wait
+	w.changed = make(chan struct{})
+	f := w.OnCrash
+	w.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+func (w *Runs) isRunning(id runID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	return w.running[id] != nil
+}
+
 // check tells whether a call is for this incarnation and not from an older life of its
 // agent.
 func (w *Runs) check(t runner.Target) (runner.Reply, bool) {
@@ -124,6 +163,9 @@
 func (w *Runs) Start(c runner.StartCall) (runner.Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		return runner.Reply{}, runner.ErrClosed
+	}
 	r, ok := w.check(c.Target)
 	if !ok {
 		return r, nil
@@ -160,6 +202,13 @@
 		run.saved = saved
 	}
 	w.running[id] = run
+	if todo.Get("crash") == strconv.Itoa(id.task.Step)+"."+strconv.Itoa(id.task.Index) {
+		time.AfterFunc(crashAfter, func() {
+			if w.isRunning(id) {
+				w.Crash()
+			}
+		})
+	}
 	if number("lasts") > 0 {
 		run.work = 0
 		return
@@ -175,6 +224,9 @@
 func (w *Runs) end(id runID, o jobs.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		return
+	}
 	w.expire()
 	w.finish(id, o, o.String(), time.Now())
 }
@@ -206,6 +258,9 @@
 func (w *Runs) Stop(c runner.StopCall) (runner.Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		return runner.Reply{}, runner.ErrClosed
+	}
 	r, ok := w.check(c.Target)
 	if !ok {
 		return r, nil
@@ -220,6 +275,9 @@
 func (w *Runs) Pace(c runner.PaceCall) (runner.Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		return runner.Reply{}, runner.ErrClosed
+	}
 	r, _ := w.check(c.Target)
 	return r, nil
 }
@@ -227,6 +285,10 @@
 // Hold implements runner.Worker.
 func (w *Runs) Hold(c runner.HoldCall) (runner.HoldReply, error) {
 	w.mu.Lock()
+	if w.crashed {
+		w.mu.Unlock()
+		return runner.HoldReply{}, runner.ErrClosed
+	}
 	r, ok := w.check(c.Target)
 	if !ok {
 		w.mu.Unlock()
@@ -247,6 +309,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		return runner.HoldReply{}, runner.ErrClosed
+	}
 	w.expire()
 	out := runner.HoldReply{Reply: runner.Reply{ClockMS: w.clock()}, Finished: append([]runner.FinishedRun{}, w.finished...)}
 	for id, run := range w.running {
