Starts keep to the room that a worker announced last

Cause: the control checks room by the newest registration; a room that shrinks while orders are under way is known to the agent first, and a worker that doesn't guard itself starts whatever it is told to. Change: orders carry what a run holds; the agent adds up what is there, what is being stopped included, and gives a start back that doesn't fit the worker's last heartbeat.

--- a/jobs/run.go
+++ b/jobs/run.go
@@ -401,7 +401,7 @@
 		}
 		j := s.Jobs[ref.Job]
 		st := &j.Spec.Steps[ref.Step]
-		o := Order{Task: ref, Run: r.Run, Stop: r.Stopping}
+		o := Order{Task: ref, Run: r.Run, Stop: r.Stopping, Held: st.Held()}
 		if !o.Stop {
 			o.Payload, o.Checkpoint, o.Ticket, o.TargetMS, o.Fills = j.Spec.Payload, t.Checkpoint, r.Ticket, st.TargetMS, st.Fills
 			o.Image, o.MilliCPU = st.Image, st.Need.MilliCPU
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -322,6 +322,8 @@
 	Fills    bool   `msgpack:"f,omitempty"`
 	Image    string `msgpack:"m,omitempty"`
 	MilliCPU int64  `msgpack:"u,omitempty"`
+	// Held is what the run takes of the worker's room.
+	Held resource.Vector `msgpack:"h,omitempty"`
 	// Waited is how long the task has waited for its first run when the order
 	// left the leader: from the call that handed its job in, or with AfterStep
 	// from the end of the step before. 0 if that is not known. It only measures.
--- a/proof/everything_acts_test.go
+++ b/proof/everything_acts_test.go
@@ -63,7 +63,7 @@
 	if e.rng.Intn(4) == 0 {
 		work += 4000 // its worker is cut off while it runs
 	}
-	spec := jobs.Spec{Payload: fmt.Sprintf("ms=%d&fails=%d", work, e.rng.Intn(2)), Steps: []jobs.Step{first, second}}
+	spec := jobs.Spec{Payload: fmt.Sprintf("ms=%d&fails=%d&cpu=%d", work, e.rng.Intn(2), need.MilliCPU), Steps: []jobs.Step{first, second}}
 	crashes := ""
 	if e.rng.Intn(40) == 0 && e.crashing < maxCrashing {
 		e.crashing++
@@ -117,7 +117,7 @@
 // act lets one thing happen. Only one replica at a time is away or has lost its disk:
 // more than that is not to be borne.
 func (e *everything) act(hurt *hurtReplica) {
-	switch n := e.rng.Intn(20); {
+	switch n := e.rng.Intn(21); {
 	case n < 9:
 		e.submit()
 	case n < 10:
@@ -142,6 +142,12 @@
 		}
 	case n < 17 && e.rng.Intn(3) == 0:
 		e.blackout(hurt)
+	case n == 20:
+		i, room := e.rng.Intn(fuzzWorkers), int64(3000+e.rng.Intn(fullRoom-3000))
+		if r := e.agents[i].host.Current(); r != nil {
+			e.note("worker %d has %d processors from now on, in thousandths", i, room)
+			r.SetRoom(room)
+		}
 	case n < 19:
 		i := e.rng.Intn(fuzzWorkers)
 		on := e.rng.Intn(2) == 0
--- a/proof/everything_check_test.go
+++ b/proof/everything_check_test.go
@@ -23,6 +23,13 @@
 			return fmt.Errorf("job %s: %w", id, err)
 		}
 	}
+	for _, a := range e.agents {
+		for _, l := range a.host.Lives() {
+			if over := l.Overfull(); len(over) > 0 {
+				return fmt.Errorf("%s was given more than it has by %d starts, the first is %+v", l.Name(), len(over), over[0])
+			}
+		}
+	}
 	if len(e.wronged) > maxWronged {
 		return fmt.Errorf("the jobs %v were given up and could have been done", e.wronged)
 	}
--- a/proof/everything_test.go
+++ b/proof/everything_test.go
@@ -173,7 +173,7 @@
 // startAgents begins agents beside new workers.
 func (e *everything) startAgents(n int) {
 	for i := range n {
-		e.agents = append(e.agents, &agentProcess{host: standin.NewHost(fmt.Sprintf("w%d", i), backAfter)})
+		e.agents = append(e.agents, &agentProcess{host: standin.NewHost(fmt.Sprintf("w%d", i), backAfter, fullRoom)})
 		e.startAgent(i)
 	}
 }
@@ -189,9 +189,12 @@
 	}
 	a.beat++
 	a.runner.Announce(runner.Announcement{Worker: a.worker, Service: "vault", Labels: []string{"a"}, Rack: "r",
-		Capacity: resource.Vector{MilliCPU: 12_000, MemoryMB: 4000}, Sequence: a.beat})
+		Capacity: resource.Vector{MilliCPU: r.Room(), MemoryMB: 4000}, Sequence: a.beat})
 }
 
+// fullRoom is a worker's processors, in thousandths, before they have changed.
+const fullRoom = 12_000
+
 func newEverything(t *testing.T, ctx context.Context, seed int64, workers int, punctual bool) *everything {
 	e := &everything{t: t, punctual: punctual, rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), power: newPowerBook(t), dir: t.TempDir(), ctx: ctx, begun: time.Now(), jobs: make(map[string]*submitted)}
 	transport.SetNetwork(e.net)
@@ -248,9 +251,10 @@
 // while replicas are cut off, stopped, lose their disks or their power one at a time, or
 // all their power at once, with whatever was not synced; agents start
 // anew, are cut off, workers crash, and leave calls unanswered that they carry out
-// seconds later; tasks crash each worker that starts them. When it is over every job that
-// was taken is done or, with such a task, given up; nothing was started twice or too early,
-// nothing acknowledged is forgotten.
+// seconds later; tasks crash each worker that starts them; workers' rooms shrink and grow,
+// and they start whatever they are told to. When it is over every job that
+// was taken is done or, with such a task, given up; nothing was started twice or too early
+// or over a room, nothing acknowledged is forgotten.
 func TestEverythingAtOnce(t *testing.T) {
 	logrus.SetOutput(io.Discard)
 	defer logrus.SetOutput(os.Stderr)
--- a/runner/run.go
+++ b/runner/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/resource"
 )
 
 // run carries out the orders about one run of a task, one call at a time.
@@ -21,6 +22,8 @@
 	started bool // the worker has it, or had it
 	ended   bool // the worker listed its end
 	stop    bool
+	held    resource.Vector // what it takes of the worker's room
+	claimed bool            // its room is taken: it was, or is to be, started here
 	// unsure is set once a start went unanswered: it may still take effect.
 	unsure bool
 	since  time.Time
@@ -47,6 +50,7 @@
 	}
 	r.ordered = true
 	r.stop = r.stop || o.Stop
+	r.held = o.Held
 	r.mu.Unlock()
 	r.signal()
 }
@@ -167,6 +171,12 @@
 		r.await(extended)
 		return
 	}
+	if !s.claim(r) {
+		logrus.WithFields(logrus.Fields{"task": r.key.task.String(), "run": r.key.run}).Info("runner: A run doesn't fit what the worker has by its last word.")
+		countVerdict("room", VerdictNoRoom)
+		r.rejected(VerdictNoRoom)
+		return
+	}
 	o := r.noteSent(time.Now())
 	reply, err := s.r.worker.Start(StartCall{Target: s.target(), Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, LeaseEndMS: end})
 	if errors.Is(err, ErrNotSent) {
--- a/runner/session.go
+++ b/runner/session.go
@@ -13,6 +13,7 @@
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/resource"
 )
 
 const (
@@ -318,11 +319,55 @@
 			s.sleep(callPause)
 			continue
 		}
-		for _, o := range a.Orders {
+		s.takeAll(a.Orders)
+		since = max(since, a.Index)
+	}
+}
+
+// takeAll carries out orders, first those about runs that are there already: what they hold
+// has to be known before anything is started beside them.
+func (s *session) takeAll(orders []jobs.Order) {
+	var starts []jobs.Order
+	for _, o := range orders {
+		if s.has(o) {
 			s.take(o)
+		} else {
+			starts = append(starts, o)
 		}
-		since = max(since, a.Index)
 	}
+	for _, o := range starts {
+		s.take(o)
+	}
+}
+
+func (s *session) has(o jobs.Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[runKey{o.Task, o.Run}] != nil
+}
+
+// claim takes room for a run on the worker as it last announced itself, and reports whether
+// there is any. The control checks the same when it places the run; a room that has shrunk
+// since is known here first, and some workers start whatever they are told to. What is being
+// stopped holds its room until the worker lists its end.
+func (s *session) claim(r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := resource.Vector{}
+	for _, x := range s.runs {
+		x.mu.Lock()
+		if x != r && !x.ended && (x.claimed || x.started) {
+			held = held.Add(x.held)
+		}
+		x.mu.Unlock()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.claimed {
+		return true // it may be there already
+	}
+	r.claimed = held.Add(r.held).Fits(s.ann.Capacity)
+	return r.claimed
 }
 
 // take carries out one order.
--- a/standin/host.go
+++ b/standin/host.go
@@ -14,6 +14,7 @@
 type Host struct {
 	name string
 	back time.Duration // from a crash until the next incarnation stands there
+	room int64         // of each incarnation at first, in thousandths of a processor, 0 for no bound
 
 	mu    sync.Mutex
 	now   *Runs // nil while nobody stands there
@@ -21,8 +22,8 @@
 }
 
 // NewHost returns a host on which an incarnation stands already.
-func NewHost(name string, back time.Duration) *Host {
-	h := &Host{name: name, back: back}
+func NewHost(name string, back time.Duration, room int64) *Host {
+	h := &Host{name: name, back: back, room: room}
 	h.Replace()
 	return h
 }
@@ -33,6 +34,9 @@
 	old := h.now
 	r := NewRuns(fmt.Sprintf("%s-%d", h.name, len(h.lives)+1))
 	r.OnCrash = func() { h.crashed(r) }
+	if h.room > 0 {
+		r.SetRoom(h.room)
+	}
 	h.now = r
 	h.lives = append(h.lives, r)
 	h.mu.Unlock()
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"math"
 	"net/url"
 	"strconv"
 	"sync"
@@ -19,7 +20,8 @@
 // Runs is a stand-in for a worker that runs callers' tasks. It starts them under a
 // lease and a fencing token and lets time pass. A task's payload tells what it does, as
 // a query: "ms=300" works for 300 ms, "fails=2" fails in its first two runs, "lasts=1"
-// works until it is stopped, "crash=0.3" crashes the worker if it is task 3 of step 0.
+// works until it is stopped, "crash=0.3" crashes the worker if it is task 3 of step 0,
+// "cpu=500" takes that many thousandths of a processor.
 type Runs struct {
 	// OnCrash is called once the worker has crashed, nil for nothing.
 	OnCrash func()
@@ -37,8 +39,20 @@
 	changed  chan struct{}
 	record   []RunInterval
 	crashed  bool
+	rooms    []room // oldest first, none for a worker without bound
+	overfull []RunInterval
 }
 
+// room is a worker's processors, in thousandths, from a time on.
+type room struct {
+	milliCPU int64
+	since    time.Time
+}
+
+// shrinkGrace is for how long after its room has shrunk a start may still count on the old
+// one: until the next heartbeat has been heard and orders that are under way are carried out.
+const shrinkGrace = 4500 * time.Millisecond
+
 // runID names one run.
 type runID struct {
 	task jobs.Ref
@@ -46,9 +60,10 @@
 }
 
 type stoodRun struct {
-	began time.Time
-	work  time.Duration // 0 for a run that lasts
-	saved time.Duration // that it resumed from
+	milliCPU int64
+	began    time.Time
+	work     time.Duration // 0 for a run that lasts
+	saved    time.Duration // that it resumed from
 }
 
 // RunInterval is one run's time on the worker.
@@ -84,6 +99,52 @@
 	return append([]RunInterval(nil), w.record...)
 }
 
+// SetRoom changes the worker's processors, in thousandths. It starts what it is told to all
+// the same.
+func (w *Runs) SetRoom(milliCPU int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rooms = append(w.rooms, room{milliCPU, time.Now()})
+}
+
+// Room returns the worker's processors, in thousandths, 0 if they have no bound.
+func (w *Runs) Room() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.rooms) == 0 {
+		return 0
+	}
+	return w.rooms[len(w.rooms)-1].milliCPU
+}
+
+// Overfull returns the starts that brought the worker over its room.
+func (w *Runs) Overfull() []RunInterval {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]RunInterval(nil), w.overfull...)
+}
+
+func (w *Runs) used() (sum int64) {
+	for _, r := range w.running {
+		sum += r.milliCPU
+	}
+	return sum
+}
+
+// most is the largest room that a start may count on now.
+func (w *Runs) most() int64 {
+	if len(w.rooms) == 0 {
+		return math.MaxInt64
+	}
+	most := int64(0)
+	for i, r := range w.rooms {
+		if i == len(w.rooms)-1 || time.Since(w.rooms[i+1].since) < shrinkGrace {
+			most = max(most, r.milliCPU)
+		}
+	}
+	return most
+}
+
 // Count returns how many runs are at work, and how many ends are not forgotten yet.
 func (w *Runs) Count() (running, listed int) {
 	w.mu.Lock()
@@ -194,7 +255,7 @@
 		todo = nil
 	}
 	number := func(key string) int { n, _ := strconv.Atoi(todo.Get(key)); return n } // not told is 0
-	run := &stoodRun{began: time.Now(), work: defaultWork}
+	run := &stoodRun{began: time.Now(), work: defaultWork, milliCPU: int64(number("cpu"))}
 	if ms := number("ms"); ms > 0 {
 		run.work = time.Duration(ms) * time.Millisecond
 	}
@@ -202,6 +263,9 @@
 		run.saved = saved
 	}
 	w.running[id] = run
+	if w.used() > w.most() {
+		w.overfull = append(w.overfull, w.record[len(w.record)-1])
+	}
 	if todo.Get("crash") == strconv.Itoa(id.task.Step)+"."+strconv.Itoa(id.task.Index) {
 		time.AfterFunc(crashAfter, func() {
 			if w.isRunning(id) {
