--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -246,17 +246,18 @@
 
 // fakeControl is the control as one agent sees it.
 type fakeControl struct {
-	mu      sync.Mutex
-	index   uint64
-	worker  string
-	life    string
-	orders  map[runKey]*order
-	ends    []jobs.End
-	gone    []string // workers that the agent reported
-	crashes []jobs.Crash
-	down    bool // answers nothing
-	termMS  int64
-	changed chan struct{}
+	mu            sync.Mutex
+	index         uint64
+	worker        string
+	life          string
+	orders        map[runKey]*order
+	ends          []jobs.End
+	gone          []string // workers that the agent reported
+	crashes       []jobs.Crash
+	registrations int
+	down          bool // answers nothing
+	termMS        int64
+	changed       chan struct{}
 }
 
 type order struct {
@@ -299,6 +300,12 @@
 	return append([]jobs.Crash(nil), c.crashes...)
 }
 
+func (c *fakeControl) registered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registrations
+}
+
 func (c *fakeControl) reportedGone() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -336,6 +343,7 @@
 	switch q := req.(type) {
 	case *control.Registration:
 		c.index++
+		c.registrations++
 		if q.Crash != nil {
 			c.crashes = append(c.crashes, *q.Crash)
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,9 +34,11 @@
 	without ablation.Set
 
 	// left is what the last incarnation that was reached left, and crash its crash until
-	// that is committed with the next one's registration. Only Run and its session use them.
+	// that is committed with the next one's registration; token is what the last session
+	// had. Only Run and its session use them.
 	left  remains
 	crash *jobs.Crash
+	token uint64
 
 	mu      sync.Mutex
 	newest  *Announcement // of the incarnation that is served or to be served
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -309,3 +309,30 @@
 		}
 	})
 }
+
+// A worker is lost for good: it answers nothing and no other comes. When its lease has ended
+// the control forgets it, and the agent registers it again for another term, without an end:
+// each time the leader gives it tasks, which wait there for the whole term while their
+// callers do. One that doesn't answer is not registered.
+func TestSilentWorkerIsNotRegisteredAgain(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.worker.fall(errLost)
+		time.Sleep(6 * time.Second)
+		before := b.ctl.registered()
+		for range 5 {
+			b.ctl.forget()
+			time.Sleep(6 * time.Second)
+		}
+		if n := b.ctl.registered() - before; n > 0 {
+			t.Fatalf("the silent worker was registered %d times more", n)
+		}
+		b.worker.fall(nil)
+		time.Sleep(2 * time.Second)
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		if !b.worker.isRunning(runA1) {
+			t.Error("the worker answers again and gets nothing")
+		}
+	})
+}
--- a/runner/session.go
+++ b/runner/session.go
@@ -88,7 +88,7 @@
 // run serves the incarnation and reports whether it may still be there.
 func (s *session) run() (again bool) {
 	defer s.stop()
-	if !s.register() || !s.takeStock() {
+	if !s.answers() || !s.register() || !s.takeStock() {
 		return !s.gone.Load()
 	}
 	var wg sync.WaitGroup
@@ -149,6 +149,25 @@
 	}
 }
 
+// answers waits until an incarnation that fell silent answers again, and reports whether it
+// does. One that was lost for good would else be registered again each time its lease has
+// ended, and be given tasks that wait there for a whole term each time.
+func (s *session) answers() bool {
+	for s.ctx.Err() == nil {
+		if _, silent := s.r.contact.silence(s.worker); !silent {
+			return true
+		}
+		reply, err := s.r.worker.Hold(HoldCall{Target: Target{s.worker, s.r.token}})
+		switch {
+		case err != nil:
+			s.sleep(callPause)
+		case reply.Verdict == VerdictElsewhere:
+			return !s.refused(reply.Verdict)
+		}
+	}
+	return false
+}
+
 // register commits the worker and gets this life's fencing token.
 func (s *session) register() bool {
 	for s.ctx.Err() == nil {
@@ -183,6 +202,7 @@
 	}
 	s.r.crash = nil
 	s.token.Store(max(s.token.Load(), reg.Token)) // only one registration is under way at a time
+	s.r.token = s.token.Load()
 	return nil
 }
 
