--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -34,6 +34,7 @@
 	staleTotal      = metrics.NewCounter(`waxwinghaven_placements_stale_total`)
 	copiesTotal     = metrics.NewCounter(`waxwinghaven_copies_placed_total`)
 	workersLost     = metrics.NewCounter(`waxwinghaven_workers_lost_total`)
+	silentReports   = metrics.NewCounter(`waxwinghaven_workers_silent_reports_total`)
 	workerCrashes   = metrics.NewCounter(`waxwinghaven_worker_crashes_total`)
 	jobsGivenUp     = metrics.NewCounter(`waxwinghaven_jobs_given_up_total{reason="crashes"}`)
 	voidReplaced    = metrics.NewCounter(`waxwinghaven_runs_void_total{reason="replaced"}`)
@@ -52,7 +53,7 @@
 	term     uint64
 	keeper   *lease.Keeper
 	watchers map[string]chan struct{} // by worker id
-	shunned  map[string]time.Time     // until when, by worker id
+	shunned  map[string]time.Time     // until when nothing new goes there, by worker id
 	offsets  map[string]time.Duration // agents' wall clocks against started
 	over     map[string]time.Time     // when a job was first seen to be over
 	started  time.Time
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -29,6 +29,7 @@
 	r.server.Handle(PathOrders, handle(r.onOrders), agent)
 	r.server.Handle(PathEnds, handle(r.onEnds), agent)
 	r.server.Handle(PathWorkerGone, handle(r.onWorkerGone), agent)
+	r.server.Handle(PathSilent, handle(r.onSilent), agent)
 	r.server.Handle(PathReplicas, handle(r.onReplicas), entry, agent, control)
 }
 
@@ -310,6 +311,18 @@
 	return Empty{}, err
 }
 
+// onSilent takes in that a worker answers nothing. It may be back any moment, so nothing is committed; but nothing new is placed there for now.
+func (r *Replica) onSilent(ref WorkerRef) (Empty, error) {
+	if r.node.View().Role != quorum.Leader {
+		return Empty{}, r.refusalOf(quorum.ErrNotLeader)
+	}
+	if _, err := r.known(ref); err != nil {
+		return Empty{}, err
+	}
+	r.dispatcher.silent(ref.Worker)
+	return Empty{}, nil
+}
+
 func (r *Replica) onReplicas(Empty) (ReplicasAnswer, error) {
 	return ReplicasAnswer{r.replicaAddresses()}, nil
 }
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -18,6 +18,7 @@
 	PathOrders     = "/workers/orders"
 	PathEnds       = "/workers/ends"
 	PathWorkerGone = "/workers/gone"
+	PathSilent     = "/workers/silent"
 	PathReplicas   = "/replicas"
 	PathStartWave  = "/waves/start"
 	PathGetWave    = "/waves/get"
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -255,7 +255,8 @@
 	gone          []string // workers that the agent reported
 	crashes       []jobs.Crash
 	registrations int
-	down          bool // answers nothing
+	silent        []string // workers that the agent told as silent
+	down          bool     // answers nothing
 	termMS        int64
 	changed       chan struct{}
 }
@@ -300,6 +301,12 @@
 	return append([]jobs.Crash(nil), c.crashes...)
 }
 
+func (c *fakeControl) toldSilent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.silent)
+}
+
 func (c *fakeControl) registered() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -360,6 +367,10 @@
 	case *control.OrdersRequest:
 		return c.waitOrders(q, resp.(*control.OrdersAnswer))
 	case *control.WorkerRef:
+		if path == control.PathSilent {
+			c.silent = append(c.silent, q.Worker)
+			return nil
+		}
 		c.gone = append(c.gone, q.Worker)
 	case *control.RunEnds:
 		for _, e := range q.Ends {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -336,3 +336,32 @@
 		}
 	})
 }
+
+// A worker has crashed and is back after some seconds. Until then nobody tells the leader,
+// which gives it a share of all tasks; they wait there while other workers have room. The
+// agent says so at once; a call that is merely late, or a connection that is reset, is none.
+func TestSilentWorkerIsTold(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.worker.fall(errLost)
+		time.Sleep(time.Second)
+		b.worker.fall(nil)
+		time.Sleep(time.Second)
+		b.worker.fall(ErrClosed)
+		time.Sleep(callPause)
+		b.worker.fall(nil)
+		time.Sleep(time.Second)
+		if n := b.ctl.toldSilent(); n > 0 {
+			t.Fatalf("a worker that answers was told as silent %d times", n)
+		}
+		b.worker.fall(ErrClosed)
+		time.Sleep(300 * time.Millisecond)
+		if b.ctl.toldSilent() == 0 {
+			t.Error("the control wasn't told within 0.3 s")
+		}
+		time.Sleep(2 * time.Second)
+		if n := b.ctl.toldSilent(); n < 3 || n > 6 {
+			t.Errorf("told %d times in 2.3 s", n)
+		}
+	})
+}
--- a/runner/session.go
+++ b/runner/session.go
@@ -68,7 +68,8 @@
 	pairs    atomic.Uint64 // revision of pairs that it told last
 	tellNext atomic.Bool   // it was new: tell it what the pacer knows
 
-	unreached int // calls in a row that could not be sent; only holdLoop uses it
+	unreached  int       // calls in a row that could not be sent; only holdLoop uses these two
+	toldSilent time.Time // when the control was last told that the worker is silent
 
 	seen   uint64        // highest end listed by the worker
 	cursor atomic.Uint64 // highest end whose commit is known
@@ -260,6 +261,7 @@
 			if s.hasLeft(err) {
 				return
 			}
+			s.tellSilence()
 			s.sleep(callPause)
 			continue
 		}
@@ -308,6 +310,38 @@
 	return true
 }
 
+const (
+	// closedAfter is for how long a worker that closed its connections has to answer nothing
+	// to be told as silent: a connection that was merely reset is replaced at once.
+	closedAfter = 2 * callPause
+	// unansweredAfter is the same for one whose calls go unanswered, longer than one call
+	// takes whose answer was lost: the worker's wait, and the bound of the call.
+	unansweredAfter = 1500 * time.Millisecond
+	// silentEvery is the interval of that word.
+	silentEvery = 500 * time.Millisecond
+)
+
+// tellSilence tells the control that the worker answers nothing, so that nothing new is
+// placed on it for now. It doesn't wait for the answer.
+func (s *session) tellSilence() {
+	silence, silent := s.r.contact.silence(s.worker)
+	now := time.Now()
+	if !silent || now.Sub(s.toldSilent) < silentEvery {
+		return
+	}
+	closed := !silence.closed.IsZero() && now.Sub(silence.closed) >= closedAfter
+	if !closed && now.Sub(silence.answered) < unansweredAfter {
+		return
+	}
+	s.toldSilent = now
+	go func() {
+		ref := s.ref()
+		if err := s.r.ctl.Call(control.PathSilent, silentEvery, &ref, nil); err != nil {
+			refusal.Count(part, codeOf(err))
+		}
+	}()
+}
+
 // controlRefused counts a refusal and ends the session if the control does not
 // know it any more.
 func (s *session) controlRefused(call string, err error) {
