--- a/control/jobs.go
+++ b/control/jobs.go
@@ -311,7 +311,8 @@
 	return Empty{}, err
 }
 
-// onSilent takes in that a worker answers nothing. It may be back any moment, so nothing is committed; but nothing new is placed there for now.
+// onSilent takes in that a worker answers nothing. It may be back any moment, so nothing is
+// committed; but nothing new is placed there for now.
 func (r *Replica) onSilent(ref WorkerRef) (Empty, error) {
 	if r.node.View().Role != quorum.Leader {
 		return Empty{}, r.refusalOf(quorum.ErrNotLeader)
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -9,13 +9,13 @@
 // Suspects are tasks under which workers crashed. One of those that ran on a crashed worker
 // may do it again wherever it starts; placed together again on the emptiest worker, as
 // alike tasks are, all of them crash with it each time and none can be told from the
-// others. So they are spread, on workers where little would end with them; and one that
-// crashed two workers right after its start gets a worker where nothing else begins
-// meanwhile, so that a third crash tells for certain.
+// others. So they are spread, on workers where little would end with them; and one that is
+// strongly suspected gets a worker where nothing else begins meanwhile, so that the next
+// crash tells, or its absence.
 const (
 	// lookTime is how long a look alone lasts. A task that crashes its workers does so, as a
-	// rule, within a quarter of a second of its start, and the order and the agent's word of
-	// what began take up to as long again.
+	// rule, within a tenth of a second of its start; orders take up to as long to arrive,
+	// and what began before has to have grown too old to be suspected of a crash.
 	lookTime = 600 * time.Millisecond
 	// lookWait is how long a task waits for a worker of its own. Callers may not be left
 	// without any task at work for three seconds while there is room.
@@ -157,8 +157,8 @@
 	return wait
 }
 
-// began notes that the k-th task of a request was placed on a worker. Beside a gang that
-// crashed two workers right after its start nothing else begins.
+// began notes that the k-th task of a request was placed on a worker. Beside a gang that is
+// strongly suspected nothing else begins.
 func (p *planner) began(c *candidate, r request, k int) {
 	if r.group.Doubt(k) == jobs.NoDoubt {
 		return
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -24,7 +24,7 @@
 	// mostOdds bounds them, so that a long look the other way can still clear a task.
 	mostOdds = 1000 * one
 	// ownRate is how often a worker crashes by itself, in millionths a millisecond: once in
-	// 20 s, as one does that flaps. Most do so far less; taken for less, those that were
+	// 20 s, as one does that flaps. Most do so far less; taken for less, tasks that were
 	// started on a flapping worker would be given up.
 	ownRate = 50
 	// leastSpanMS is the shortest time within which a crash is taken to be known.
@@ -89,7 +89,10 @@
 
 // Crash is the end of an incarnation that was in touch with its agent and did not leave.
 type Crash struct {
-	Worker string       `msgpack:"w"`
+	Worker string `msgpack:"w"`
+	// SpanMS is the time within which it crashed: from when it was last heard until it had
+	// certainly ended.
+	SpanMS int64        `msgpack:"s"`
 	Runs   []CrashedRun `msgpack:"r"`
 }
 
@@ -98,7 +101,7 @@
 	Task Ref    `msgpack:"t"`
 	Run  uint32 `msgpack:"r"`
 	// FromMS and ToMS are how long it had been at work when the worker was last heard, and
-	// when it was first found silent: it crashed in between.
+	// when it had certainly ended.
 	FromMS int64 `msgpack:"f"`
 	ToMS   int64 `msgpack:"u"`
 	// Unsure says that its start went unanswered: it may not have been at work at all.
@@ -220,7 +223,7 @@
 // returns those that are given up for it. It may be told more than once.
 func (s *State) ApplyCrash(c Crash, agent string, index uint64) (out []GivenUp) {
 	list := s.accuse(c.Runs)
-	total := ownRate * spanOf(c.Runs)
+	total := ownRate * max(c.SpanMS, leastSpanMS)
 	for i := range list {
 		total += list[i].chance
 	}
@@ -265,15 +268,6 @@
 	return list
 }
 
-// spanOf is the time within which the worker crashed, in ms.
-func spanOf(runs []CrashedRun) int64 {
-	span := int64(leastSpanMS)
-	for i := range runs {
-		span = max(span, runs[i].ToMS-runs[i].FromMS)
-	}
-	return span
-}
-
 // weigh turns a crash into odds, others being the probability that the worker crashed without
 // this task, in millionths. It reports whether the run was not counted before.
 func (a *accused) weigh(others int64, agent string) bool {
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -22,7 +22,7 @@
 // crashAt is the same with how long each run had been at work.
 func (w *world) crashAt(worker string, ages map[Stop]int64) []GivenUp {
 	w.t.Helper()
-	c := Crash{Worker: worker}
+	c := Crash{Worker: worker, SpanMS: 10}
 	for r, age := range ages {
 		c.Runs = append(c.Runs, CrashedRun{Task: r.Task, Run: r.Run, FromMS: age - 10, ToMS: age})
 	}
--- a/runner/remains.go
+++ b/runner/remains.go
@@ -17,9 +17,10 @@
 // atWork is a run that was at work, or may have been.
 type atWork struct {
 	key runKey
-	// began is when it had begun at the latest, zero if its start went unanswered: then it
-	// may just have.
-	began time.Time
+	// began is when it had begun at the latest; if its start went unanswered, at the
+	// earliest.
+	began  time.Time
+	unsure bool
 }
 
 // remains returns what the session knows of its incarnation. A run whose start went
@@ -34,11 +35,11 @@
 		switch {
 		case r.ended:
 		case r.started && r.began.IsZero(): // by an earlier life of the agent
-			left.runs = append(left.runs, atWork{key, s.began})
+			left.runs = append(left.runs, atWork{key: key, began: s.began})
 		case r.started:
-			left.runs = append(left.runs, atWork{key, r.began})
+			left.runs = append(left.runs, atWork{key: key, began: r.began})
 		case r.unsure && (!silent || silence.ended().IsZero() || r.sent.Before(silence.ended())):
-			left.runs = append(left.runs, atWork{key: key})
+			left.runs = append(left.runs, atWork{key: key, began: r.sent, unsure: true})
 		}
 		r.mu.Unlock()
 	}
@@ -71,10 +72,13 @@
 	}
 	held := s.ended().Before(s.held)
 	certain := !left.leaving && held
-	crash := &jobs.Crash{Worker: left.worker}
+	crash := &jobs.Crash{Worker: left.worker, SpanMS: s.ended().Sub(s.answered).Milliseconds()}
 	for _, x := range left.runs {
-		crash.Runs = append(crash.Runs, jobs.CrashedRun{Task: x.key.task, Run: x.key.run,
-			FromMS: x.age(s.answered).Milliseconds(), ToMS: x.age(s.ended()).Milliseconds(), Unsure: x.began.IsZero()})
+		run := jobs.CrashedRun{Task: x.key.task, Run: x.key.run, ToMS: x.age(s.ended()).Milliseconds(), Unsure: x.unsure}
+		if !x.unsure {
+			run.FromMS = x.age(s.answered).Milliseconds()
+		}
+		crash.Runs = append(crash.Runs, run)
 	}
 	logrus.WithFields(logrus.Fields{"worker": left.worker, "leaving": left.leaving, "closed": !s.closed.IsZero(), "lease_in_force": held, "crash": certain,
 		"silent_ms": s.replaced.Sub(s.since).Milliseconds(), "runs": len(left.runs)}).
@@ -86,9 +90,4 @@
 }
 
 // age is how long the run had been at work at a time.
-func (x *atWork) age(at time.Time) time.Duration {
-	if x.began.IsZero() {
-		return 0
-	}
-	return max(at.Sub(x.began), 0)
-}
+func (x *atWork) age(at time.Time) time.Duration { return max(at.Sub(x.began), 0) }
