--- a/dispatch/suspects_test.go
+++ b/dispatch/suspects_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -62,23 +61,21 @@
 	}
 }
 
-// A standing task meets a suspect as seldom as can be: each crash keeps it away for seconds.
+// A standing task meets a suspect as seldom as can be, since each crash keeps it away for
+// seconds: the suspect goes to the worker with more load and no standing task.
 func TestASuspectKeepsAwayFromStandingTasks(t *testing.T) {
-	s := newScene(t, 3)
-	s.submit(100, "/titles/", 0, serving(2, 5000, "watch"))
-	s.pass()
-	standing := s.on(fmt.Sprintf("%016x", 100))
-	job := s.submit(1, "/titles/", 0, task(1, 500, 300))
-	s.pass()
-	for worker := range s.on(job) {
-		s.crash(worker)
-	}
+	s := newScene(t, 4)
+	standing := s.submit(1, "/titles/", 0, serving(2, 3000, "watch"))
+	s.place(standing, "w0", 0)
+	s.place(standing, "w1", 1)
+	s.place(s.submit(2, "/titles/", 0, task(1, 4000, 300)), "w2", 0)
+	job := s.submit(3, "/titles/", 0, task(1, 500, 300))
+	s.place(job, "w3", 0)
+	s.crash("w3")
 	s.in.NowMS = 10_000
 	s.pass()
-	for worker := range s.on(job) {
-		if standing[worker] > 0 {
-			t.Errorf("the suspect is on %s beside a standing task: %v", worker, standing)
-		}
+	if s.on(job)["w2"] != 1 {
+		t.Errorf("the suspect is on %v, want w2", s.on(job))
 	}
 }
 
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -219,6 +219,23 @@
 	}
 }
 
+// Two members of a gang on one worker are one suspect: counted as two each would explain the
+// crash for the other.
+func TestMembersOnOneWorkerAreOneSuspect(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(crashID, Step{Count: 2, Need: resource.Vector{MilliCPU: 500, MemoryMB: 10}, Gang: true})
+	p := Plan{Placements: []Placement{{Job: crashID, Indexes: []int{0, 1}, Workers: []string{"w1", "w1"}}}}
+	if placed, _ := w.ApplyPlan(p, rules, w.next()); placed != 2 {
+		t.Fatal("the gang was not placed")
+	}
+	w.crash("w1", 10, Stop{Task: crashTask(0), Run: 1}, Stop{Task: crashTask(1), Run: 1})
+	w.submit(idA, step(1, 500))
+	w.crash("w1", 10, w.startOn("w1", Ref{Job: idA}))
+	if gang, task := w.Jobs[crashID].Groups[0].Suspicion(0).Odds, w.Jobs[idA].Groups[0].Suspicion(0).Odds; gang != task {
+		t.Errorf("the gang has odds of %d millionths, a task alone %d", gang, task)
+	}
+}
+
 // A suspect gets no copy: it would crash two workers at once.
 func TestASuspectGetsNoCopy(t *testing.T) {
 	w := newWorld(t, "w1", "w2")
