--- a/control/state.go
+++ b/control/state.go
@@ -97,7 +97,7 @@
 func (s *State) announce(m membership.Member, index uint64) {
 	if lost := s.Members.ApplyAnnounce(m, index); lost != "" {
 		// The worker was started anew: what it ran before ended with it.
-		s.Tasks.ApplyAgentLost(m.Agent, lost, s.Clock)
+		s.Tasks.ApplyWorkerRestarted(m.Agent, lost, s.Clock)
 	}
 }
 
--- a/lease/attempt.go
+++ b/lease/attempt.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"hash/fnv"
 	"sort"
 
@@ -124,6 +125,44 @@
 	s.index(t)
 }
 
+const (
+	// maxRestarts is how many workers may be started anew under a task in a row. A worker
+	// that crashes reports no failure, so a task that crashes each worker would be started
+	// again without end and take the worker's other tasks down each time; bystanders of
+	// ordinary restarts meet far fewer.
+	maxRestarts = 10
+	// restartAge is how long an attempt is at work, in ms, so that a restart clears its task
+	// rather than counting against it.
+	restartAge = 60_000
+)
+
+// ApplyWorkerRestarted requeues what a worker held before it was started anew, and sets
+// tasks aside under which that happened too often.
+func (s *State) ApplyWorkerRestarted(agent, boot string, now int64) int {
+	var crashing []*Task
+	for _, id := range sortedIDs(s.byAgent[agent]) {
+		t := s.Tasks[id]
+		switch {
+		case t.Boot != boot:
+			continue
+		case now-t.PlacedAt >= restartAge:
+			t.Restarts = 0
+		default:
+			t.Restarts++
+		}
+		if t.Restarts >= maxRestarts {
+			crashing = append(crashing, t)
+		}
+	}
+	n := s.ApplyAgentLost(agent, boot, now)
+	for _, t := range crashing {
+		if t.Phase == Waiting {
+			s.finish(t, SetAside, fmt.Sprintf("its worker was started anew under it %d times in a row", t.Restarts), now)
+		}
+	}
+	return n
+}
+
 // ApplyAgentLost requeues what an agent's worker held under one boot. It may
 // be committed only after the agent's lease has certainly ended at the worker.
 func (s *State) ApplyAgentLost(agent, boot string, now int64) int {
--- a/lease/types.go
+++ b/lease/types.go
@@ -69,7 +69,10 @@
 	Failures    int      `msgpack:"f,omitempty" json:"failures,omitempty"`
 	MaxFailures int      `msgpack:"q,omitempty" json:"-"`
 	Evictions   int      `msgpack:"v,omitempty" json:"evictions,omitempty"`
-	Reason      string   `msgpack:"w,omitempty" json:"reason,omitempty"`
+	// Restarts counts the workers that were started anew under the task in a row, each
+	// within restartAge of the task's start.
+	Restarts int    `msgpack:"y,omitempty" json:"restarts,omitempty"`
+	Reason   string `msgpack:"w,omitempty" json:"reason,omitempty"`
 }
 
 // Ran tells whether the task was ever started.
