--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -107,6 +107,8 @@
 	placed  int
 	copied  int
 	moved   map[jobs.GroupKey]int // standing tasks that this pass moves
+	// suspects are the tasks under which workers crashed.
+	suspects []jobs.Ref
 }
 
 // candidate is a worker with the room it has left in this pass.
@@ -135,6 +137,7 @@
 		return p.plan
 	}
 	p.gather()
+	p.suspects = in.Jobs.Suspects()
 	p.noteSuspects()
 	if !in.Without.Evacuation {
 		p.evacuate()
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -41,32 +41,38 @@
 
 // noteSuspects marks the workers on which a suspect began a moment ago.
 func (p *planner) noteSuspects() {
-	suspects := p.in.Jobs.Suspects()
-	if len(suspects) == 0 {
-		return
-	}
-	byID := make(map[string]*candidate)
-	for _, list := range p.workers {
-		for _, c := range list {
-			byID[c.worker.ID] = c
-		}
-	}
-	for _, ref := range suspects {
+	for _, ref := range p.suspects {
 		g := p.in.Jobs.Group(ref)
 		for _, r := range g.Tasks[ref.Index].Runs() {
-			c := byID[r.Worker]
-			if c == nil || !p.justBegan(r) {
+			if p.untilSettled(r) <= 0 {
 				continue
 			}
-			c.suspects++
-			c.looking = c.looking || g.Doubt(ref.Index) == jobs.LookAlone
+			if c := p.candidate(r.Worker); c != nil {
+				c.suspects++
+				c.looking = c.looking || g.Doubt(ref.Index) == jobs.LookAlone
+			}
+		}
+	}
+}
+
+// candidate returns a worker by its id, nil if it gets nothing in this pass.
+func (p *planner) candidate(worker string) *candidate {
+	w := p.in.Jobs.Workers[worker]
+	if w == nil {
+		return nil
+	}
+	for _, c := range p.workers[w.Service] {
+		if c.worker == w {
+			return c
 		}
 	}
+	return nil
 }
 
-// justBegan reports whether a run may not have shown yet that it leaves its worker alone.
-func (p *planner) justBegan(r *jobs.Placed) bool {
-	return p.in.NowMS-r.AtMS < lookTime.Milliseconds()
+// untilSettled is how much longer a run may not have shown yet that it leaves its worker
+// alone, 0 or less if it has.
+func (p *planner) untilSettled(r *jobs.Placed) time.Duration {
+	return lookTime - time.Duration(p.in.NowMS-r.AtMS)*time.Millisecond
 }
 
 // awaits reports whether the k-th task of a request waits for the word of whether a worker
@@ -90,15 +96,14 @@
 // lookAlone places the tasks that are to be looked at alone, each where nothing began for a
 // while. Where no worker is that quiet, the quietest gets nothing new until it is.
 func (p *planner) lookAlone(requests []request) {
-	suspects := p.in.Jobs.Suspects()
-	if len(suspects) == 0 {
+	if len(p.suspects) == 0 {
 		return
 	}
 	waiting := make(map[*jobs.Group]*request, len(requests))
 	for i := range requests {
 		waiting[requests[i].group] = &requests[i]
 	}
-	for _, ref := range suspects {
+	for _, ref := range p.suspects {
 		if r := waiting[p.in.Jobs.Group(ref)]; r != nil && r.looksAlone(ref.Index) && !r.awaits(ref.Index) && p.mayLook(r.queue.Service) {
 			p.placeAlone(*r, ref.Index)
 		}
@@ -151,7 +156,7 @@
 	wait := time.Duration(0)
 	for _, t := range p.in.Jobs.Use(c.worker.ID).Runs {
 		if r := t.On(c.worker.ID); r != nil {
-			wait = max(wait, lookTime-time.Duration(p.in.NowMS-r.AtMS)*time.Millisecond)
+			wait = max(wait, p.untilSettled(r))
 		}
 	}
 	return wait
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -45,14 +45,14 @@
 // callers grant that after two crashes, and bear two more starts after the third; so the
 // fifth should be the last for the one that did it, with whatever company it had before.
 // Up to then one crash that comes by chance while a task is looked at alone, which raises
-// its odds 200 to 500 times, gives none up that had less than even odds. From the fifth on it is
-// enough that more speaks against a task than for it: one that takes up to a second to crash its
-// worker stands out no more than that.
+// its odds 200 to 500 times, gives none up that had less than even odds. From the fifth on it
+// is enough to be suspected: one that takes up to a second to crash its worker stands out no
+// more than that.
 func neededOdds(crashes int) int64 {
 	switch {
 	case crashes < 2:
 		return math.MaxInt64
-	case crashes < 5:
+	case crashes <= mostInCompany:
 		return 300 * one
 	case crashes < anywayLimit:
 		return suspectOdds
@@ -60,7 +60,7 @@
 	return 0
 }
 
-// mostInCompany is the crashes after which a task in doubt starts alone or not at all.
+// mostInCompany is the crashes after which a strongly suspected task starts alone or not at all.
 const mostInCompany = 4
 
 // OnlyAlone reports whether a task may be started only where nothing else begins.
--- a/proof/crashing_test.go
+++ b/proof/crashing_test.go
@@ -14,6 +14,7 @@
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/standin"
 	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
@@ -140,7 +141,7 @@
 		if crashes >= 3 {
 			after++
 		}
-		if r.How == "crashed" {
+		if r.How == standin.HowCrashed {
 			crashes++
 		}
 	}
--- a/proof/everything_check_test.go
+++ b/proof/everything_check_test.go
@@ -124,7 +124,7 @@
 	for _, runs := range e.runsOf(id) {
 		n := 0
 		for _, r := range runs {
-			if r.How == "crashed" {
+			if r.How == standin.HowCrashed {
 				n++
 			}
 		}
@@ -144,7 +144,7 @@
 	for _, a := range e.agents {
 		for _, l := range a.host.Lives() {
 			for _, r := range l.Record() {
-				if r.Task == name && r.How == "crashed" && !a.there(time.UnixMilli(r.EndMS), witnessTime) {
+				if r.Task == name && r.How == standin.HowCrashed && !a.there(time.UnixMilli(r.EndMS), witnessTime) {
 					n++
 				}
 			}
--- a/proof/everything_test.go
+++ b/proof/everything_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -14,7 +12,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/entry"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -256,10 +253,7 @@
 // was taken is done or, with such a task, given up; nothing was started twice or too early
 // or over a room, nothing acknowledged is forgotten.
 func TestEverythingAtOnce(t *testing.T) {
-	logrus.SetOutput(io.Discard)
-	defer logrus.SetOutput(os.Stderr)
-	defer transport.SetNetwork(nil)
-	defer quorum.WatchSyncs(nil)
+	quietly(t)
 	for seed := range int64(*everythingRuns) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playEverything(t, seed) })
--- a/runner/contact.go
+++ b/runner/contact.go
@@ -107,10 +107,7 @@
 // Start implements Worker.
 func (o observed) Start(c StartCall) (Reply, error) {
 	r, err := o.worker.Start(c)
-	o.note(c.Worker, r.Verdict, err)
-	if err == nil && r.Verdict == VerdictDone {
-		o.contact.extended(c.Worker, time.Duration(c.LeaseEndMS-r.ClockMS)*time.Millisecond, time.Now())
-	}
+	o.noteLease(c.Worker, c.LeaseEndMS, r, err)
 	return r, err
 }
 
@@ -131,11 +128,16 @@
 // Hold implements Worker.
 func (o observed) Hold(c HoldCall) (HoldReply, error) {
 	r, err := o.worker.Hold(c)
-	o.note(c.Worker, r.Verdict, err)
+	o.noteLease(c.Worker, c.LeaseEndMS, r.Reply, err)
+	return r, err
+}
+
+// noteLease notes the answer to a call that extends the lease.
+func (o observed) noteLease(worker string, leaseEndMS int64, r Reply, err error) {
+	o.note(worker, r.Verdict, err)
 	if err == nil && r.Verdict == VerdictDone {
-		o.contact.extended(c.Worker, time.Duration(c.LeaseEndMS-r.ClockMS)*time.Millisecond, time.Now())
+		o.contact.extended(worker, time.Duration(leaseEndMS-r.ClockMS)*time.Millisecond, time.Now())
 	}
-	return r, err
 }
 
 func (o observed) note(worker string, v Verdict, err error) {
--- a/runner/session.go
+++ b/runner/session.go
@@ -163,7 +163,8 @@
 		case err != nil:
 			s.sleep(callPause)
 		case reply.Verdict == VerdictElsewhere:
-			return !s.refused(reply.Verdict)
+			s.refused(reply.Verdict)
+			return false
 		}
 	}
 	return false
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -172,8 +172,8 @@
 // crashAfter is how long a task that crashes its worker takes for it.
 const crashAfter = 10 * time.Millisecond
 
-// howCrashed is how runs end whose worker crashes, in the record.
-const howCrashed = "crashed"
+// HowCrashed is how runs end whose worker crashes, in the record.
+const HowCrashed = "crashed"
 
 // Crash ends the worker at once with everything on it. Calls under way get no answer,
 // and later ones none either.
@@ -185,7 +185,7 @@
 	}
 	w.expire()
 	for id := range w.running {
-		w.finish(id, jobs.OutcomeLost, howCrashed, time.Now())
+		w.finish(id, jobs.OutcomeLost, HowCrashed, time.Now())
 	}
 	w.crashed = true
 	close(w.changed) // calls that wait
