--- a/ablation/ablation.go
+++ b/ablation/ablation.go
@@ -32,8 +32,8 @@
 	Together bool
 	// Moves: filling runs that are held up are moved.
 	Moves bool
-	// Evacuation: tasks leave workers that are about to end.
-	Evacuation bool
+	// Leaving: standing tasks leave workers that are about to end.
+	Leaving bool
 	// Copies: runs that take long get a second one.
 	Copies bool
 	// Health: workers that fail what they run get nothing for a while.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"github.com/waxwinghaven/waxwinghaven/admission"
+	"github.com/waxwinghaven/waxwinghaven/clock"
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/membership"
@@ -234,7 +235,7 @@
 	if !ok && workerAddr != "" {
 		return // without the worker's clock no lease can be given to it
 	}
-	sent := time.Now()
+	sent, asked := time.Now(), clock.Now()
 	req := g.renewal(report)
 	var a control.RenewAnswer
 	if err := g.ctl.Call(control.PathRenew, renewTimeout, &req, &a); err != nil {
@@ -248,6 +249,7 @@
 		g.ledger.Replace(req.Member.Boot, a.Orders)
 	}
 	g.ledger.Throttle(a.Throttle)
+	g.ledger.Cordon(a.Cordoned || clock.Since(asked) > g.set.Agent.StartWord())
 	if workerAddr != "" {
 		g.tellWorker(workerAddr, report.ClockMS+a.LeaseMS)
 	}
@@ -314,7 +316,7 @@
 
 func (g *Agent) renewal(report worker.Report) control.Renew {
 	ends := g.ledger.Ends()
-	g.meter.tasks(ends)
+	g.meter.tasks(ends, g.ledger.Cordoned())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	load := 0.0
--- a/agent/ledger.go
+++ b/agent/ledger.go
@@ -19,6 +19,9 @@
 	orders   map[string]lease.Order
 	report   map[worker.Ref]worker.TaskReport
 	throttle []string
+	// cordoned says that the data centre is out of service: what was ordered and has not
+	// begun is given back.
+	cordoned bool
 }
 
 // NewLedger returns an empty book.
@@ -86,6 +89,12 @@
 	}
 }
 
+// Cordon takes in whether the data centre is out of service.
+func (l *Ledger) Cordon(cordoned bool) { l.cordoned = cordoned }
+
+// Cordoned returns what Cordon took in last.
+func (l *Ledger) Cordoned() bool { return l.cordoned }
+
 // Throttle sets the tasks that are to run slower.
 func (l *Ledger) Throttle(tasks []string) { l.throttle = tasks }
 
@@ -120,6 +129,10 @@
 	t, known := l.report[refOf(o)]
 	switch {
 	case known && !t.Running:
+	case !known && l.cordoned:
+		// An earlier start of it may still be on its way. Once the stop is answered the
+		// worker reports the attempt as rejected, and it runs elsewhere.
+		s.Stop = append(s.Stop, worker.Stop{Task: o.Task, Attempt: o.Attempt})
 	case o.Stop != lease.StopNone:
 		s.Stop = append(s.Stop, worker.Stop{Task: o.Task, Attempt: o.Attempt, Checkpoint: o.Stop == lease.StopCheckpoint})
 	case !known && o.Need.Fits(*free):
--- a/agent/ledger_test.go
+++ b/agent/ledger_test.go
@@ -42,6 +42,31 @@
 	}
 }
 
+// The data centre is taken out of service while an attempt is ordered and its start may be on
+// the way. It is stopped, not started, and runs elsewhere once the worker says that it never
+// will here; what runs goes on. It counts as no failure of the worker.
+func TestOrderedAttemptIsGivenBackOutOfService(t *testing.T) {
+	l := NewLedger()
+	running := worker.TaskReport{Task: "old", Attempt: 1, Need: one(1), Running: true}
+	l.Observe(worker.Report{Boot: "b", Capacity: one(2000), Tasks: []worker.TaskReport{running}})
+	l.Replace("b", []lease.Order{{Task: "old", Attempt: 1, Need: one(1)}, {Task: "new", Attempt: 1, Need: one(1)}})
+	l.Cordon(true)
+	s := l.Commands(100)
+	if len(s.Start) != 0 || len(s.Stop) != 1 || s.Stop[0].Task != "new" {
+		t.Fatalf("the worker is told %+v", s)
+	}
+	l.Observe(worker.Report{Boot: "b", Capacity: one(2000), Tasks: []worker.TaskReport{running, {Task: "new", Attempt: 1, Outcome: lease.OutcomeRejected}}})
+	ends := l.Ends()
+	if len(ends) != 1 || ends[0].Task != "new" || ends[0].Outcome != lease.OutcomeRejected {
+		t.Fatalf("ends: %+v", ends)
+	}
+	m := newMeter()
+	m.tasks(ends, l.Cordoned())
+	if m.usage.TaskBad != 0 {
+		t.Error("it counts as a failure")
+	}
+}
+
 // A task that can never fit this worker is told to be certainly not started, so
 // that it can run elsewhere; it does not stay placed for ever.
 func TestTooLargeTaskIsRejected(t *testing.T) {
--- a/agent/measure.go
+++ b/agent/measure.go
@@ -46,8 +46,9 @@
 	}
 }
 
-// tasks notes how attempts ended, each once.
-func (m *meter) tasks(ends []lease.End) {
+// tasks notes how attempts ended, each once. In a data centre that is out of service a
+// rejection is no failure.
+func (m *meter) tasks(ends []lease.End, cordoned bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range ends {
@@ -56,10 +57,10 @@
 			continue
 		}
 		m.ended[ref] = true
-		switch e.Outcome {
-		case lease.OutcomeDone:
+		switch {
+		case e.Outcome == lease.OutcomeDone:
 			m.usage.TaskEnd++
-		case lease.OutcomeFailed, lease.OutcomeRejected:
+		case e.Outcome == lease.OutcomeFailed, e.Outcome == lease.OutcomeRejected && !cordoned:
 			m.usage.TaskBad++
 		}
 	}
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -85,7 +85,7 @@
 	r.end()
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.address, r.stop, r.ended = address, cancel, make(chan struct{})
-	r.runner = runner.New(r.agent.set.Instance.Name, r.agent.ctl, runner.NewRemote(address, r.agent.set.Instance.IP))
+	r.runner = runner.New(r.agent.set.Instance.Name, r.agent.ctl, runner.NewRemote(address, r.agent.set.Instance.IP), r.agent.set.Agent.StartWord())
 	go func(run *runner.Runner, ended chan struct{}) {
 		defer close(ended)
 		if err := run.Run(ctx); err != nil {
--- /dev/null
+++ b/cmd/waxwinghaven/datacentre.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/datacentre"
+	"github.com/waxwinghaven/waxwinghaven/operator"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+// dataCentreCommands take data centres out of service and bring them back.
+func (c *cli) dataCentreCommands() {
+	top := c.app.Command("data-centre", "Lists data centres, takes them out of service and brings them back.")
+	top.Command("list", "Lists them, with what still runs in each.").Action(func(*kingpin.ParseContext) error { return c.listDataCentres() })
+	c.dataCentreOrder(top, "cordon", datacentre.Cordoned, "Lets nothing new begin in a data centre. What runs there goes on until it ends.")
+	c.dataCentreOrder(top, "drain", datacentre.Draining, "Cordons a data centre and moves standing tasks elsewhere, as room and callers allow.\n\nExample: waxwinghaven data-centre drain hall-a --wait 10m")
+	c.dataCentreOrder(top, "uncordon", datacentre.InService, "Brings a data centre back into service.")
+}
+
+func (c *cli) dataCentreOrder(top *kingpin.CmdClause, verb string, phase datacentre.Phase, help string) {
+	cmd := top.Command(verb, help)
+	name := cmd.Arg("name", "The data centre's name, as the list has it.").Required().String()
+	id := cmd.Flag("id", "The order's own id; sent again under it, it takes no effect twice.").Default(operator.NewID()).String()
+	wait := new(time.Duration)
+	if phase != datacentre.InService {
+		wait = cmd.Flag("wait", "Wait until nothing runs there any more, at most so long.").Default("0s").Duration()
+	}
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return c.orderDataCentre(control.CentreRequest{ID: *id, Name: *name, Phase: phase.String()}, *wait)
+	})
+}
+
+func (c *cli) orderDataCentre(o control.CentreRequest, wait time.Duration) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	// The order builds on what is in force now: another operator's in between wins.
+	now, err := findDataCentre(client, o.Name)
+	if err != nil {
+		return err
+	}
+	o.Base = now.Revision
+	a, err := client.OrderDataCentre(o)
+	if err != nil {
+		return err
+	}
+	if err := c.show(a, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "%s is %s since revision %d\n", o.Name, o.Phase, a.Revision)
+	}); err != nil || wait == 0 {
+		return err
+	}
+	return awaitEmpty(client, o.Name, wait)
+}
+
+func findDataCentre(client *operator.Client, name string) (control.CentreView, error) {
+	list, err := client.DataCentres()
+	if err != nil {
+		return control.CentreView{}, err
+	}
+	for _, x := range list {
+		if x.Name == name {
+			return x, nil
+		}
+	}
+	return control.CentreView{}, refusal.New(refusal.Invalid, "see `waxwinghaven data-centre list` for the names", "no data centre %q is known", name)
+}
+
+// emptyPoll is the interval at which awaitEmpty asks.
+const emptyPoll = 500 * time.Millisecond
+
+func awaitEmpty(client *operator.Client, name string, wait time.Duration) error {
+	deadline := time.Now().Add(wait)
+	for {
+		x, err := findDataCentre(client, name)
+		if err != nil {
+			return err
+		}
+		if x.Empty {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return refusal.New(refusal.DeadlinePassed, "see `waxwinghaven workers` and `task list`; what can be nowhere else stays until it ends",
+				"%d runs (%d of them standing) and %d tasks are still in %s after %v", x.Runs, x.Standing, x.Tasks, name, wait)
+		}
+		time.Sleep(emptyPoll)
+	}
+}
+
+func (c *cli) listDataCentres() error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	list, err := client.DataCentres()
+	if err != nil {
+		return err
+	}
+	return c.show(list, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "DATA CENTRE\tPHASE\tSINCE\tORDER\tWORKERS\tRUNS\tSTANDING\tTASKS\tEMPTY")
+		for _, x := range list {
+			since := "-"
+			if x.SinceMS > 0 {
+				since = time.UnixMilli(x.SinceMS).Format(time.DateTime)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%v\n", x.Name, x.Phase, since, x.Order, x.Workers, x.Runs, x.Standing, x.Tasks, x.Empty)
+		}
+	})
+}
--- a/cmd/waxwinghaven/main.go
+++ b/cmd/waxwinghaven/main.go
@@ -58,6 +58,7 @@
 	c.taskCommands()
 	c.graphCommands()
 	c.waveCommands()
+	c.dataCentreCommands()
 	c.lossesCommand()
 	c.clusterCommands()
 	c.benchCommands()
--- a/control/advisor.go
+++ b/control/advisor.go
@@ -113,9 +113,7 @@
 	now := time.Now()
 	var wanted []dispatch.Wanted
 	c.d.r.machine.Read(func(s *State) {
-		in := c.d.input(s)
-		in.Leaving = s.Waves.Leaving()
-		wanted = dispatch.Advised(in)
+		wanted = dispatch.Advised(c.d.input(s))
 	})
 	c.d.mu.Lock()
 	defer c.d.mu.Unlock()
--- /dev/null
+++ b/control/datacentres_test.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/waxwinghaven/waxwinghaven/clock"
+	"github.com/waxwinghaven/waxwinghaven/datacentre"
+	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+const hall = "dc" // in which the cluster's replicas stand
+
+func stillAsked() bool { return true }
+
+// request sends an order without a name to replicas by turns until one acknowledges it.
+func (c *cluster) request(phase datacentre.Phase) {
+	c.t.Helper()
+	i := 0
+	c.wait("the order is acknowledged", func() bool {
+		i++
+		return c.replicas[i%3].RequestCentre(hall, phase, stillAsked) == nil
+	})
+}
+
+// phase returns what a majority says of the data centre.
+func (c *cluster) phase() (p datacentre.Phase) {
+	c.t.Helper()
+	c.wait("the phase is read", func() bool {
+		l := c.leader()
+		if l < 0 {
+			return false
+		}
+		a, err := c.replicas[l].Centre(CentreQuery{Name: hall})
+		p = a.Phase
+		return err == nil
+	})
+	return p
+}
+
+// An operator takes a data centre out of service, and at the moment of the answer every
+// replica loses power. It is out of service still when they are back, whoever leads then,
+// and an agent's next lease says so.
+func TestDataCentreStaysOutOfService(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	c.request(datacentre.Cordoned)
+	for i := range c.replicas {
+		c.stop(i)
+	}
+	for i := range c.replicas {
+		c.start(i)
+	}
+	if p := c.phase(); p != datacentre.Cordoned {
+		t.Fatalf("it is %v", p)
+	}
+	c.isolate(c.leader(), true)
+	c.wait("another leads", func() bool { return c.leader() >= 0 })
+	if p := c.phase(); p != datacentre.Cordoned {
+		t.Errorf("at the next leader it is %v", p)
+	}
+}
+
+// Another operator brings the data centre back while an order that takes it out is under way
+// between its arrival and its commit: at a replica that is slow, in a call to a leader that
+// stalls. That one was acknowledged, so the older must not act after it.
+func TestOrderOvertakenUnderWayIsRefused(t *testing.T) {
+	c := newCluster(t)
+	c.request(datacentre.Cordoned)
+	for i := range c.replicas {
+		err := c.replicas[i].RequestCentre(hall, datacentre.Draining, func() bool {
+			c.request(datacentre.InService)
+			return true
+		})
+		if err == nil || refusal.Is(err, refusal.Invalid) || refusal.Is(err, refusal.Conflict) {
+			t.Errorf("at replica %d: %v, want a refusal that asks for another try", i, err)
+		}
+		if p := c.phase(); p != datacentre.InService {
+			t.Fatalf("at replica %d: the data centre is %v after it was brought back", i, p)
+		}
+	}
+}
+
+// The sender of an order gave up before a cut healed and its bytes came through. Nobody waits
+// for the answer, and a later order may have been acknowledged.
+func TestOrderThatNobodyWaitsForIsRefused(t *testing.T) {
+	c := newCluster(t)
+	c.request(datacentre.InService)
+	if err := c.replicas[0].RequestCentre(hall, datacentre.Cordoned, func() bool { return false }); err == nil {
+		t.Error("it was acknowledged")
+	}
+	if p := c.phase(); p != datacentre.InService {
+		t.Errorf("the data centre is %v", p)
+	}
+}
+
+// A replica's machine is suspended for seconds, with an order in a socket. By
+// its steady clock no time has passed. What it reads in the first second is refused; after
+// that it takes orders again.
+func TestOrderFromBeforeASuspensionIsRefused(t *testing.T) {
+	c := newCluster(t)
+	c.request(datacentre.InService)
+	var suspended atomic.Int64
+	defer clock.Suspend(func() time.Duration { return time.Duration(suspended.Load()) })()
+	suspended.Add(int64(5 * time.Second))
+	if err := c.replicas[0].RequestCentre(hall, datacentre.Cordoned, stillAsked); err == nil {
+		t.Error("an order read right after the suspension was acknowledged")
+	}
+	c.wait("orders are taken again", func() bool {
+		return c.replicas[0].RequestCentre(hall, datacentre.InService, stillAsked) == nil
+	})
+	jump := time.AfterFunc(time.Millisecond, func() { suspended.Add(int64(5 * time.Second)) })
+	defer jump.Stop()
+	if p := c.phase(); p != datacentre.InService {
+		t.Errorf("the data centre is %v", p)
+	}
+}
+
+// An order spends more time between its arrival and the read that it builds on than its
+// sender waits for an answer.
+func TestOrderThatWasUnderWayForTooLongIsRefused(t *testing.T) {
+	r := newBareReplica(t)
+	var suspended atomic.Int64
+	defer clock.Suspend(func() time.Duration { return time.Duration(suspended.Load()) })()
+	for range 2 * settledAfter / pulseEvery {
+		r.pulse.note(clock.Now())
+		suspended.Add(int64(pulseEvery))
+	}
+	for _, took := range []time.Duration{orderLife / 2, 2 * orderLife} {
+		_, err := r.baseOf(hall, func(CentreQuery) (CentreAnswer, error) {
+			suspended.Add(int64(took))
+			return CentreAnswer{}, nil
+		}, stillAsked)
+		if (err == nil) != (took < orderLife) {
+			t.Errorf("after %v: %v", took, err)
+		}
+	}
+}
+
+// The pulse tells of breaks of any kind: the process stood still by the steady clock, or the
+// machine was suspended.
+func TestPulseTellsOfBreaks(t *testing.T) {
+	var suspended atomic.Int64
+	defer clock.Suspend(func() time.Duration { return time.Duration(suspended.Load()) })()
+	at := func(d time.Duration) clock.Instant { suspended.Store(int64(d)); return clock.Now() }
+	var p pulse
+	for d := time.Duration(0); d <= 3*time.Second; d += pulseEvery {
+		p.note(at(d))
+	}
+	if d := p.steady(at(3 * time.Second)); d < 2900*time.Millisecond || d > 3100*time.Millisecond {
+		t.Errorf("it has run for %v", d)
+	}
+	if d := p.steady(at(3*time.Second + pulseGap)); d > 100*time.Millisecond {
+		t.Errorf("after a break it has run for %v", d)
+	}
+}
+
+// A misspelt name is refused for what it is and changes nothing, whichever replica is asked.
+func TestUnknownDataCentreIsInvalid(t *testing.T) {
+	c := newCluster(t)
+	c.request(datacentre.InService)
+	for i := range c.replicas {
+		var err error
+		c.wait("a clear answer", func() bool {
+			err = c.replicas[i].RequestCentre("hal-a", datacentre.Cordoned, stillAsked)
+			return !refusal.Is(err, refusal.Unreachable)
+		})
+		if !refusal.Is(err, refusal.Invalid) {
+			t.Errorf("at replica %d: %v", i, err)
+		}
+	}
+	c.replicas[0].machine.Read(func(s *State) {
+		if len(s.Centres.Out()) > 0 {
+			t.Errorf("%v are out of service", s.Centres.Out())
+		}
+	})
+}
+
+// An operator's own order carries an id and what it builds on: sent again it gets its first
+// answer, of two that race one wins and the other is told who.
+func TestOperatorsOrdersRaceForOneRevision(t *testing.T) {
+	c := newCluster(t)
+	order := func(id string, phase datacentre.Phase, base uint64) (a datacentre.Answer, err error) {
+		c.wait("an answer", func() bool {
+			a, err = c.replicas[c.leader()].OrderCentre(datacentre.Order{ID: id, Name: hall, Phase: phase, Base: base})
+			return err == nil || refusal.Is(err, refusal.Conflict)
+		})
+		return a, err
+	}
+	first, err := order("o-1", datacentre.Draining, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = order("o-2", datacentre.InService, 0)
+	if e, ok := refusal.Of(err); !ok || e.Winner != "o-1" || e.Revision != first.Revision {
+		t.Errorf("the second got %v", err)
+	}
+	again, err := order("o-1", datacentre.Draining, 0)
+	if err != nil || !again.Repeated || again.Revision != first.Revision {
+		t.Errorf("the first sent again got %+v %v", again, err)
+	}
+}
+
+// A member's announcement can't bring it back into service, nor can a snapshot; and one that
+// was made before there were such orders still loads, with everything in service.
+func TestSnapshotKeepsDataCentres(t *testing.T) {
+	s := NewState()
+	m := membership.Member{Agent: "a", Address: "10.0.0.1:1", Boot: "b", DataCentre: hall}
+	for i, c := range []Command{{Announce: &m}, {Centre: &datacentre.Order{Name: hall, Phase: datacentre.Cordoned, ID: "o-1", AtMS: 7}}, {Announce: &m}} {
+		if _, err := s.Apply(uint64(i+1), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	data, err := (&Machine{state: s}).Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	after := NewMachine()
+	if err := after.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if c := after.state.Centres.Of(hall); c.Phase != datacentre.Cordoned || c.Revision != 2 || c.SinceMS != 7 || len(c.Taken) != 1 {
+		t.Errorf("after the snapshot it is %+v", c)
+	}
+	if !after.state.Members.Members["a"].Cordoned || after.state.room("a").Open {
+		t.Error("the member is in service after the snapshot")
+	}
+	var fields map[string]any
+	if err := msgpack.Unmarshal(data, &fields); err != nil {
+		t.Fatal(err)
+	}
+	delete(fields, "d")
+	older, err := msgpack.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := after.Restore(older); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := after.state.Apply(4, Command{Centre: &datacentre.Order{Name: hall, Phase: datacentre.Cordoned}}); err != nil || len(after.state.Centres.Out()) != 1 {
+		t.Errorf("an order after an older snapshot: %v, out are %v", err, after.state.Centres.Out())
+	}
+}
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -152,7 +152,6 @@
 	d.r.machine.Read(func(s *State) {
 		waiting := d.noteWaiting(s.Jobs.Ready(), begun)
 		in := d.input(s)
-		in.Leaving = s.Waves.Leaving()
 		in.Shunned, in.Stalled = d.shunnedNow(begun, len(s.Jobs.Workers)), d.recent(&d.stalled, begun)
 		in.Stuck = d.recent(&d.stuck, begun)
 		in.Copies = d.copiesDue(begun)
@@ -198,8 +197,8 @@
 
 // input is what every decision is made from.
 func (d *dispatcher) input(s *State) dispatch.Input {
-	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, NowMS: d.nowMS(), Costs: d.costs.at(time.Now()), Estimates: d.learned.estimates(),
-		Ticket: d.consult.ticket, Without: d.r.without}
+	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, Centres: s.Centres, NowMS: d.nowMS(), Costs: d.costs.at(time.Now()), Estimates: d.learned.estimates(),
+		Ticket: d.consult.ticket, Leaving: s.Waves.Leaving(), Without: d.r.without}
 }
 
 // noteWaiting keeps since when each group has had tasks that could begin. It is
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -24,6 +24,8 @@
 	r.server.Handle(PathStartWave, handle(r.StartWave), control)
 	r.server.Handle(PathGetWave, handle(r.GetWave), control)
 	r.server.Handle(PathMoveMachine, handle(r.MoveMachine), control)
+	r.server.Handle(PathOrderCentre, handle(r.onOrderCentre), control)
+	r.server.Handle(PathGetCentre, handle(r.onGetCentre), control)
 	r.server.Handle(PathRegister, handle(r.onRegister), agent)
 	r.server.Handle(PathLease, handle(r.onLease), agent)
 	r.server.Handle(PathOrders, handle(r.onOrders), agent)
@@ -249,7 +251,18 @@
 	}
 	costs, pairs := r.dispatcher.costs.observe(&req, time.Now())
 	return LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses(),
-		Costs: costs, Pairs: pairs, Leader: r.node.View().Term}, nil
+		Costs: costs, Pairs: pairs, Cordoned: r.cordoned(req.Worker), Leader: r.node.View().Term}, nil
+}
+
+// cordoned reports whether a worker's data centre is out of service.
+func (r *Replica) cordoned(worker string) (cordoned bool) {
+	r.machine.Read(func(s *State) { cordoned = s.workerCordoned(worker) })
+	return cordoned
+}
+
+func (s *State) workerCordoned(worker string) bool {
+	w := s.Jobs.Workers[worker]
+	return w != nil && s.Centres.Cordoned(w.DataCentre)
 }
 
 // onOrders waits until something changes for a worker. It needs no majority's
@@ -268,9 +281,10 @@
 		var a OrdersAnswer
 		r.machine.Read(func(s *State) {
 			a.Index, a.Orders = s.Index, s.Jobs.Orders(req.Worker, req.Since)
+			a.Cordoned = s.workerCordoned(req.Worker)
 			r.dispatcher.starts.fill(s.Jobs, a.Orders, time.Now())
 		})
-		if len(a.Orders) > 0 {
+		if len(a.Orders) > 0 || (a.Cordoned && !req.Cordoned) {
 			return a, nil
 		}
 		select {
--- a/control/messages.go
+++ b/control/messages.go
@@ -68,6 +68,8 @@
 	Throttle []string       `msgpack:"t,omitempty"` // tasks to slow down
 	Markets  []*market.View `msgpack:"m,omitempty"`
 	Revision uint64         `msgpack:"r"`
+	// Cordoned says that the data centre is out of service: nothing new may be started.
+	Cordoned bool `msgpack:"k,omitempty"`
 }
 
 // Sync asks for the news since what an entry knows.
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -24,6 +24,8 @@
 	PathGetWave    = "/waves/get"
 
 	PathMoveMachine = "/machines/move"
+	PathOrderCentre = "/data-centres/order"
+	PathGetCentre   = "/data-centres/get"
 )
 
 // SubmitJob hands in a job. The queue is chosen by host and path when the
@@ -109,6 +111,9 @@
 type LeaseAnswer struct {
 	TermMS   int64    `msgpack:"t"`
 	Replicas []string `msgpack:"r"`
+	// Cordoned says that the worker's data centre is out of service, by a majority's word
+	// after the request arrived.
+	Cordoned bool `msgpack:"o,omitempty"`
 	// Leader tells one leadership from the next.
 	Leader uint64 `msgpack:"l"`
 	// Costs are the pairs that changed after the revision asked for, up to Pairs.
@@ -121,6 +126,9 @@
 	WorkerRef
 	Since  uint64 `msgpack:"s"`
 	WaitMS int64  `msgpack:"m"`
+	// Cordoned says that the agent knows that its data centre is out of service; else
+	// that is news too.
+	Cordoned bool `msgpack:"o,omitempty"`
 }
 
 // OrdersAnswer has the orders that changed after the index asked for, up to
@@ -128,6 +136,8 @@
 type OrdersAnswer struct {
 	Index  uint64       `msgpack:"i"`
 	Orders []jobs.Order `msgpack:"o,omitempty"`
+	// Cordoned says that the worker's data centre is out of service.
+	Cordoned bool `msgpack:"c,omitempty"`
 }
 
 // RunEnds reports the ends of runs on one worker.
--- a/control/operator.go
+++ b/control/operator.go
@@ -42,6 +42,8 @@
 		"POST /v1/cancellations": r.postCancellation,
 		"POST /v1/init":          r.postInit,
 		"POST /v1/hand-over":     r.postHandOver,
+		"GET /v1/data-centres":   r.getCentres,
+		"POST /v1/data-centres":  r.postCentre,
 	}
 	r.jobOperatorRoutes(routes)
 	return routes
--- a/control/replica.go
+++ b/control/replica.go
@@ -42,6 +42,7 @@
 	links      *links
 	setWatch   setWatch
 	shared     *sharedBarrier
+	pulse      pulse
 	without    ablation.Set // mechanisms of the policy that are left out
 }
 
@@ -122,6 +123,7 @@
 	g.Go(func() error { return r.dispatcher.run(ctx) })
 	g.Go(func() error { return r.dispatcher.consult.run(ctx) })
 	g.Go(func() error { return r.waves.run(ctx) })
+	g.Go(func() error { return r.pulse.run(ctx) })
 	g.Go(func() error { return r.join(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
--- a/control/state.go
+++ b/control/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/waxwinghaven/waxwinghaven/claim"
+	"github.com/waxwinghaven/waxwinghaven/datacentre"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/market"
@@ -30,6 +31,7 @@
 	Claim    *claim.Claim       `msgpack:"k,omitempty"`
 	Settle   *claim.Settle      `msgpack:"l,omitempty"`
 	Jobs     *JobCommand        `msgpack:"j,omitempty"`
+	Centre   *datacentre.Order  `msgpack:"d,omitempty"`
 }
 
 // Ends are the attempt ends that one agent reports.
@@ -47,6 +49,7 @@
 	Queues  *queues.State     `msgpack:"q"`
 	Jobs    *jobs.State       `msgpack:"j"`
 	Waves   *upkeep.State     `msgpack:"w"`
+	Centres *datacentre.State `msgpack:"d"`
 	Clock   int64             `msgpack:"k"` // milliseconds since 1970
 	Index   uint64            `msgpack:"i"` // of the last applied entry
 }
@@ -54,7 +57,7 @@
 // NewState returns the empty state.
 func NewState() *State {
 	return &State{Market: market.NewState(), Tasks: lease.NewState(), Members: membership.NewState(), Claims: claim.NewState(),
-		Queues: &queues.State{}, Jobs: jobs.NewState(), Waves: upkeep.NewState()}
+		Queues: &queues.State{}, Jobs: jobs.NewState(), Waves: upkeep.NewState(), Centres: datacentre.NewState()}
 }
 
 // applied is what a command's sender gets back.
@@ -90,11 +93,26 @@
 		return s.Claims.ApplySettle(*c.Settle), nil
 	case c.Jobs != nil:
 		return s.applyJobs(index, c.Jobs)
+	case c.Centre != nil:
+		return s.orderCentre(*c.Centre, index)
 	}
 	return nil, nil
 }
 
+// orderCentre changes a data centre's phase. Entries and agents learn it as they learn of
+// any change of a member or of a worker's orders.
+func (s *State) orderCentre(o datacentre.Order, index uint64) (datacentre.Answer, error) {
+	a, err := s.Centres.Apply(o, index)
+	if err != nil || a.Repeated {
+		return a, err
+	}
+	s.Members.ApplyCordon(o.Name, s.Centres.Cordoned(o.Name), index)
+	s.Jobs.TouchDataCentre(o.Name)
+	return a, nil
+}
+
 func (s *State) announce(m membership.Member, index uint64) {
+	m.Cordoned = s.Centres.Cordoned(m.DataCentre)
 	if lost := s.Members.ApplyAnnounce(m, index); lost != "" {
 		// The worker was started anew: what it ran before ended with it.
 		s.Tasks.ApplyWorkerRestarted(m.Agent, lost, s.Clock)
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -14,6 +15,9 @@
 	// Unadvised says that the job could never start: nobody can be asked which
 	// workers may run it.
 	Unadvised bool
+	// OutOfService says that nothing starts now: operators have taken every data centre
+	// with a worker for the job out of service.
+	OutOfService bool
 	// After is when it is worth asking again.
 	After time.Duration
 	// Expected is when the job would be done, and Objective when it should.
@@ -25,6 +29,9 @@
 	if v.Unadvised {
 		return "the queue needs an advisor, and the control's settings name none"
 	}
+	if v.OutOfService {
+		return "every data centre with a worker for the queue is out of service"
+	}
 	if v.Objective == 0 {
 		return "standing tasks hold all the room that they may have"
 	}
@@ -47,6 +54,9 @@
 //
 // Only jobs that can still be in time count as ahead; the others give way.
 func Admit(in Input, q *queues.Queue, spec *jobs.Spec) Verdict {
+	if in.outOfService(q.Service) {
+		return Verdict{Refuse: true, OutOfService: true, After: outAfter}
+	}
 	if in.Without.Admission {
 		return Verdict{}
 	}
@@ -98,12 +108,23 @@
 	standingAfter = 5 * time.Second
 )
 
+// outAfter is when a caller may ask again whose job could start nowhere. Work on a data
+// centre takes minutes, but the caller has nowhere else to go.
+const outAfter = 5 * time.Second
+
+// outOfService reports whether every data centre in which a service has had a worker is out
+// of service. Where one is left, its workers may only be restarting.
+func (in *Input) outOfService(service string) bool {
+	stood := in.Jobs.Stood[service]
+	return len(stood) > 0 && !slices.ContainsFunc(stood, func(name string) bool { return !in.Centres.Cordoned(name) })
+}
+
 // admitStanding takes a job of standing tasks in as long as they leave room for
 // the tasks that come and go.
 func admitStanding(in Input, q *queues.Queue, spec *jobs.Spec) Verdict {
 	total, held, need := int64(0), int64(0), int64(0)
 	for id, w := range in.Jobs.Workers {
-		if w.Service == q.Service && !w.Draining {
+		if w.Service == q.Service && !in.closed(w) {
 			total += w.Capacity.MilliCPU
 			u := in.Jobs.Use(id)
 			held += u.StandingCPU
@@ -147,7 +168,7 @@
 func roomFor(in Input, service string, filling bool) int64 {
 	total := int64(0)
 	for id, w := range in.Jobs.Workers {
-		if w.Service != service || w.Draining {
+		if w.Service != service || in.closed(w) {
 			continue
 		}
 		u := in.Jobs.Use(id)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/ablation"
+	"github.com/waxwinghaven/waxwinghaven/datacentre"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/resource"
@@ -58,6 +59,8 @@
 	Shunned map[string]bool
 	// Leaving workers get none either: their machines are about to go down.
 	Leaving map[string]bool
+	// Centres tells which data centres are out of service, nil for none.
+	Centres *datacentre.State
 	// Waited returns how long a group has had tasks that could begin, nil for
 	// no time at all.
 	Waited func(*jobs.Group) time.Duration
@@ -133,14 +136,14 @@
 func Next(in Input) jobs.Plan {
 	p := &planner{in: in, plan: jobs.Plan{AtMS: in.NowMS}, moved: make(map[jobs.GroupKey]int)}
 	requests, overdue := p.requests(), p.overdue()
-	if len(requests) == 0 && len(overdue) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 && !p.anyLeaving() {
+	if len(requests) == 0 && len(overdue) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 && len(p.emptiedWorkers()) == 0 {
 		return p.plan
 	}
 	p.gather()
 	p.suspects = in.Jobs.Suspects()
 	p.noteSuspects()
-	if !in.Without.Evacuation {
-		p.evacuate()
+	if !in.Without.Leaving {
+		p.empty()
 	}
 	if !in.Without.Moves {
 		p.relieve()
@@ -167,7 +170,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		w := p.in.Jobs.Workers[id]
-		if w.Draining || p.in.Shunned[id] || p.in.Leaving[id] {
+		if p.in.closed(w) || p.in.Shunned[id] {
 			continue
 		}
 		u := p.in.Jobs.Use(id)
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -14,6 +14,8 @@
 type Rules struct {
 	// Service returns the service that a queue's jobs run on, "" for none.
 	Service func(host, prefix string) string
+	// Cordoned reports whether nothing new may begin in a data centre.
+	Cordoned func(dataCentre string) bool
 	// MaxAttempts returns how often a queue's task may fail.
 	MaxAttempts func(host, prefix string) int
 }
@@ -45,6 +47,7 @@
 	}
 	s.Workers[w.ID] = &w
 	s.byAgent[w.Agent] = &w
+	s.noteStood(&w)
 	s.witnessed(w.Agent)
 	done.Worker = w
 	return done
@@ -173,11 +176,14 @@
 	}
 	service := rules.Service(g.job.Host, g.job.Prefix)
 	if g.Step().Gang {
+		if slices.ContainsFunc(p.Workers, func(worker string) bool { return s.cordoned(worker, rules) }) {
+			return 0
+		}
 		return s.placeGang(g, p, service, index, atMS)
 	}
 	placed := 0
 	for i, k := range p.Indexes {
-		if k < 0 || k >= len(g.Tasks) || !s.mayStart(g, k, p.Workers[i], p.Copy) || !s.Admits(g, p.Workers[i], service) {
+		if k < 0 || k >= len(g.Tasks) || !s.mayStart(g, k, p.Workers[i], p.Copy) || s.cordoned(p.Workers[i], rules) || !s.Admits(g, p.Workers[i], service) {
 			continue
 		}
 		s.place(g, k, p.run(i, g.Tasks[k].Run+1, atMS), index)
@@ -186,6 +192,12 @@
 	return placed
 }
 
+// cordoned reports whether a worker stands in a data centre that is out of service.
+func (s *State) cordoned(worker string, rules Rules) bool {
+	w := s.Workers[worker]
+	return w != nil && rules.Cordoned(w.DataCentre)
+}
+
 // mayStart reports whether a task needs a run, or with copied set may have a second
 // one on a worker.
 func (s *State) mayStart(g *Group, k int, worker string, copied bool) bool {
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -13,6 +13,9 @@
 type State struct {
 	Jobs    map[string]*Job    `msgpack:"j"`
 	Workers map[string]*Worker `msgpack:"w"` // by worker id
+	// Stood are the data centres in which workers of a service stand or have stood, in
+	// order. One that is only being restarted counts.
+	Stood map[string][]string `msgpack:"s,omitempty"`
 
 	byAgent map[string]*Worker
 	use     map[string]*Use // by worker id
@@ -44,7 +47,7 @@
 
 // NewState returns the empty state.
 func NewState() *State {
-	s := &State{Jobs: make(map[string]*Job), Workers: make(map[string]*Worker)}
+	s := &State{Jobs: make(map[string]*Job), Workers: make(map[string]*Worker), Stood: make(map[string][]string)}
 	s.Rebuild()
 	return s
 }
@@ -57,6 +60,9 @@
 	if s.Workers == nil {
 		s.Workers = make(map[string]*Worker)
 	}
+	if s.Stood == nil {
+		s.Stood = make(map[string][]string)
+	}
 	s.byAgent = make(map[string]*Worker)
 	s.use = make(map[string]*Use)
 	s.ready = make(map[*Group]struct{})
@@ -66,6 +72,7 @@
 	s.live = 0
 	for _, w := range s.Workers {
 		s.byAgent[w.Agent] = w
+		s.noteStood(w)
 	}
 	for _, j := range s.Jobs {
 		s.derive(j)
@@ -224,6 +231,23 @@
 	s.touched = append(s.touched, r.Worker)
 }
 
+// noteStood keeps in which data centre a service has a worker.
+func (s *State) noteStood(w *Worker) {
+	list := s.Stood[w.Service]
+	if i, found := slices.BinarySearch(list, w.DataCentre); !found {
+		s.Stood[w.Service] = slices.Insert(slices.Clone(list), i, w.DataCentre)
+	}
+}
+
+// TouchDataCentre marks the orders of all workers in a data centre as changed.
+func (s *State) TouchDataCentre(name string) {
+	for id, w := range s.Workers {
+		if w.DataCentre == name {
+			s.touched = append(s.touched, id)
+		}
+	}
+}
+
 // Group returns one step of one occurrence, or an empty group of a job that was
 // not taken in.
 func (j *Job) Group(occurrence, step int) *Group {
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -14,6 +14,7 @@
 )
 
 var rules = Rules{
+	Cordoned:    func(string) bool { return false },
 	Service:     func(string, string) string { return "vault" },
 	MaxAttempts: func(string, string) int { return 3 },
 }
--- a/lease/attempt.go
+++ b/lease/attempt.go
@@ -13,7 +13,7 @@
 type Room struct {
 	Boot  string          // of the worker that the agent has now
 	Total resource.Vector // without what its service keeps
-	Open  bool            // neither down, leaving nor quarantined
+	Open  bool            // neither down, leaving, quarantined nor in a data centre out of service
 }
 
 // Limits are looked up while a plan is applied.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -45,6 +45,10 @@
 	// unset: its tasks go on under their lease.
 	Evacuate bool `msgpack:"u,omitempty" json:"evacuate,omitempty"`
 
+	// Cordoned tells that the data centre is out of service: no request and no task goes
+	// there any more. The log decides it, not the announcement.
+	Cordoned bool `msgpack:"x,omitempty" json:"cordoned,omitempty"`
+
 	Phase    Phase  `msgpack:"p" json:"phase"`
 	Reason   string `msgpack:"e,omitempty" json:"reason,omitempty"`
 	Revision uint64 `msgpack:"i" json:"revision"` // log index of the last change
@@ -54,7 +58,7 @@
 
 // announced is the part of a member that its own announcement decides.
 func (m Member) announced() Member {
-	m.Phase, m.Reason, m.Revision, m.DownSince = "", "", 0, 0
+	m.Phase, m.Reason, m.Revision, m.DownSince, m.Cordoned = "", "", 0, 0, false
 	return m
 }
 
@@ -145,13 +149,25 @@
 	return true
 }
 
+// ApplyCordon takes a data centre's members out of service, or brings them back.
+func (s *State) ApplyCordon(dataCentre string, cordoned bool, index uint64) {
+	for agent, m := range s.Members {
+		if m.DataCentre != dataCentre || m.Cordoned == cordoned {
+			continue
+		}
+		next := *m
+		next.Cordoned, next.Revision = cordoned, index
+		s.Members[agent] = &next
+	}
+}
+
 // Room returns what a member can hold besides its service.
 func (s *State) Room(agent string, kept resource.Vector) lease.Room {
 	m := s.Members[agent]
 	if m == nil {
 		return lease.Room{}
 	}
-	return lease.Room{Boot: m.Boot, Total: m.Capacity.Sub(kept), Open: m.Phase == Up}
+	return lease.Room{Boot: m.Boot, Total: m.Capacity.Sub(kept), Open: m.Phase == Up && !m.Cordoned}
 }
 
 // Since returns the members changed after a log index, in order of agent.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1,6 +1,10 @@
 package membership
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
 
 // Instances are replaced under new names day after day. The ones that went down
 // are forgotten after a day, but not before: an operator looks for them. A stale
@@ -26,6 +30,28 @@
 	}
 }
 
+// A data centre is taken out of service: its members get no task and entries hear of it, and
+// a heartbeat of theirs changes nothing about that.
+func TestMembersOfACordonedDataCentreGetNothing(t *testing.T) {
+	s := NewState()
+	s.ApplyAnnounce(Member{Agent: "a", Boot: "b", DataCentre: "hall-a"}, 1)
+	s.ApplyAnnounce(Member{Agent: "b", Boot: "b", DataCentre: "hall-b"}, 2)
+	s.ApplyCordon("hall-a", true, 3)
+	if s.Room("a", resource.Vector{}).Open || !s.Room("b", resource.Vector{}).Open {
+		t.Error("the wrong member is open")
+	}
+	if news := s.Since(2); len(news) != 1 || news[0].Agent != "a" || !news[0].Cordoned {
+		t.Errorf("entries hear of %+v", news)
+	}
+	if !s.Members["a"].Same(Member{Agent: "a", Boot: "b", DataCentre: "hall-a"}) {
+		t.Error("the agent's next heartbeat counts as news")
+	}
+	s.ApplyCordon("hall-a", false, 4)
+	if !s.Room("a", resource.Vector{}).Open || len(s.Since(3)) != 1 {
+		t.Error("it does not come back")
+	}
+}
+
 // A quarantined worker announces itself again and again, as all do. That must not
 // bring it back; a new boot does, since it may have been repaired.
 func TestAnnouncementEndsNoQuarantine(t *testing.T) {
--- a/operator/client.go
+++ b/operator/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/datacentre"
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/membership"
@@ -254,6 +255,19 @@
 	return out, err
 }
 
+// DataCentres lists the data centres, with what still runs in each.
+func (c *Client) DataCentres() (out []control.CentreView, err error) {
+	err = c.call("GET", "/v1/data-centres", nil, &out)
+	return out, err
+}
+
+// OrderDataCentre takes a data centre out of service, or brings it back. Sent again under the
+// same id it takes no effect twice.
+func (c *Client) OrderDataCentre(o control.CentreRequest) (a datacentre.Answer, err error) {
+	err = c.call("POST", "/v1/data-centres", o, &a)
+	return a, err
+}
+
 // Init makes a new cluster at the first address.
 func (c *Client) Init() error {
 	var out map[string]uint64
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -97,6 +97,8 @@
 		switch {
 		case w.Evacuate:
 			p.evacuate(w)
+		case w.Drained:
+			p.drain(w)
 		case w.Service == "":
 		case w.Late >= lateReports && p.felt(i) > w.Preset.MaxSlowdown*leeway(w.Preset)*hysteresis:
 			p.relieve(w)
@@ -121,6 +123,27 @@
 	}
 }
 
+// drain moves off a worker what has room elsewhere. The worker stays as long as something
+// runs there, so a task that fits nowhere else loses nothing by going on.
+func (p *planner) drain(w *Worker) {
+	for _, r := range w.Running {
+		if r.Evictable && p.reserveElsewhere(r.Need) {
+			p.evict(r)
+		}
+	}
+}
+
+// reserveElsewhere takes room for a task on an open worker, and reports whether there is any.
+func (p *planner) reserveElsewhere(need resource.Vector) bool {
+	for _, i := range p.open {
+		if w := &p.workers[i]; need.Fits(w.Free) {
+			w.Free = w.Free.Sub(need)
+			return true
+		}
+	}
+	return false
+}
+
 // relieve takes the next step against the task that buys most relief for the
 // work lost, if the tasks are what slows the service down at all: a throttle
 // first, an eviction if it is throttled already.
--- a/placement/types.go
+++ b/placement/types.go
@@ -29,7 +29,8 @@
 	Agent, Boot      string
 	DataCentre, Rack string
 	Open             bool
-	Evacuate         bool            // everything on it is to move away
+	Evacuate         bool            // it is about to leave: everything on it is to move away
+	Drained          bool            // its data centre is: what fits elsewhere is to move away
 	Total            resource.Vector // without what the service keeps
 	Free             resource.Vector
 	BatchUsed        int64 // milli CPU held by batch tasks
--- a/proof/everything_acts_test.go
+++ b/proof/everything_acts_test.go
@@ -148,6 +148,8 @@
 			e.note("worker %d has %d processors from now on, in thousandths", i, room)
 			r.SetRoom(room)
 		}
+	case n == 19:
+		e.orderCentre()
 	case n < 19:
 		i := e.rng.Intn(fuzzWorkers)
 		on := e.rng.Intn(2) == 0
@@ -289,8 +291,9 @@
 // seconds later, when newer ones have long been.
 type lateWorker struct {
 	*standin.Host
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu   sync.Mutex
+	rng  *rand.Rand
+	sent map[string]time.Time // starts that were carried out late, by task and run
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -307,6 +310,9 @@
 
 func (w *lateWorker) Start(c runner.StartCall) (runner.Reply, error) {
 	if d := w.late(); d > 0 {
+		w.mu.Lock()
+		w.sent[startName(c.Task.String(), c.Run)] = time.Now()
+		w.mu.Unlock()
 		time.AfterFunc(d, func() { w.Host.Start(c) })
 		return runner.Reply{}, errNoAnswer
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -120,7 +120,7 @@
 func (t *Table) buildServices() {
 	t.byService = make(map[string][]*agent)
 	for _, a := range t.agents {
-		if a.member.Phase == membership.Up && a.member.Service != "" {
+		if a.member.Phase == membership.Up && !a.member.Cordoned && a.member.Service != "" {
 			key := a.member.Market + "/" + a.member.Service
 			t.byService[key] = append(t.byService[key], a)
 		}
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -38,6 +38,35 @@
 	}
 }
 
+// An operator takes the entry's own data centre out of service. Requests go to the other,
+// however far; with both out none is sent; and they come back by the news alone.
+func TestRequestsAvoidADataCentreOutOfService(t *testing.T) {
+	near, far := member("a", "dc1", 1, membership.Up), member("b", "dc2", 1, membership.Up)
+	tb, r := table(near, far)
+	rng := rand.New(rand.NewPCG(1, 1))
+	change := func(m *membership.Member, cordoned bool) {
+		next := *tb.agents[m.Agent].member
+		next.Cordoned, next.Revision = cordoned, next.Revision+1
+		tb.Update(0, 0, nil, []*membership.Member{&next})
+	}
+	change(near, true)
+	for range 20 {
+		c, ok := tb.Pick(r, nil, now, rng)
+		if !ok || c.Agent != "b" {
+			t.Fatalf("picked %+v", c)
+		}
+		tb.Done(c, Report{Free: 8}, now)
+	}
+	change(far, true)
+	if c, ok := tb.Pick(r, nil, now, rng); ok {
+		t.Errorf("with both out of service %+v was picked", c)
+	}
+	change(near, false)
+	if c, ok := tb.Pick(r, nil, now, rng); !ok || c.Agent != "a" {
+		t.Errorf("once it is back %+v was picked", c)
+	}
+}
+
 // An agent that cannot be reached is avoided at once, one that fails after three
 // times, both tried again later; when all fail, requests are still tried.
 func TestFailingAgentsAreAvoided(t *testing.T) {
--- a/runner/grant.go
+++ b/runner/grant.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/waxwinghaven/waxwinghaven/clock"
 	"github.com/waxwinghaven/waxwinghaven/control"
 )
 
@@ -17,6 +18,7 @@
 	if s.tellNext.Load() {
 		req.Known = s.pacer.known()
 	}
+	asked := clock.Now()
 	var a control.LeaseAnswer
 	if err := s.r.ctl.Call(control.PathLease, controlTimeout, &req, &a); err != nil {
 		s.controlRefused("lease", err)
@@ -30,6 +32,7 @@
 		a.Pairs = 0 // revisions are each leader's own
 	}
 	s.pairs.Store(a.Pairs)
+	s.heard(a.Cordoned, asked)
 	s.mu.Lock()
 	s.leaseEnd = max(s.leaseEnd, clockMS+a.TermMS)
 	close(s.lease)
--- a/runner/run.go
+++ b/runner/run.go
@@ -116,7 +116,7 @@
 // decide is the run's pure decision.
 func (r *run) decide() move {
 	// The session's lock is taken before a run's, never while it is held.
-	draining := r.s.draining()
+	closed := r.s.closed()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -130,9 +130,9 @@
 		return moveSettle
 	case r.started:
 		return moveWait
-	case draining && r.unsure:
+	case closed && r.unsure:
 		return moveSettle
-	case draining:
+	case closed:
 		return moveDrop
 	}
 	return moveStart
@@ -167,7 +167,7 @@
 	s.mu.Lock()
 	end, extended := s.leaseEnd, s.lease
 	s.mu.Unlock()
-	if end == 0 {
+	if end == 0 || !s.mayStart() {
 		r.await(extended)
 		return
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -30,6 +30,9 @@
 	worker Worker // whose answers contact notes
 	// contact tells whether the incarnation that is served is still there.
 	contact *contact
+	// startWord is how old the control's word that the data centre is in service may be
+	// for a run to be started by it.
+	startWord time.Duration
 	// without are the mechanisms of the policy that are left out.
 	without ablation.Set
 
@@ -47,10 +50,11 @@
 	changed chan struct{} // signalled when newest changes
 }
 
-// New returns a runner for the worker behind w.
-func New(agent string, ctl Control, w Worker) *Runner {
+// New returns a runner for the worker behind w. It starts nothing by a word of the control
+// that is older than startWord.
+func New(agent string, ctl Control, w Worker, startWord time.Duration) *Runner {
 	c := &contact{}
-	return &Runner{agent: agent, ctl: ctl, worker: observed{w, c}, contact: c, without: ablation.Linked(), changed: make(chan struct{}, 1)}
+	return &Runner{agent: agent, startWord: startWord, ctl: ctl, worker: observed{w, c}, contact: c, without: ablation.Linked(), changed: make(chan struct{}, 1)}
 }
 
 // Left takes in a worker's word that it ends.
--- a/runner/session.go
+++ b/runner/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/clock"
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
@@ -63,6 +64,12 @@
 	paces    *paceQueue
 	progress *progress
 	leaving  bool
+	// cordoned is the control's newest word of whether the data centre is out of service.
+	// word is when the request left that brought a majority's, and inService the newest
+	// of these that it is in service.
+	cordoned  bool
+	word      clock.Instant
+	inService clock.Instant
 
 	leader   atomic.Uint64 // leadership that granted the last lease
 	pairs    atomic.Uint64 // revision of pairs that it told last
@@ -137,6 +144,10 @@
 	return s.ann.Draining || s.leaving
 }
 
+// closed reports whether nothing new may begin: the worker is about to end, or its data
+// centre is out of service.
+func (s *session) closed() bool { return s.draining() || s.isCordoned() }
+
 func (s *session) target() Target { return Target{s.worker, s.token.Load()} }
 
 func (s *session) ref() control.WorkerRef {
@@ -367,13 +378,16 @@
 func (s *session) ordersLoop() {
 	since := uint64(0)
 	for s.ctx.Err() == nil {
-		req := control.OrdersRequest{WorkerRef: s.ref(), Since: since, WaitMS: ordersWait.Milliseconds()}
+		req := control.OrdersRequest{WorkerRef: s.ref(), Since: since, WaitMS: ordersWait.Milliseconds(), Cordoned: s.isCordoned()}
 		var a control.OrdersAnswer
 		if err := s.r.ctl.Call(control.PathOrders, controlTimeout, &req, &a); err != nil {
 			s.controlRefused("orders", err)
 			s.sleep(callPause)
 			continue
 		}
+		if a.Cordoned {
+			s.cordon()
+		}
 		s.takeAll(a.Orders)
 		since = max(since, a.Index)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,6 +102,9 @@
 	// BearLosses is how many control replicas may be lost at once while nothing
 	// stops and nothing is lost. It is nil if it isn't given; see Losses.
 	BearLosses *int `toml:"bear_losses"`
+	// DataCentres names the data centres that operators may take out of service, beside
+	// those in which anything of the system stands.
+	DataCentres []string `toml:"data_centres"`
 	// FormFromSeeds makes the seeds the first replica set. It is for the very
 	// first start of the whole system only.
 	FormFromSeeds bool `toml:"form_from_seeds"`
@@ -172,8 +175,20 @@
 	// AnnounceTimeout is how long after its last heartbeat an upstream is
 	// taken for gone.
 	AnnounceTimeout Duration `toml:"announce_timeout"`
+	// CordonBound is how long after an order that takes the data centre out of service
+	// was acknowledged something may still be started here.
+	CordonBound Duration `toml:"cordon_bound"`
 }
 
+// cordonMargin is kept of CordonBound for the way of a start to the worker, whose call is
+// given up after half a second, and for a processor that is busy.
+const cordonMargin = 1500 * time.Millisecond
+
+// StartWord is how old the control's word that the data centre is in service may be for
+// something to be started by it. An agent that hears nothing starts nothing: the order may
+// have been acknowledged meanwhile.
+func (a *Agent) StartWord() time.Duration { return a.CordonBound.Duration - cordonMargin }
+
 // Defaults.
 const (
 	DefaultDrain           = 15 * time.Second
@@ -190,6 +205,7 @@
 	DefaultLeaveWait       = 2 * time.Second
 	DefaultRenew           = 500 * time.Millisecond
 	DefaultAnnounceTimeout = 3 * time.Second
+	DefaultCordonBound     = 5 * time.Second
 	DefaultMachineLease    = 3 * time.Second
 	DefaultUpkeepTime      = 2 * time.Second
 )
@@ -231,6 +247,7 @@
 	if a := s.Agent; a != nil {
 		a.Renew.orDefault(DefaultRenew)
 		a.AnnounceTimeout.orDefault(DefaultAnnounceTimeout)
+		a.CordonBound.orDefault(DefaultCordonBound)
 		if a.MaxBody == 0 {
 			a.MaxBody = DefaultMaxBody
 		}
@@ -522,7 +539,8 @@
 	if a := s.Agent; a != nil {
 		bounds = append(bounds,
 			bound{"agent.renew", a.Renew.Duration, 50 * time.Millisecond, 5 * time.Second},
-			bound{"agent.announce_timeout", a.AnnounceTimeout.Duration, time.Second, time.Minute})
+			bound{"agent.announce_timeout", a.AnnounceTimeout.Duration, time.Second, time.Minute},
+			bound{"agent.cordon_bound", a.CordonBound.Duration, 3 * time.Second, time.Hour})
 	}
 	for _, b := range bounds {
 		if b.value < b.min || b.value > b.max {
--- /dev/null
+++ b/transport/open_test.go
@@ -0,0 +1,58 @@
+package transport
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// A request arrives on a connection whose other side waits, has more to say, has closed it,
+// or has reset it.
+func TestStillOpenTellsWhetherSomebodyWaits(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(*net.TCPConn)
+		want bool
+	}{
+		{"waits", func(*net.TCPConn) {}, true},
+		{"sends more", func(c *net.TCPConn) { c.Write([]byte("x")) }, true},
+		{"has closed its side", func(c *net.TCPConn) { c.CloseWrite() }, false},
+		{"has closed", func(c *net.TCPConn) { c.Close() }, false},
+		{"has reset", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, false},
+	}
+	for _, x := range cases {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		from, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.do(from.(*net.TCPConn))
+		got := StillOpen(c)
+		for range 200 { // what the other side did takes a moment to arrive
+			if got == x.want {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+			got = StillOpen(c)
+		}
+		if got != x.want {
+			t.Errorf("the other side %s: %v", x.name, got)
+		}
+		c.Close()
+		from.Close()
+		ln.Close()
+	}
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	if !StillOpen(a) {
+		t.Error("a connection that can't be looked at counts as closed")
+	}
+}
