--- /dev/null
+++ b/scripts/compare/compare.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Play names one play: a build on a day of a deployment, with a seed.
+type Play struct {
+	Build string `json:"build"`
+	Site  string `json:"site"`
+	Day   string `json:"day"`
+	Seed  int    `json:"seed"`
+}
+
+// Result is what became of a play. Worth, served and the parts run from 0 to 1.
+type Result struct {
+	Play
+	Worth   float64            `json:"worth"`
+	Served  float64            `json:"served"`
+	Windows float64            `json:"windows"` // the worst windows
+	Classes map[string]float64 `json:"classes"` // worth by kind of request
+	Broken  []string           `json:"broken,omitempty"`
+}
+
+// Difference compares a build with the base over the plays that both have.
+type Difference struct {
+	Site, Build string
+	Pairs       int
+	Base, Mean  float64 // worth
+	Gain, Error float64 // of the worth, and its standard error
+	Windows     float64 // gain of the worst windows
+	Classes     map[string]float64
+	Broken      int // plays of the build with a rule broken
+}
+
+// Differences compares all builds with the first, by site, and over all sites under the
+// name "all" if there are several.
+func Differences(builds []string, results []Result) []Difference {
+	sites := sitesOf(results)
+	var out []Difference
+	for _, site := range sites {
+		for _, b := range builds[1:] {
+			out = append(out, difference(site, builds[0], b, results))
+		}
+	}
+	if len(sites) > 1 {
+		for _, b := range builds[1:] {
+			out = append(out, difference("", builds[0], b, results))
+		}
+	}
+	return out
+}
+
+func sitesOf(results []Result) (sites []string) {
+	for _, r := range results {
+		if !slices.Contains(sites, r.Site) {
+			sites = append(sites, r.Site)
+		}
+	}
+	slices.Sort(sites)
+	return sites
+}
+
+// difference pairs the plays of two builds on one site, "" for all.
+func difference(site, base, build string, results []Result) Difference {
+	byPlay := make(map[Play]Result, len(results))
+	for _, r := range results {
+		byPlay[r.Play] = r
+	}
+	d := Difference{Site: site, Build: build, Classes: make(map[string]float64)}
+	if site == "" {
+		d.Site = "all"
+	}
+	var of, to, gains, windows []float64
+	classes := make(map[string][]float64)
+	for _, r := range results {
+		if r.Build != build || (site != "" && r.Site != site) {
+			continue
+		}
+		key := r.Play
+		key.Build = base
+		b, ok := byPlay[key]
+		if !ok {
+			continue
+		}
+		of, to = append(of, b.Worth), append(to, r.Worth)
+		gains = append(gains, r.Worth-b.Worth)
+		windows = append(windows, r.Windows-b.Windows)
+		for name, v := range r.Classes {
+			classes[name] = append(classes[name], v-b.Classes[name])
+		}
+		if len(r.Broken) > 0 {
+			d.Broken++
+		}
+	}
+	d.Pairs = len(gains)
+	if d.Pairs == 0 {
+		return d
+	}
+	d.Base, d.Mean, d.Windows = stat.Mean(of, nil), stat.Mean(to, nil), stat.Mean(windows, nil)
+	for name, list := range classes {
+		d.Classes[name] = stat.Mean(list, nil)
+	}
+	mean, deviation := stat.MeanStdDev(gains, nil)
+	d.Gain, d.Error = mean, stat.StdErr(deviation, float64(d.Pairs))
+	if d.Pairs == 1 {
+		d.Error = math.NaN()
+	}
+	return d
+}
+
+// writeTable writes differences for a terminal.
+func writeTable(w io.Writer, list []Difference) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "SITE\tBUILD\tPAIRS\tBASE\tWORTH\tGAIN\tERROR\tWINDOWS\tBROKEN\tBY CLASS")
+	for _, d := range list {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%+.3f\t%.3f\t%+.3f\t%d\t%s\n", d.Site, d.Build, d.Pairs, d.Base, d.Mean, d.Gain, d.Error, d.Windows, d.Broken, classGains(d.Classes))
+	}
+	t.Flush()
+}
+
+func classGains(m map[string]float64) (out string) {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		if i > 0 {
+			out += ", "
+		}
+		out += fmt.Sprintf("%s %+.3f", name, m[name])
+	}
+	return out
+}
+
+// writeRows writes the same as rows of a page's table.
+func writeRows(w io.Writer, list []Difference) {
+	for _, d := range list {
+		fmt.Fprintf(w, "| %s | %s | %.3f | %.3f | %+.3f (%.3f, %d) |\n", d.Build, d.Site, d.Base, d.Mean, d.Gain, d.Error, d.Pairs)
+	}
+}
