--- a/cmd/waxwinghaven/losses.go
+++ b/cmd/waxwinghaven/losses.go
@@ -18,6 +18,8 @@
 	cmd := c.app.Command("losses", "Accounts for lost service from the logs of all processes: standing tasks over their target or away, and where other jobs' time went.")
 	files := cmd.Arg("file", "Logs as the processes wrote them, a prefix before each line allowed.").Required().ExistingFiles()
 	job := cmd.Flag("job", "Only this job, by its id.").String()
+	path := cmd.Flag("path", "Instead, how long each stage of the way of a call and its tasks took.").Bool()
+	plot := cmd.Flag("plot", "With --path: also draw it, as an SVG file.").String()
 	windows := cmd.Flag("windows", "Also the time over target by two seconds.").Bool()
 	cmd.Action(func(*kingpin.ParseContext) error {
 		var l losses.Log
@@ -30,6 +32,13 @@
 		if *job != "" {
 			return printJob(a, *job)
 		}
+		if *path {
+			printPath(os.Stdout, a.Path)
+			if *plot == "" {
+				return nil
+			}
+			return plotPath(a.Path, *plot)
+		}
 		printSums(os.Stdout, a)
 		if *windows {
 			printWindows(os.Stdout, a)
--- a/control/admission_test.go
+++ b/control/admission_test.go
@@ -83,21 +83,21 @@
 	begun := time.Now()
 	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
 	place := func(step int, index uint64) []jobs.Order {
-		state.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{{Job: id, Step: step, Indexes: []int{0}, Workers: []string{"w"}}}}, rules, index)
+		state.ApplyPlan(jobs.Plan{AtMS: 1000, Placements: []jobs.Placement{{Job: id, Step: step, Indexes: []int{0}, Workers: []string{"w"}}}}, rules, index)
 		return state.Orders("w", index-1)
 	}
 	s.submitted(id, at(0))
 	s.submitted(id, at(20)) // the same job handed in again
 	orders := place(0, 3)
-	s.fill(state, orders, at(30))
-	if len(orders) != 1 || orders[0].Waited != 30*time.Millisecond || orders[0].AfterStep {
+	s.fill(state, orders, at(30), 1008)
+	if len(orders) != 1 || orders[0].Waited != 30*time.Millisecond || orders[0].AfterStep || orders[0].Decided != 8*time.Millisecond {
 		t.Fatalf("the first step's order: %+v", orders)
 	}
 	end := jobs.End{Task: jobs.Ref{Job: id}, Run: 1, Outcome: jobs.OutcomeFailed}
 	state.ApplyEnd("w", end, rules, 4)
 	s.ended(state, []jobs.End{end}, at(50))
 	orders = place(0, 5)
-	s.fill(state, orders, at(60))
+	s.fill(state, orders, at(60), 0)
 	if len(orders) != 1 || orders[0].Waited != 0 {
 		t.Fatalf("a repetition's order: %+v", orders)
 	}
@@ -105,14 +105,14 @@
 	state.ApplyEnd("w", end, rules, 6)
 	s.ended(state, []jobs.End{end}, at(100))
 	orders = place(1, 7)
-	s.fill(state, orders, at(112))
+	s.fill(state, orders, at(112), 0)
 	if len(orders) != 1 || orders[0].Waited != 12*time.Millisecond || !orders[0].AfterStep {
 		t.Fatalf("the second step's order: %+v", orders)
 	}
-	newStarts().fill(state, orders, at(200))
+	newStarts().fill(state, orders, at(200), 0)
 	s.forget(func(string) bool { return false })
 	orders[0].Waited = 0
-	s.fill(state, orders, at(200))
+	s.fill(state, orders, at(200), 0)
 	if orders[0].Waited != 0 || len(s.taken)+len(s.done) != 0 {
 		t.Fatalf("after it was forgotten: %+v", orders)
 	}
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -67,7 +67,7 @@
 	if err == nil {
 		// A path that was taken ends with the job's id.
 		r.dispatcher.starts.submitted(c.Path[len(c.Path)-jobs.IDLength:], arrived)
-		logrus.WithFields(logrus.Fields{"job": c.Path, "steps": c.Spec.String()}).Info("control: Took a job in.")
+		logrus.WithFields(logrus.Fields{"job": c.Path, "steps": c.Spec.String(), "took_ms": time.Since(arrived).Milliseconds()}).Info("control: Took a job in.")
 		r.dispatcher.wake()
 	}
 	return Empty{}, err
@@ -282,7 +282,7 @@
 		r.machine.Read(func(s *State) {
 			a.Index, a.Orders = s.Index, s.Jobs.Orders(req.Worker, req.Since)
 			a.Cordoned = s.workerCordoned(req.Worker)
-			r.dispatcher.starts.fill(s.Jobs, a.Orders, time.Now())
+			r.dispatcher.starts.fill(s.Jobs, a.Orders, time.Now(), r.dispatcher.nowMS())
 		})
 		if len(a.Orders) > 0 || (a.Cordoned && !req.Cordoned) {
 			return a, nil
--- a/control/starts.go
+++ b/control/starts.go
@@ -44,13 +44,17 @@
 	}
 }
 
-// fill tells in each order for a task's first run how long the task has waited for it.
-func (s *starts) fill(state *jobs.State, orders []jobs.Order, now time.Time) {
+// fill tells in each order for a start how long before the run was decided on, by the clock
+// that decides (see dispatcher.nowMS), and for a task's first run how long it has waited.
+func (s *starts) fill(state *jobs.State, orders []jobs.Order, now time.Time, nowMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range orders {
 		o := &orders[i]
 		g := state.Group(o.Task)
+		if g != nil && !o.Stop {
+			o.Decided = decidedBefore(&g.Tasks[o.Task.Index], o.Run, nowMS)
+		}
 		if o.Run != 1 || o.Stop || g == nil || g.DueAt() > 0 {
 			continue
 		}
@@ -70,6 +74,16 @@
 	}
 }
 
+// decidedBefore is how long ago a task's run was decided on, 0 if that isn't known.
+func decidedBefore(t *jobs.Task, run uint32, nowMS int64) time.Duration {
+	for _, r := range t.Runs() {
+		if r.Run == run && r.AtMS > 0 {
+			return time.Duration(max(nowMS-r.AtMS, 0)) * time.Millisecond
+		}
+	}
+	return 0
+}
+
 // forget drops what concerns jobs that are not known any more.
 func (s *starts) forget(known func(job string) bool) {
 	s.mu.Lock()
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -329,6 +329,9 @@
 	// from the end of the step before. 0 if that is not known. It only measures.
 	Waited    time.Duration `msgpack:"b,omitempty"`
 	AfterStep bool          `msgpack:"a,omitempty"`
+	// Decided is how long before the order left the leader the run was decided on, to the
+	// millisecond. It only measures.
+	Decided time.Duration `msgpack:"d,omitempty"`
 }
 
 // Placement gives tasks of one group to workers. A gang's placement names all
--- a/losses/account.go
+++ b/losses/account.go
@@ -52,6 +52,8 @@
 // Account is what a log tells of all jobs.
 type Account struct {
 	Jobs []*Job // by arrival
+	// Path is what the way from a call to its tasks' ends took, by kind and stage.
+	Path Path
 	// Over is the task-seconds over target, by two seconds from the first line.
 	Over  map[int]time.Duration
 	Begun time.Time
@@ -88,7 +90,7 @@
 func (l *Log) Accounts() *Account {
 	lines := l.sorted()
 	c := &collector{jobs: make(map[string]*Job), runs: make(map[string][]*span), open: make(map[spellKey]line),
-		tasks: make(map[string][]string), out: &Account{Over: make(map[int]time.Duration)}}
+		tasks: make(map[string][]string), out: &Account{Over: make(map[int]time.Duration), Path: make(Path)}}
 	if len(lines) == 0 {
 		return c.out
 	}
@@ -114,6 +116,7 @@
 		id := jobOf(x.Job)
 		if c.jobs[id] == nil {
 			c.jobs[id] = &Job{ID: id, Kind: kindOf(x.Steps), Arrived: x.Time, Lost: make(map[string]time.Duration)}
+			c.out.Path.took(c.jobs[id].Kind, x)
 		}
 	case started:
 		task := string(x.Task)
@@ -121,9 +124,15 @@
 			c.tasks[jobOf(task)] = append(c.tasks[jobOf(task)], task)
 		}
 		c.runs[task] = append(c.runs[task], &span{from: x.Time})
+		if j := c.jobs[jobOf(task)]; j != nil {
+			c.out.Path.started(j.Kind, x)
+		}
 	case ended:
 		if s := c.running(string(x.Task)); s != nil {
 			s.to, s.how = x.Time, x.How
+			if j := c.jobs[jobOf(string(x.Task))]; j != nil && s.how == "done" {
+				c.out.Path.add(j.Kind, StageWork, s.to.Sub(s.from))
+			}
 		}
 	case paced:
 		if s := c.running(string(x.Task)); s != nil {
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -42,6 +42,38 @@
 	}
 }
 
+// The way of a look-up of two steps. The first waits 40 ms for a place: 60 until the worker
+// has answered, less 12 at the agent and 8 for the decision's commit. A retry has no way of its
+// own, and a line of a process that doesn't tell is passed over.
+func TestTheWayOfACallIsToldByStage(t *testing.T) {
+	way := func(waited, decided, asked int, after bool) string {
+		return fmt.Sprintf(`,"waited_ms":%d,"decided_ms":%d,"asked_ms":%d,"after_step":%v`, waited, decided, asked, after)
+	}
+	a := read(t,
+		fmt.Sprintf(`{"msg":"control: Took a job in.","job":"/q/aa","steps":"1x300m, 1x300m after[0]","took_ms":9,"time":%q}`, at(9)),
+		run(60, "Started a run.", "aa.0.0.0", 1, way(60, 8, 12, false)), end(500, "aa.0.0.0", 1, "failed"),
+		run(520, "Started a run.", "aa.0.0.0", 2, way(0, 8, 5, false)), end(1020, "aa.0.0.0", 2, "done"),
+		run(1050, "Started a run.", "aa.0.1.0", 1, way(30, 7, 3, true)), end(1450, "aa.0.1.0", 1, "done"),
+		start(1500, "aa.0.1.0", 2))
+	for _, c := range []struct {
+		stage Stage
+		part  float64
+		want  int
+		n     int
+	}{
+		{StageCommit, 0.5, 9, 1}, {StagePlace, 0.5, 40, 1}, {StageNext, 0.5, 20, 1}, {StageOrder, 0.95, 8, 2},
+		{StageStart, 0.5, 5, 3}, {StageStart, 0.95, 12, 3}, {StageWork, 0.95, 500, 2},
+	} {
+		got, n := a.Path.Quantile(Other, c.stage, c.part)
+		if got != time.Duration(c.want)*time.Millisecond || n != c.n {
+			t.Errorf("%s, %v of them: %v of %d, want %d ms of %d", c.stage, c.part, got, n, c.want, c.n)
+		}
+	}
+	if _, n := a.Path.Quantile(Filling, StageWork, 0.5); n != 0 {
+		t.Errorf("%d filling runs", n)
+	}
+}
+
 // A render of two steps. Its first step's slower task waits half a second, is stopped after
 // one, waits again and works two, one of them at half pace. The second step waits a second.
 func TestARendersTimeIsAccountedOnItsCriticalPath(t *testing.T) {
--- a/losses/parse.go
+++ b/losses/parse.go
@@ -36,6 +36,13 @@
 	Worker  string    `json:"worker"`
 	Beside  string    `json:"beside"`
 	Runs    int       `json:"runs"`
+
+	// Of the way of a call, in milliseconds; see Path.
+	TookMS    *int64 `json:"took_ms"`
+	WaitedMS  int64  `json:"waited_ms"`
+	DecidedMS int64  `json:"decided_ms"`
+	AskedMS   *int64 `json:"asked_ms"`
+	AfterStep bool   `json:"after_step"`
 }
 
 // taskName is a task's name. Some lines name several tasks by their indexes; they say
--- a/runner/run.go
+++ b/runner/run.go
@@ -197,7 +197,8 @@
 	case VerdictDone:
 		startsTotal.Inc()
 		waited := r.measure(o)
-		logrus.WithFields(logrus.Fields{"task": o.Task.String(), "run": o.Run, "lease_end": end, "waited_ms": waited.Milliseconds(), "after_step": o.AfterStep}).Info("runner: Started a run.")
+		logrus.WithFields(logrus.Fields{"task": o.Task.String(), "run": o.Run, "lease_end": end, "waited_ms": waited.Milliseconds(), "after_step": o.AfterStep,
+			"decided_ms": o.Decided.Milliseconds(), "asked_ms": time.Since(r.since).Milliseconds()}).Info("runner: Started a run.")
 		r.mu.Lock()
 		r.began = time.Now()
 		r.mu.Unlock()
--- a/scripts/compare/main.go
+++ b/scripts/compare/main.go
@@ -49,7 +49,7 @@
 	app.Flag("seeds", "How many seeds.").Default("8").IntVar(&o.seeds)
 	app.Flag("first", "The first seed.").Default("1").IntVar(&o.first)
 	app.Flag("build", "NAME=FOLDER or NAME=commit:REVISION; the first is the base.").Required().StringsVar(&o.builds)
-	app.Flag("jobs", "Plays at a time.").Default("2").IntVar(&o.jobs)
+	app.Flag("jobs", "Plays at a time, one core each.").Default("5").IntVar(&o.jobs)
 	app.Flag("cpu", "Charge processor time.").BoolVar(&o.cpu)
 	app.Flag("why", "For the journal.").Required().StringVar(&o.why)
 	app.Flag("out", "Where the plays are kept, a line each; what is there already isn't played again.").Required().StringVar(&o.out)
@@ -258,7 +258,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	args := []string{"run", site, day, "--seed", fmt.Sprint(x.Seed), "--report", report.Name(), "--why", p.o.why}
+	args := []string{"run", site, day, "--seed", fmt.Sprint(x.Seed), "--jobs", "1", "--report", report.Name(), "--why", p.o.why}
 	if !p.o.cpu {
 		args = append(args, "--no-cpu")
 	}
