Standing jobs that come together share the room that standing tasks may hold

Cause: the logs of the shifted deployment. Standing tasks may hold three quarters of a service's processors, but what they held was counted by what is placed.

Change: what was taken in and has no place yet counts, and so do calls that are being committed; these are judged one after the other. The bound stays as it is.

Test: six jobs at the same moment, each a quarter of the room; three are taken.

--- a/control/admission.go
+++ b/control/admission.go
@@ -20,14 +20,14 @@
 	d.inFlight[key]++
 	d.mu.Unlock()
 	c.AtMS = d.nowMS()
-	if running || !d.judge(c).Refuse {
+	if running || !d.judgeAndPromise(c).Refuse {
 		return nil
 	}
 	if err := d.r.confirmedLeader(); err != nil {
 		d.submitted(c)
 		return err
 	}
-	v := d.judge(c)
+	v := d.judgeAndPromise(c)
 	if !v.Refuse {
 		return nil
 	}
@@ -41,6 +41,35 @@
 // set: an operator has to change something first.
 const unadvisedAfter = 5 * time.Second
 
+// judgeAndPromise judges a job and, if its standing tasks are let in, counts what they will
+// hold until it is committed: calls that come together are judged one after the other.
+func (d *dispatcher) judgeAndPromise(c *SubmitJob) dispatch.Verdict {
+	need := dispatch.StandingCPU(&c.Spec)
+	if need == 0 {
+		return d.judge(c)
+	}
+	d.promising.Lock()
+	defer d.promising.Unlock()
+	v := d.judge(c)
+	if !v.Refuse {
+		d.promise(c, need)
+	}
+	return v
+}
+
+// promise keeps room for a call under way.
+func (d *dispatcher) promise(c *SubmitJob, need int64) {
+	d.r.machine.Read(func(s *State) {
+		if q, _ := s.Queues.Config.Match(c.Host, c.Path); q != nil {
+			c.service = q.Service
+		}
+	})
+	c.promised = need
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.promised[c.service] += need
+}
+
 // judge decides by what this replica knows.
 func (d *dispatcher) judge(c *SubmitJob) (v dispatch.Verdict) {
 	d.r.machine.Read(func(s *State) {
@@ -65,4 +94,8 @@
 	if d.inFlight[key]--; d.inFlight[key] <= 0 {
 		delete(d.inFlight, key)
 	}
+	if d.promised[c.service] -= c.promised; d.promised[c.service] <= 0 {
+		delete(d.promised, c.service)
+	}
+	c.promised = 0
 }
--- a/control/admission_test.go
+++ b/control/admission_test.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,6 +71,34 @@
 	c.isolate(old, false)
 }
 
+// Six callers hand in standing jobs at the same moment, each of which would fit the share of
+// the room that standing tasks may hold. Judged by what is placed, all six are taken, and the
+// tasks that come and go find no room for as long as they last.
+func TestStandingJobsThatComeTogetherShareTheRoom(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(16)
+	r := c.replicas[c.leader()]
+	var taken atomic.Int32
+	var calls sync.WaitGroup
+	for i := range 6 {
+		calls.Go(func() {
+			_, err := r.onSubmitJob(standingJob(fmt.Sprintf("%016x", i+1), 4))
+			if err == nil {
+				taken.Add(1)
+			} else if !refusal.Is(err, refusal.Overloaded) {
+				t.Errorf("job %d: %v", i, err)
+			}
+		})
+	}
+	calls.Wait()
+	if n := taken.Load(); n != 3 {
+		t.Errorf("%d of 6 jobs that want a quarter of the room were taken, want 3", n)
+	}
+	if left := r.dispatcher.promisedNow(); len(left) != 0 {
+		t.Errorf("promised after all calls ended: %v", left)
+	}
+}
+
 // An operator asks why starts take long. The leader tells with each order for a first
 // run how long its task has waited: from its job's arrival, or from the end of the last
 // step that it depends on; never of a repetition, or of what an older leader knew.
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -67,10 +68,14 @@
 	consult  *consultation
 	looked   time.Time      // for runs that need a copy, last
 	inFlight map[string]int // submissions being committed, by host and path
+	// promised is what their standing tasks will hold, by service, and promising keeps
+	// calls from being judged by the same room.
+	promised  map[string]int64
+	promising sync.Mutex
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(r.without), learned: newLearned(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int)}
+	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(r.without), learned: newLearned(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int), promised: make(map[string]int64)}
 	d.consult = newConsultation(d)
 	d.reset(0)
 	return d
@@ -198,7 +203,13 @@
 // input is what every decision is made from.
 func (d *dispatcher) input(s *State) dispatch.Input {
 	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, Centres: s.Centres, NowMS: d.nowMS(), Costs: d.costs.at(time.Now()), Estimates: d.learned.estimates(),
-		Ticket: d.consult.ticket, Leaving: s.Waves.Leaving(), Without: d.r.without}
+		Ticket: d.consult.ticket, Leaving: s.Waves.Leaving(), Promised: d.promisedNow(), Without: d.r.without}
+}
+
+func (d *dispatcher) promisedNow() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.promised)
 }
 
 // noteWaiting keeps since when each group has had tasks that could begin. It is
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -36,6 +36,10 @@
 	Spec jobs.Spec `msgpack:"s"`
 	// AtMS is when the leader took the call, set by the leader.
 	AtMS int64 `msgpack:"a,omitempty"`
+
+	// promised is what the leader keeps of a service's room while the call is under way.
+	promised int64
+	service  string
 }
 
 // JobCall names a job, or with nothing after the prefix a queue.
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -120,25 +120,41 @@
 }
 
 // admitStanding takes a job of standing tasks in as long as they leave room for
-// the tasks that come and go.
+// the tasks that come and go. What was taken in and has no place yet counts as well: jobs
+// come together, at the start of a day above all, and each would else find the room that the
+// others are about to hold.
 func admitStanding(in Input, q *queues.Queue, spec *jobs.Spec) Verdict {
-	total, held, need := int64(0), int64(0), int64(0)
+	total, held := int64(0), in.Promised[q.Service]
 	for id, w := range in.Jobs.Workers {
 		if w.Service == q.Service && !in.closed(w) {
 			total += w.Capacity.MilliCPU
-			u := in.Jobs.Use(id)
-			held += u.StandingCPU
+			held += in.Jobs.Use(id).StandingCPU
 		}
 	}
-	for i := range spec.Steps {
-		need += int64(spec.Steps[i].Count) * spec.Steps[i].Need.MilliCPU
+	for _, g := range in.Jobs.Ready() {
+		if st := g.Step(); st.Standing {
+			if other := in.Config.At(g.Job().Host, g.Job().Prefix); other != nil && other.Service == q.Service {
+				held += int64(g.Waiting()) * st.Need.MilliCPU
+			}
+		}
 	}
-	if total == 0 || float64(held+need) <= standingShare*float64(total) {
+	if total == 0 || float64(held+StandingCPU(spec)) <= standingShare*float64(total) {
 		return Verdict{}
 	}
 	return Verdict{Refuse: true, After: standingAfter}
 }
 
+// StandingCPU returns the processors that a job's standing tasks hold once all are placed, in
+// thousandths.
+func StandingCPU(spec *jobs.Spec) (sum int64) {
+	for i := range spec.Steps {
+		if st := &spec.Steps[i]; st.Standing {
+			sum += int64(st.Count) * st.Need.MilliCPU
+		}
+	}
+	return sum
+}
+
 func standing(s *jobs.Spec) bool {
 	for i := range s.Steps {
 		if s.Steps[i].Standing {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -61,6 +61,9 @@
 	Leaving map[string]bool
 	// Centres tells which data centres are out of service, nil for none.
 	Centres *datacentre.State
+	// Promised is what standing tasks of jobs that are just being taken in will hold, by
+	// service, in thousandths of a processor.
+	Promised map[string]int64
 	// Waited returns how long a group has had tasks that could begin, nil for
 	// no time at all.
 	Waited func(*jobs.Group) time.Duration
