scripts/compare: how many requests each build was asked for, beside what they are worth

Cause: a standing job that is refused is asked for only once, so a build that refuses more looks better by the worth alone.

Change: the table tells by kind of request what part of the base's requests a build was asked for.

--- a/scripts/compare/compare.go
+++ b/scripts/compare/compare.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 	"text/tabwriter"
@@ -25,6 +26,7 @@
 	Served  float64            `json:"served"`
 	Windows float64            `json:"windows"` // the worst windows
 	Classes map[string]float64 `json:"classes"` // worth by kind of request
+	Asked   map[string]int     `json:"asked"`   // requests by kind; of standing jobs, spans of their time
 	Broken  []string           `json:"broken,omitempty"`
 }
 
@@ -36,7 +38,11 @@
 	Gain, Error float64 // of the worth, and its standard error
 	Windows     float64 // gain of the worst windows
 	Classes     map[string]float64
-	Broken      int // plays of the build with a rule broken
+	// Asked is the part of the base's requests by kind that the build was asked for. A
+	// standing job that is refused is asked for only once: where this is under 1, what is
+	// served is less than the worth says.
+	Asked  map[string]float64
+	Broken int // plays of the build with a rule broken
 }
 
 // Differences compares all builds with the first, by site, and over all sites under the
@@ -73,12 +79,13 @@
 	for _, r := range results {
 		byPlay[r.Play] = r
 	}
-	d := Difference{Site: site, Build: build, Classes: make(map[string]float64)}
+	d := Difference{Site: site, Build: build, Classes: make(map[string]float64), Asked: make(map[string]float64)}
 	if site == "" {
 		d.Site = "all"
 	}
 	var of, to, gains, windows []float64
 	classes := make(map[string][]float64)
+	askedOf, askedTo := make(map[string]int), make(map[string]int)
 	for _, r := range results {
 		if r.Build != build || (site != "" && r.Site != site) {
 			continue
@@ -94,6 +101,8 @@
 		windows = append(windows, r.Windows-b.Windows)
 		for name, v := range r.Classes {
 			classes[name] = append(classes[name], v-b.Classes[name])
+			askedOf[name] += b.Asked[name]
+			askedTo[name] += r.Asked[name]
 		}
 		if len(r.Broken) > 0 {
 			d.Broken++
@@ -106,6 +115,9 @@
 	d.Base, d.Mean, d.Windows = stat.Mean(of, nil), stat.Mean(to, nil), stat.Mean(windows, nil)
 	for name, list := range classes {
 		d.Classes[name] = stat.Mean(list, nil)
+		if askedOf[name] > 0 {
+			d.Asked[name] = float64(askedTo[name]) / float64(askedOf[name])
+		}
 	}
 	mean, deviation := stat.MeanStdDev(gains, nil)
 	d.Gain, d.Error = mean, stat.StdErr(deviation, float64(d.Pairs))
@@ -120,22 +132,18 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "SITE\tBUILD\tPAIRS\tBASE\tWORTH\tGAIN\tERROR\tWINDOWS\tBROKEN\tBY CLASS")
 	for _, d := range list {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%+.3f\t%.3f\t%+.3f\t%d\t%s\n", d.Site, d.Build, d.Pairs, d.Base, d.Mean, d.Gain, d.Error, d.Windows, d.Broken, classGains(d.Classes))
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%+.3f\t%.3f\t%+.3f\t%d\t%s\n", d.Site, d.Build, d.Pairs, d.Base, d.Mean, d.Gain, d.Error, d.Windows, d.Broken, classGains(&d))
 	}
 	t.Flush()
 }
 
-func classGains(m map[string]float64) (out string) {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for i, name := range names {
+// classGains tells the gain by kind of request, and how many of the base's were asked for.
+func classGains(d *Difference) (out string) {
+	for i, name := range slices.Sorted(maps.Keys(d.Classes)) {
 		if i > 0 {
 			out += ", "
 		}
-		out += fmt.Sprintf("%s %+.3f", name, m[name])
+		out += fmt.Sprintf("%s %+.3f of %.2f", name, d.Classes[name], d.Asked[name])
 	}
 	return out
 }
--- a/scripts/compare/compare_test.go
+++ b/scripts/compare/compare_test.go
@@ -10,7 +10,7 @@
 )
 
 func result(build, site string, seed int, worth float64) Result {
-	return Result{Play: Play{Build: build, Site: site, Day: "d", Seed: seed}, Worth: worth, Windows: worth / 2, Classes: map[string]float64{"look-up": worth}}
+	return Result{Play: Play{Build: build, Site: site, Day: "d", Seed: seed}, Worth: worth, Windows: worth / 2, Classes: map[string]float64{"look-up": worth}, Asked: map[string]int{"look-up": 10 + seed}}
 }
 
 // Plays are compared in pairs of the same day and seed, each site by itself and all together.
@@ -41,6 +41,7 @@
 	near("error", a.Error, 0.05) // deviation 0.0707 over the root of two
 	near("windows", a.Windows, 0.025)
 	near("class", a.Classes["look-up"], 0.05)
+	near("asked", a.Asked["look-up"], 1)
 	if !math.IsNaN(got[1].Error) {
 		t.Errorf("one pair has an error of %v", got[1].Error)
 	}
@@ -55,8 +56,8 @@
 
 // A report tells of worth, parts, classes, and what broke.
 func TestReportIsRead(t *testing.T) {
-	r, err := decode(Play{Build: "x"}, []byte(`{"G":0.53,"served":0.64,"fault":null,"breaks":{"EVAC":[1]},"parts":[["whole day",0.75,0.64],["worst windows",0.15,0.2]],"classes":[{"name":"c","worth":0.9}]}`))
-	if err != nil || r.Worth != 0.53 || r.Served != 0.64 || r.Windows != 0.2 || r.Classes["c"] != 0.9 || len(r.Broken) != 1 {
+	r, err := decode(Play{Build: "x"}, []byte(`{"G":0.53,"served":0.64,"fault":null,"breaks":{"EVAC":[1]},"parts":[["whole day",0.75,0.64],["worst windows",0.15,0.2]],"classes":[{"name":"c","worth":0.9,"n":7}]}`))
+	if err != nil || r.Worth != 0.53 || r.Served != 0.64 || r.Windows != 0.2 || r.Classes["c"] != 0.9 || r.Asked["c"] != 7 || len(r.Broken) != 1 {
 		t.Errorf("%+v %v", r, err)
 	}
 	if r, err := decode(Play{}, []byte(`{"fault":"it does not start"}`)); err != nil || len(r.Broken) != 1 {
--- a/scripts/compare/main.go
+++ b/scripts/compare/main.go
@@ -295,14 +295,15 @@
 		Classes []struct {
 			Name  string  `json:"name"`
 			Worth float64 `json:"worth"`
+			Asked int     `json:"n"`
 		} `json:"classes"`
 	}
 	if err := json.Unmarshal(text, &b); err != nil {
 		return Result{}, fmt.Errorf("the report can't be read: %v", err)
 	}
-	r := Result{Play: x, Worth: b.Worth, Served: b.Served, Classes: make(map[string]float64)}
+	r := Result{Play: x, Worth: b.Worth, Served: b.Served, Classes: make(map[string]float64), Asked: make(map[string]int)}
 	for _, c := range b.Classes {
-		r.Classes[c.Name] = c.Worth
+		r.Classes[c.Name], r.Asked[c.Name] = c.Worth, c.Asked
 	}
 	for name := range b.Breaks {
 		r.Broken = append(r.Broken, name)
