Pairs of images that were never seen are known by their kin

Cause: debug logs of the shifted deployment. What ten served images lose to eighteen filling ones falls into two kinds to the last pair: three filling images take 0.19 to 0.37 of headroom a processor of seven served ones, six others as much of the other three, all the rest next to nothing.

Change: served images are kin by how alike the pairs are that were seen of both, against all pairs; a pair not seen yet, or seldom, is expected to be what it is for its kin, with a spread that says how sure that is. A sure one counts as seen: it isn't tried, and agents are told. Where pairs have no order nothing is taken for known.

--- a/control/costs.go
+++ b/control/costs.go
@@ -20,6 +20,9 @@
 	// unseenDeviations is how far above its mean a pair never seen is tried: seven in a
 	// hundred take more.
 	unseenDeviations = 1.5
+	// knownDeviation is how well a pair never seen is known by its kin for it to count as
+	// seen: half of how far any two pairs differ.
+	knownDeviation = 0.05
 )
 
 // Reading is the state of a job's served tasks on one worker, with the filling work beside
@@ -80,6 +83,9 @@
 	for _, r := range req.Readings {
 		c.learn(req.Worker, r, now)
 	}
+	if c.pressures.KinRenewed() {
+		c.pressures.Expected(func(serving, filling string, e interference.Estimate) { c.noteEstimate(serving, filling, e) })
+	}
 	if c.without.Sharing {
 		return nil, 0
 	}
@@ -93,11 +99,21 @@
 }
 
 func (c *costs) notePair(serving, filling string) {
-	if e := c.pressures.Of(serving, filling); e.Seen > 0 {
+	c.noteEstimate(serving, filling, c.pressures.Of(serving, filling))
+}
+
+// noteEstimate notes a pair for the agents, unless it is neither seen nor known by its kin.
+func (c *costs) noteEstimate(serving, filling string, e interference.Estimate) {
+	if e.Seen > 0 || known(e) {
 		c.log.note(pairName{serving, filling}, e)
 	}
 }
 
+// known reports whether a pair is known well enough to go by, seen or not.
+func known(e interference.Estimate) bool {
+	return e.Seen > 0 || e.Var <= knownDeviation*knownDeviation
+}
+
 func (c *costs) learn(worker string, r Reading, now time.Time) {
 	last, over := c.note(worker, &r, now)
 	if last == nil || last.Runs != r.Runs || over < stepLeast || over > stepMost {
@@ -185,7 +201,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.pressures.Of(serving, filling)
-	return e.Mean + unseenDeviations*math.Sqrt(e.Var), e.Seen == 0
+	return e.Mean + unseenDeviations*math.Sqrt(e.Var), !known(e)
+}
+
+// Alike implements dispatch.Costs.
+func (c costsAt) Alike(a, b string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pressures.Alike(a, b)
 }
 
 // logPairs writes what is known of pairs, at the debug level.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -100,6 +100,9 @@
 	// Unseen reports whether the pair was never seen, and if so the headroom that one
 	// processor takes at most.
 	Unseen(serving, filling string) (most float64, unseen bool)
+	// Alike returns the probability that two serving images are disturbed by the same
+	// filling ones.
+	Alike(a, b string) float64
 	// Now returns the headroom that the serving tasks bear at the moment.
 	Now(worker, serving string) float64
 }
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -30,6 +30,12 @@
 func (t table) Cost(serving, filling string) float64 { return t[[2]string{serving, filling}] }
 func (t table) Bound(string, string) float64         { return 1 }
 func (t table) Now(string, string) float64           { return 1 }
+func (t table) Alike(a, b string) float64 {
+	if a == b {
+		return 1
+	}
+	return 0.5
+}
 
 func (t table) Unseen(string, string) (float64, bool) { return 0, false }
 
@@ -391,8 +397,10 @@
 // the watcher on each worker bears something else at the moment.
 type untried map[string]float64
 
-func (u untried) Cost(string, string) float64           { return 0.05 }
-func (u untried) Bound(string, string) float64          { return 1 }
+func (u untried) Cost(string, string) float64  { return 0.05 }
+func (u untried) Bound(string, string) float64 { return 1 }
+func (u untried) Alike(a, b string) float64    { return 0.5 }
+
 func (u untried) Now(worker, _ string) float64          { return u[worker] }
 func (u untried) Unseen(string, string) (float64, bool) { return 0.2, true }
 
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -18,7 +18,31 @@
 // load hardly moves, while a neighbour that begins or ends moves by all of its work. It is
 // pure and not safe for concurrent use.
 type Pressures struct {
-	pairs map[imagePair]*Estimate
+	pairs map[imagePair]*pairEstimate
+	kin   kin
+}
+
+// pairEstimate is what is known of a pair: what its kin told when it was first seen, and the
+// steps since.
+type pairEstimate struct {
+	Estimate
+	prior Estimate
+	// whole says that kin add nothing: somebody else's estimate has them in it.
+	whole bool
+}
+
+// settled reports whether the estimate needs no kin.
+func (e *pairEstimate) settled() bool { return e.whole || e.Seen >= settledSteps }
+
+// with returns the estimate with another prior in place of its own.
+func (e *pairEstimate) with(prior Estimate) Estimate {
+	own := 1/e.Var - 1/e.prior.Var // precision of the steps alone
+	if own <= 0 {
+		return Estimate{Mean: prior.Mean, Var: prior.Var, Seen: e.Seen}
+	}
+	told := e.Mean/e.Var - e.prior.Mean/e.prior.Var
+	variance := 1 / (own + 1/prior.Var)
+	return Estimate{Mean: math.Min(math.Max(variance*(told+prior.Mean/prior.Var), 0), mostPressure), Var: variance, Seen: e.Seen}
 }
 
 type imagePair struct{ serving, filling string }
@@ -63,21 +87,25 @@
 
 // NewPressures returns a model that knows nothing.
 func NewPressures() *Pressures {
-	return &Pressures{pairs: make(map[imagePair]*Estimate)}
+	return &Pressures{pairs: make(map[imagePair]*pairEstimate)}
 }
 
 // Of returns what one processor of a filling image takes of a served image's headroom.
 func (p *Pressures) Of(serving, filling string) Estimate {
-	if e := p.pairs[imagePair{serving, filling}]; e != nil {
-		return *e
+	e := p.pairs[imagePair{serving, filling}]
+	switch {
+	case e == nil:
+		return p.expected(serving, filling)
+	case e.settled():
+		return e.Estimate
 	}
-	return Unseen()
+	return e.with(p.expected(serving, filling))
 }
 
 // Each calls f with every pair that was seen.
 func (p *Pressures) Each(f func(serving, filling string, e Estimate)) {
 	for pair, e := range p.pairs {
-		f(pair.serving, pair.filling, *e)
+		f(pair.serving, pair.filling, e.Estimate)
 	}
 }
 
@@ -107,23 +135,30 @@
 		e.Var = math.Max(e.Var*(1+gain*s.Fillers[filling]), square(leastDeviation))
 		e.Seen++
 	}
+	if p.kin.age++; p.kin.age >= max(kinEvery, len(p.pairs)) || p.kin.expect == nil {
+		p.renewKin()
+	}
 }
 
 // Hint takes over an estimate that somebody else made of a pair not seen here yet.
 func (p *Pressures) Hint(serving, filling string, e Estimate) {
 	if key := (imagePair{serving, filling}); p.pairs[key] == nil {
 		e.Seen = max(e.Seen, 1)
-		p.pairs[key] = &e
+		p.pairs[key] = &pairEstimate{Estimate: e, whole: true}
 	}
 }
 
-func (p *Pressures) at(serving, filling string) *Estimate {
+// at returns a pair's estimate to be corrected, with what its kin tell now as its prior.
+func (p *Pressures) at(serving, filling string) *pairEstimate {
 	key := imagePair{serving, filling}
+	prior := p.expected(serving, filling)
 	e := p.pairs[key]
-	if e == nil {
-		first := Unseen()
-		e = &first
+	switch {
+	case e == nil:
+		e = &pairEstimate{Estimate: Estimate{Mean: prior.Mean, Var: prior.Var}, prior: prior}
 		p.pairs[key] = e
+	case !e.settled():
+		e.Estimate, e.prior = e.with(prior), prior
 	}
 	return e
 }
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -304,7 +304,9 @@
 	defer p.mu.Unlock()
 	out := make([]control.PairCost, 0, len(p.costs))
 	for _, c := range p.costs {
-		out = append(out, c)
+		if c.Seen > 0 { // else it only follows from others
+			out = append(out, c)
+		}
 	}
 	return out
 }
