Served tasks gather with those that are disturbed by the same images

Served tasks were drawn to any worker that had some.

Change: the draw goes by how alike the tasks there are: full to the same image or sure kin, less to what isn't known, none to strangers, where an empty worker is the better place.

Ruled out before: tasks of one image together (docs/DESIGN.md, "Tried and left out") on small fleets, where most workers have room for all kinds; kin weren't known then.

--- a/ablation/ablation.go
+++ b/ablation/ablation.go
@@ -30,6 +30,8 @@
 	Sharing bool
 	// Together: served tasks gather on the workers that have some.
 	Together bool
+	// Likes: served tasks gather with those that are disturbed by the same images.
+	Likes bool
 	// Moves: filling runs that are held up are moved.
 	Moves bool
 	// Leaving: standing tasks leave workers that are about to end.
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "github.com/waxwinghaven/waxwinghaven/jobs"
+import (
+	"maps"
+	"slices"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+)
 
 // fits reports whether one more task of a step has room.
 func (p *planner) fits(c *candidate, r request, running bool) bool {
@@ -97,7 +102,8 @@
 	disturbCost = 2.0
 	// togetherGain draws serving tasks, and tasks that disturb nobody, to the
 	// workers that have serving tasks already, so that the others stay free
-	// for filling ones.
+	// for filling ones. Serving tasks are drawn to their like only: where all are disturbed
+	// by the same images, all others may fill.
 	togetherGain = 3.0
 )
 
@@ -120,11 +126,31 @@
 	case held != nil:
 		cost += p.doubtCost(c, held)
 	case !st.Fills && len(c.serving) > 0 && !p.in.Without.Together:
-		cost -= togetherGain
+		cost -= togetherGain * p.alike(c, st)
 	}
 	return cost
 }
 
+// alike is how far the serving tasks on a worker are disturbed by the same images as a task of
+// a step: 1 for a task that nobody disturbs.
+func (p *planner) alike(c *candidate, st *jobs.Step) float64 {
+	if p.in.Costs == nil || st.TargetMS == 0 || p.in.Without.Likes {
+		return 1
+	}
+	return p.alikeTo(c, st.Image)
+}
+
+// alikeTo is how alike the serving tasks on a worker are to an image.
+func (p *planner) alikeTo(c *candidate, served string) float64 {
+	sum, n := 0.0, 0
+	for _, image := range slices.Sorted(maps.Keys(c.serving)) { // sums of floats depend on their order
+		tasks := c.serving[image]
+		sum += float64(tasks) * p.in.Costs.Alike(image, served)
+		n += tasks
+	}
+	return sum / float64(n)
+}
+
 func (p *planner) slowness(worker string) float64 {
 	if p.in.Slowness == nil || p.in.Without.Slowness {
 		return 0
