What leaders have learned is kept in the log and outlives a loss of all power

Change: every 3 s the leader commits what has changed enough of pairs, of served images' usual headroom and of queues' durations; who leads next takes over what it doesn't know itself and tells the agents. Bounded by number; what was renewed longest ago goes first.

Tests: lessons outlive all replicas' power and reach an agent; only what changed is committed, and nothing seen is replaced by an older lesson.

--- a/ablation/ablation.go
+++ b/ablation/ablation.go
@@ -28,6 +28,8 @@
 	Foresight bool
 	// Sharing: agents are told what others have learned of pairs.
 	Sharing bool
+	// Lessons: what a leader has learned outlives it, and a loss of power everywhere.
+	Lessons bool
 	// Together: served tasks gather on the workers that have some.
 	Together bool
 	// Likes: served tasks gather with those that are disturbed by the same images.
--- a/control/costs.go
+++ b/control/costs.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/ablation"
 	"github.com/waxwinghaven/waxwinghaven/interference"
+	"github.com/waxwinghaven/waxwinghaven/lessons"
 )
 
 const (
@@ -57,8 +58,8 @@
 	Seen int     `msgpack:"n"`
 }
 
-// costs is the leader's knowledge of which image disturbs which. It is lost with
-// the leadership and learned anew within seconds.
+// costs is the leader's knowledge of which image disturbs which. What it has learned of pairs
+// and images is committed now and then; the crews of the moment are lost with the leadership.
 type costs struct {
 	mu        sync.Mutex
 	pressures *interference.Pressures
@@ -98,6 +99,21 @@
 	return out, next
 }
 
+// recall takes over what earlier leaders have learned of what is not known here.
+func (c *costs) recall(u lessons.Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range u.Pairs {
+		c.pressures.Hint(p.Serving, p.Filling, interference.Estimate{Mean: p.Mean, Var: p.Var, Seen: p.Seen})
+		c.notePair(p.Serving, p.Filling)
+	}
+	for _, l := range u.Levels {
+		if c.levels[l.Image] == nil {
+			c.levels[l.Image] = &level{mean: l.Mean, square: l.Square, n: l.N}
+		}
+	}
+}
+
 func (c *costs) notePair(serving, filling string) {
 	c.noteEstimate(serving, filling, c.pressures.Of(serving, filling))
 }
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -63,6 +63,7 @@
 	stuck    map[jobs.Stop]time.Time     // when last reported
 	costs    *costs
 	learned  *learned
+	teacher  *teacher
 	health   *dispatch.Health
 	starts   *starts
 	consult  *consultation
@@ -75,7 +76,7 @@
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(r.without), learned: newLearned(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int), promised: make(map[string]int64)}
+	d := &dispatcher{r: r, kick: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), started: time.Now(), costs: newCosts(r.without), learned: newLearned(), teacher: newTeacher(), health: dispatch.NewHealth(), starts: newStarts(), inFlight: make(map[string]int), promised: make(map[string]int64)}
 	d.consult = newConsultation(d)
 	d.reset(0)
 	return d
@@ -100,10 +101,14 @@
 		return false
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.term != v.Term {
+	fresh := d.term != v.Term
+	if fresh {
 		d.reset(v.Term)
 	}
+	d.mu.Unlock()
+	if fresh {
+		d.recall()
+	}
 	return true
 }
 
--- a/control/learned.go
+++ b/control/learned.go
@@ -5,10 +5,11 @@
 
 	"github.com/waxwinghaven/waxwinghaven/dispatch"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/lessons"
 )
 
-// learned is the leader's knowledge of how long tasks take. It is lost with the
-// leadership and learned anew within some seconds.
+// learned is the leader's knowledge of how long tasks take. What is known of queues is
+// committed now and then; what is known of groups is lost with the leadership.
 type learned struct {
 	mu        sync.Mutex
 	durations *dispatch.Durations
@@ -48,6 +49,22 @@
 	l.groups[key] = g
 }
 
+// lessons returns what is known of queues.
+func (l *learned) lessons() []lessons.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.durations.Lessons()
+}
+
+// recall takes over what earlier leaders have learned of queues that are not known here.
+func (l *learned) recall(list []lessons.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, x := range list {
+		l.durations.Recall(x)
+	}
+}
+
 // estimates returns a view for one decision.
 func (l *learned) estimates() *dispatch.Estimates {
 	return &dispatch.Estimates{Durations: l, Measured: l.measured}
--- a/control/replica.go
+++ b/control/replica.go
@@ -122,6 +122,7 @@
 	g.Go(func() error { return r.leader.run(ctx) })
 	g.Go(func() error { return r.dispatcher.run(ctx) })
 	g.Go(func() error { return r.dispatcher.consult.run(ctx) })
+	g.Go(func() error { return r.dispatcher.teaching(ctx) })
 	g.Go(func() error { return r.waves.run(ctx) })
 	g.Go(func() error { return r.pulse.run(ctx) })
 	g.Go(func() error { return r.join(ctx) })
--- a/control/state.go
+++ b/control/state.go
@@ -8,6 +8,7 @@
 	"github.com/waxwinghaven/waxwinghaven/datacentre"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/lease"
+	"github.com/waxwinghaven/waxwinghaven/lessons"
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/membership"
 	"github.com/waxwinghaven/waxwinghaven/queues"
@@ -32,6 +33,7 @@
 	Settle   *claim.Settle      `msgpack:"l,omitempty"`
 	Jobs     *JobCommand        `msgpack:"j,omitempty"`
 	Centre   *datacentre.Order  `msgpack:"d,omitempty"`
+	Lessons  *lessons.Update    `msgpack:"o,omitempty"`
 }
 
 // Ends are the attempt ends that one agent reports.
@@ -50,6 +52,7 @@
 	Jobs    *jobs.State       `msgpack:"j"`
 	Waves   *upkeep.State     `msgpack:"w"`
 	Centres *datacentre.State `msgpack:"d"`
+	Lessons *lessons.State    `msgpack:"o"`
 	Clock   int64             `msgpack:"k"` // milliseconds since 1970
 	Index   uint64            `msgpack:"i"` // of the last applied entry
 }
@@ -57,7 +60,7 @@
 // NewState returns the empty state.
 func NewState() *State {
 	return &State{Market: market.NewState(), Tasks: lease.NewState(), Members: membership.NewState(), Claims: claim.NewState(),
-		Queues: &queues.State{}, Jobs: jobs.NewState(), Waves: upkeep.NewState(), Centres: datacentre.NewState()}
+		Queues: &queues.State{}, Jobs: jobs.NewState(), Waves: upkeep.NewState(), Centres: datacentre.NewState(), Lessons: lessons.NewState()}
 }
 
 // applied is what a command's sender gets back.
@@ -95,6 +98,8 @@
 		return s.applyJobs(index, c.Jobs)
 	case c.Centre != nil:
 		return s.orderCentre(*c.Centre, index)
+	case c.Lessons != nil:
+		s.Lessons.Apply(*c.Lessons, index)
 	}
 	return nil, nil
 }
--- a/dispatch/durations.go
+++ b/dispatch/durations.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/waxwinghaven/waxwinghaven/lessons"
+)
 
 // Durations learns how long tasks really take. What callers declare is off by
 // up to nine times for some queues and by a fifth for others, so each queue's
@@ -39,6 +45,23 @@
 // NewDurations returns a book that knows nothing.
 func NewDurations() *Durations { return &Durations{queues: make(map[string]*record)} }
 
+// Lessons returns what is known of each queue, in order.
+func (d *Durations) Lessons() []lessons.Duration {
+	out := make([]lessons.Duration, 0, len(d.queues))
+	for _, queue := range slices.Sorted(maps.Keys(d.queues)) {
+		r := d.queues[queue]
+		out = append(out, lessons.Duration{Queue: queue, N: r.n, Actual: r.actual.mean, ActualSquare: r.actual.square, Miss: r.miss.mean, MissSquare: r.miss.square})
+	}
+	return out
+}
+
+// Recall takes over what was known of a queue of which nothing is known here.
+func (d *Durations) Recall(l lessons.Duration) {
+	if d.queues[l.Queue] == nil {
+		d.queues[l.Queue] = &record{n: l.N, actual: moments{l.Actual, l.ActualSquare}, miss: moments{l.Miss, l.MissSquare}}
+	}
+}
+
 // Note takes in how long one task took that was declared at estimateMS.
 func (d *Durations) Note(queue string, estimateMS, tookMS int64) {
 	if tookMS <= 0 {
