--- a/runner/cordon_test.go
+++ b/runner/cordon_test.go
@@ -22,9 +22,12 @@
 		time.Sleep(300 * time.Millisecond)
 		b.ctl.cordon(true)
 		time.Sleep(200 * time.Millisecond)
-		sent := len(b.worker.started())
+		sent := b.worker.tries()
+		if sent < 3 {
+			t.Fatalf("the scene needs a start that is repeated, it was sent %d times", sent)
+		}
 		time.Sleep(3 * time.Second)
-		if n := len(b.worker.started()); n != sent {
+		if n := b.worker.tries(); n != sent {
 			t.Errorf("the start was sent %d times more", n-sent)
 		}
 		b.wantEnd(runA1, jobs.OutcomeRejected)
@@ -71,10 +74,10 @@
 		time.Sleep(100 * time.Millisecond)
 		b.ctl.setDown(true)
 		time.Sleep(testStartWord)
-		sent := len(b.worker.started())
+		sent := b.worker.tries()
 		b.worker.fail(0, VerdictDone)
 		time.Sleep(3 * time.Second)
-		if n := len(b.worker.started()); n != sent {
+		if n := b.worker.tries(); n != sent {
 			t.Errorf("%d starts were sent by an old word", n-sent)
 		}
 		b.ctl.setDown(false)
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -27,6 +27,7 @@
 	begun    time.Time
 	changed  chan struct{}
 
+	tried      int      // calls for a start
 	loseStart  int      // answers of starts to lose
 	notSent    int      // starts that never leave
 	late       []func() // lost starts that are still to be carried out
@@ -74,6 +75,7 @@
 func (w *fakeWorker) Start(c StartCall) (Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.tried++
 	if w.failing != nil {
 		return Reply{}, w.failing
 	}
@@ -219,6 +221,12 @@
 	return append([]StartCall(nil), w.starts...)
 }
 
+func (w *fakeWorker) tries() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tried
+}
+
 func (w *fakeWorker) acknowledged() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/runner/run.go
+++ b/runner/run.go
@@ -30,6 +30,7 @@
 	sent   time.Time // when this life first asked for its start, zero if it did not
 	began  time.Time // when this life started it, zero if an earlier one did
 	slowed bool
+	pause  time.Duration // before the next call, after one that failed
 }
 
 func (r *run) signal() {
@@ -180,7 +181,7 @@
 	o := r.noteSent(time.Now())
 	reply, err := s.r.worker.Start(StartCall{Target: s.target(), Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, LeaseEndMS: end})
 	if errors.Is(err, ErrNotSent) {
-		s.sleep(callPause)
+		r.rest()
 		return
 	}
 	if err != nil {
@@ -189,9 +190,10 @@
 		r.unsure = true
 		r.mu.Unlock()
 		logrus.WithFields(logrus.Fields{"task": o.Task.String(), "run": o.Run}).Warnf("runner: A start went unanswered: %v.", err)
-		s.sleep(callPause)
+		r.rest()
 		return
 	}
+	r.pause = 0
 	countVerdict("start", reply.Verdict)
 	switch reply.Verdict {
 	case VerdictDone:
@@ -217,6 +219,18 @@
 	}
 }
 
+// longestPause bounds the time between two tries of a call. A worker that resets what it is
+// asked does so for seconds, each try costs it a connection, and no other run is placed there
+// meanwhile.
+const longestPause = 8 * callPause
+
+// rest lets some time pass after a call that failed, twice as much each time. Only the run's
+// own goroutine uses it.
+func (r *run) rest() {
+	r.pause = min(max(2*r.pause, callPause), longestPause)
+	r.s.sleep(r.pause)
+}
+
 // measure enters a start into the histograms and returns how long its task has waited
 // for it: from the call that handed its job in, or from the end of the step before, 0 if
 // that is not known. The way of the order from the leader is not in it.
@@ -266,9 +280,10 @@
 	reply, err := s.r.worker.Stop(StopCall{Target: s.target(), Task: r.key.task, Run: r.key.run})
 	if err != nil {
 		uncertainTotal.Inc()
-		s.sleep(callPause)
+		r.rest()
 		return false
 	}
+	r.pause = 0
 	countVerdict("stop", reply.Verdict)
 	if reply.Verdict != VerdictDone {
 		if s.refused(reply.Verdict) {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -123,6 +123,26 @@
 	})
 }
 
+// A worker resets every start for seconds. Tried every 50 ms, each run there costs it 20
+// connections a second and as many log lines; tried less and less often it starts soon after
+// the worker is well again.
+func TestStartsThatAreResetAreTriedLessOften(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.worker.fail(1<<20, VerdictDone)
+		b.ctl.give(startOf(runA1))
+		time.Sleep(4 * time.Second)
+		if n := b.worker.tries(); n < 5 || n > 20 {
+			t.Errorf("it was tried %d times in four seconds", n)
+		}
+		b.worker.fail(0, VerdictDone)
+		time.Sleep(500 * time.Millisecond)
+		if !b.worker.isRunning(runA1) {
+			t.Error("it does not start once the worker is well")
+		}
+	})
+}
+
 // A start goes unanswered, and the repetition is rejected for want of room. The
 // first may take effect seconds later. Were the run given back now, the task
 // would be started elsewhere and run twice.
