Served tasks that stand among strangers move to their like

Change: every half second the leader looks for a served task whose neighbours are surely of other kinds, on each worker the one least alike, and stops it if there is a place among its like; it is placed there as any waiting task. At most one in fifty served tasks is away for that at a time, none that its caller can't spare, and both kinds have to be known, so none moves back.

--- a/ablation/ablation.go
+++ b/ablation/ablation.go
@@ -34,6 +34,8 @@
 	Together bool
 	// Likes: served tasks gather with those that are disturbed by the same images.
 	Likes bool
+	// Regroup: served tasks that stand among others move to their like.
+	Regroup bool
 	// Moves: filling runs that are held up are moved.
 	Moves bool
 	// Leaving: standing tasks leave workers that are about to end.
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -68,6 +68,7 @@
 	starts   *starts
 	consult  *consultation
 	looked   time.Time      // for runs that need a copy, last
+	grouped  time.Time      // served tasks with their like, last
 	inFlight map[string]int // submissions being committed, by host and path
 	// promised is what their standing tasks will hold, by service, and promising keeps
 	// calls from being judged by the same room.
@@ -165,6 +166,7 @@
 		in.Shunned, in.Stalled = d.shunnedNow(begun, len(s.Jobs.Workers)), d.recent(&d.stalled, begun)
 		in.Stuck = d.recent(&d.stuck, begun)
 		in.Copies = d.copiesDue(begun)
+		in.Regroup = d.regroupDue(begun)
 		in.Slowness = d.slowness
 		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(waiting[g.Key()]) }
 		plan = dispatch.Next(in)
@@ -205,6 +207,18 @@
 	return true
 }
 
+// regroupEvery is the least time between two looks for served tasks that stand among
+// strangers: they stand for minutes.
+const regroupEvery = 500 * time.Millisecond
+
+func (d *dispatcher) regroupDue(now time.Time) bool {
+	if now.Sub(d.grouped) < regroupEvery {
+		return false
+	}
+	d.grouped = now
+	return true
+}
+
 // input is what every decision is made from.
 func (d *dispatcher) input(s *State) dispatch.Input {
 	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, Centres: s.Centres, NowMS: d.nowMS(), Costs: d.costs.at(time.Now()), Estimates: d.learned.estimates(),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -78,6 +78,8 @@
 	// Copies says to look for runs that take too long. It takes a look at each run
 	// that may have a copy, so it isn't done in every pass.
 	Copies bool
+	// Regroup says to look for served tasks that stand among strangers.
+	Regroup bool
 	// Ticket returns the advisor's ticket for a step on a worker, "" for none. Steps
 	// of advised queues go nowhere without one.
 	Ticket func(step jobs.GroupKey, worker string) string
@@ -142,7 +144,7 @@
 func Next(in Input) jobs.Plan {
 	p := &planner{in: in, plan: jobs.Plan{AtMS: in.NowMS}, moved: make(map[jobs.GroupKey]int)}
 	requests, overdue := p.requests(), p.overdue()
-	if len(requests) == 0 && len(overdue) == 0 && len(in.Stalled) == 0 && len(in.Stuck) == 0 && len(p.emptiedWorkers()) == 0 {
+	if len(requests) == 0 && len(overdue) == 0 && !in.Regroup && len(in.Stalled) == 0 && len(in.Stuck) == 0 && len(p.emptiedWorkers()) == 0 {
 		return p.plan
 	}
 	p.gather()
@@ -154,6 +156,7 @@
 	if !in.Without.Moves {
 		p.relieve()
 	}
+	p.regroup()
 	p.lookAlone(requests)
 	for _, r := range requests {
 		if p.placed >= maxPlacements {
