Kin are looked for among bounded many images; lessons that weren't committed are sent again

Cause: read at the size designed for. The work for kin grows with the cube of the images; with some hundred it would hold the leases' lock for a fifth of a second every few seconds. And a commit of lessons that failed was taken for done.

Change: sixty served and sixty filling images at most, those seen most; after a failed commit everything is sent anew.

--- a/control/lessons.go
+++ b/control/lessons.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if _, err := d.r.propose(Command{Lessons: &u}); err != nil {
-		// What isn't committed is learned again, by this leader or the next.
+		d.teacher = newTeacher() // all of it is sent again with the next
 		logrus.Infof("control: Could not commit %d lessons: %v.", len(u.Pairs)+len(u.Levels)+len(u.Durations), err)
 	}
 }
--- a/control/lessons_test.go
+++ b/control/lessons_test.go
@@ -20,7 +20,13 @@
 		d.learned.durations.Note("a.example/watch/", 100, 400)
 	}
 	want := d.costs.at(time.Now()).Cost("watch", "heavy")
-	d.teach()
+	c.wait("the lessons are committed", func() (committed bool) {
+		d.r.machine.Read(func(s *State) {
+			all := s.Lessons.All()
+			committed = len(all.Pairs)*len(all.Levels)*len(all.Durations) > 0
+		})
+		return committed
+	})
 	for i := range c.replicas {
 		c.stop(i)
 	}
--- a/interference/kin.go
+++ b/interference/kin.go
@@ -1,6 +1,8 @@
 package interference
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -27,6 +29,9 @@
 	// kinEvery is the least number of observations after which kin are worked out anew; with
 	// many pairs there are as many, so that the work for each observation stays the same.
 	kinEvery = 20
+	// mostKin bounds the served and the filling images among which kin are looked for, those
+	// that were seen most: the work grows with the cube of their number.
+	mostKin = 60
 	// settledSteps is the number of steps from which on a pair's own estimate needs no kin.
 	settledSteps = 24
 )
@@ -100,22 +105,24 @@
 	p.kin = k
 }
 
-// images returns all images of pairs that were seen, in order.
+// images returns the images of pairs that were seen most, in order.
 func (p *Pressures) images() (serving, filling []string) {
-	s, f := make(map[string]bool), make(map[string]bool)
-	for pair := range p.pairs {
-		s[pair.serving], f[pair.filling] = true, true
+	s, f := make(map[string]int), make(map[string]int)
+	for pair, e := range p.pairs {
+		s[pair.serving] += e.Seen
+		f[pair.filling] += e.Seen
 	}
-	return sortedNames(s), sortedNames(f)
+	return mostSeen(s), mostSeen(f)
 }
 
-func sortedNames(m map[string]bool) []string {
-	out := make([]string, 0, len(m))
-	for name := range m {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
+// mostSeen returns the names with the highest counts, in order.
+func mostSeen(counts map[string]int) []string {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	names = names[:min(len(names), mostKin)]
+	slices.Sort(names)
+	return names
 }
 
 // usual returns the mean and spread of pairs: what is assumed at first, and what was seen.
@@ -172,7 +179,7 @@
 // kinship returns the log odds that two served images are kin: by each filling image that was
 // seen beside both, how likely what it takes of the one is if they are, and if the other tells
 // nothing of it. That it takes much of both says more than that it takes little: most do.
-func (p *Pressures) kinship(a, b string, filling []string, any *pool) float64 {
+func (p *Pressures) kinship(a, b string, filling []string, all *pool) float64 {
 	odds := firstKin
 	for _, f := range filling {
 		x, y := p.pairs[imagePair{a, f}], p.pairs[imagePair{b, f}]
@@ -181,7 +188,7 @@
 		}
 		spread := x.Var + y.Var + 2*square(kinDeviation)
 		// Of the two that is the base which makes the other one the less usual.
-		base := math.Min(any.at(x.Mean), any.at(y.Mean))
+		base := math.Min(all.at(x.Mean), all.at(y.Mean))
 		odds += math.Log((1-oddOne)*density(x.Mean-y.Mean, spread)/base + oddOne)
 	}
 	return odds
--- a/interference/kin_test.go
+++ b/interference/kin_test.go
@@ -133,6 +133,26 @@
 	}
 }
 
+// Images come and go by the hundred. Kin are looked for among those that are seen most, and the
+// others are taken for what pairs usually are.
+func TestKinAreLookedForAmongTheMostSeen(t *testing.T) {
+	f := newFleet(1, kinds)
+	f.seeAll(3)
+	for s := 100; s < 100+2*mostKin; s++ {
+		f.see(s, s)
+	}
+	f.p.renewKin()
+	if n := len(f.p.kin.expect); n > mostKin*mostKin {
+		t.Errorf("%d pairs are worked out", n)
+	}
+	if f.p.Alike("s1", "s2") < 0.8 || f.p.Alike("s1", "s8") > 0.2 {
+		t.Error("those seen often are not known any more")
+	}
+	if e := f.of(100+2*mostKin-1, 0); math.Sqrt(e.Var) < 0.05 {
+		t.Errorf("one seen once is known as %+v", e)
+	}
+}
+
 // BenchmarkRenewKin is what it takes to work out the kin of ten served images beside eighteen
 // filling ones.
 func BenchmarkRenewKin(b *testing.B) {
