quorum, control: Reads are confirmed by voters only, one round at a time

What callers saw: on the whole fleet acknowledgements of commits and answers to look-ups take 30 to 100 ms in bursts in which the leader's processor is busy.

Cause: leases and look-ups need a majority's word, up to a hundred rounds a second, and each round was sent to all nine other replicas, though only the voters' echo counts. While the leader is slow the rounds overlap, so that it gets the more answers to take in the further it is behind: 970 messages of replicas a second, beside 2,800 of agents.

Change: a round for reads goes to the voters; spares are contacted eight times a second and with entries, as before. One shared read is under way at a time, whoever comes meanwhile shares the next.

Kept for what it takes off a leader that is behind.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -199,7 +199,7 @@
 	}
 	if c.now%HeartbeatTicks == 0 {
 		c.resendLost()
-		c.broadcast(true)
+		c.broadcast(everybody)
 	}
 }
 
@@ -251,7 +251,7 @@
 	}
 	c.appendOwn(EntryConfig, encodeConfig(next))
 	c.syncPeers()
-	c.broadcast(false)
+	c.broadcast(nobody)
 	return nil
 }
 
@@ -345,10 +345,12 @@
 
 // flushLeader sends what was proposed or asked since the last Ready in one round.
 func (c *Core) flushLeader() {
-	needRound := false
+	to := nobody
 	for _, r := range c.reads {
-		needRound = needRound || r.round > c.round
+		if r.round > c.round {
+			to = voters
+		}
 	}
-	c.broadcast(needRound)
+	c.broadcast(to)
 	c.answerReads()
 }
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -54,7 +54,7 @@
 		p.probe = false // most lack nothing but what comes next
 	}
 	c.appendOwn(EntryNoop, nil)
-	c.broadcast(true)
+	c.broadcast(everybody)
 }
 
 // syncPeers makes the set of followed replicas equal to the configuration. What a
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -176,18 +176,29 @@
 	}
 }
 
-// broadcast sends every replica what it lacks, within its window. With contact set
-// it also opens a new contact round and sends everybody a heartbeat.
-func (c *Core) broadcast(contact bool) {
-	if contact {
+// contact tells to whom a broadcast sends a heartbeat.
+type contact int
+
+const (
+	nobody contact = iota
+	// voters confirm a read: only they count for it, and there are many reads a second.
+	voters
+	everybody
+)
+
+// broadcast sends every replica what it lacks, within its window. With a heartbeat to
+// anybody it opens a new contact round.
+func (c *Core) broadcast(to contact) {
+	if to != nobody {
 		c.round++
 	}
-	for _, r := range c.log.config().config.Members() {
+	cfg := c.log.config().config
+	for _, r := range cfg.Members() {
 		if r.ID == c.id {
 			continue
 		}
 		p := c.peers[r.ID]
-		if contact {
+		if to == everybody || (to == voters && cfg.IsVoter(r.ID)) {
 			c.sendHeartbeat(r.ID, p)
 		}
 		for p.snapshot == nil && !p.probe && p.next <= c.log.last() && p.bytesInFlight() < windowBytes {
--- a/quorum/repair_test.go
+++ b/quorum/repair_test.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// Reads come many a second, and each needs a majority's word: spares have none, and as many
+// messages to each of them would cost the leader more than the voters do.
+func TestReadsAskVotersOnly(t *testing.T) {
+	w := newNetwork(6, 3)
+	w.spares = 3
+	w.settle(200)
+	l := w.leader()
+	cfg := l.core.Status().Config
+	if len(cfg.Voters) != 3 || len(cfg.Learners) != 3 {
+		t.Fatalf("no spares: %+v", cfg)
+	}
+	if err := l.core.Read(1); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range l.core.Ready().Early {
+		if !cfg.IsVoter(m.To) {
+			t.Errorf("%s to a spare", m.Kind)
+		}
+	}
+}
+
 // A spare that is gone for good is forgotten, else each replaced replica leaves one more
 // that everything is sent to.
 func TestSpareThatIsGoneIsForgotten(t *testing.T) {
