control: A plan tells since when its tasks have waited; orders need nothing of the leader's

Cause: how long a task had waited for its first run was reckoned anew with each call for orders, at the leader, from what only it remembers.

Change: the leader writes the time into the plan; the agent reckons by the leader's clock, which comes with each lease. No decision changes. The test of the same name states the times instead of the durations; cases as before.

--- a/control/admission_test.go
+++ b/control/admission_test.go
@@ -99,10 +99,10 @@
 	}
 }
 
-// An operator asks why starts take long. The leader tells with each order for a first
-// run how long its task has waited: from its job's arrival, or from the end of the last
-// step that it depends on; never of a repetition, or of what an older leader knew.
-func TestOrdersTellHowLongTheirTaskHasWaited(t *testing.T) {
+// An operator asks why starts take long. The leader tells with each plan since when the tasks
+// have waited that it places for the first time: since their job's arrival, or the end of the
+// last step that theirs depends on; never of a repetition, or of what an older leader knew.
+func TestOrdersTellSinceWhenTheirTaskHasWaited(t *testing.T) {
 	state, s := jobs.NewState(), newStarts()
 	rules := jobs.Rules{Cordoned: func(string) bool { return false }, Service: func(string, string) string { return "vault" }, MaxAttempts: func(string, string) int { return 3 }}
 	state.ApplyRegister(jobs.Worker{ID: "w", Agent: "a", Life: "1", Service: "vault", Capacity: resource.Vector{MilliCPU: 4000}}, 1)
@@ -112,39 +112,38 @@
 		t.Fatal(err)
 	}
 	begun := time.Now()
-	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
-	place := func(step int, index uint64) []jobs.Order {
-		state.ApplyPlan(jobs.Plan{AtMS: 1000, Placements: []jobs.Placement{{Job: id, Step: step, Indexes: []int{0}, Workers: []string{"w"}}}}, rules, index)
+	at := func(ms int64) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
+	place := func(s *starts, step int, ms int64, index uint64) []jobs.Order {
+		plan := jobs.Plan{AtMS: 1000 + ms, Placements: []jobs.Placement{{Job: id, Step: step, Indexes: []int{0}, Workers: []string{"w"}}}}
+		s.fill(state, &plan, at(ms))
+		state.ApplyPlan(plan, rules, index)
 		return state.Orders("w", index-1)
 	}
-	s.submitted(id, at(0))
+	s.submitted(id, at(5))
 	s.submitted(id, at(20)) // the same job handed in again
-	orders := place(0, 3)
-	s.fill(state, orders, at(30), 1008)
-	if len(orders) != 1 || orders[0].Waited != 30*time.Millisecond || orders[0].AfterStep || orders[0].Decided != 8*time.Millisecond {
+	orders := place(s, 0, 30, 3)
+	if len(orders) != 1 || orders[0].SinceMS != 1005 || orders[0].AfterStep || orders[0].AtMS != 1030 {
 		t.Fatalf("the first step's order: %+v", orders)
 	}
 	end := jobs.End{Task: jobs.Ref{Job: id}, Run: 1, Outcome: jobs.OutcomeFailed}
 	state.ApplyEnd("w", end, rules, 4)
 	s.ended(state, []jobs.End{end}, at(50))
-	orders = place(0, 5)
-	s.fill(state, orders, at(60), 0)
-	if len(orders) != 1 || orders[0].Waited != 0 {
+	orders = place(s, 0, 60, 5)
+	if len(orders) != 1 || orders[0].SinceMS != 0 {
 		t.Fatalf("a repetition's order: %+v", orders)
 	}
 	end.Run, end.Outcome = 2, jobs.OutcomeDone
 	state.ApplyEnd("w", end, rules, 6)
 	s.ended(state, []jobs.End{end}, at(100))
-	orders = place(1, 7)
-	s.fill(state, orders, at(112), 0)
-	if len(orders) != 1 || orders[0].Waited != 12*time.Millisecond || !orders[0].AfterStep {
+	orders = place(s, 1, 112, 7)
+	if len(orders) != 1 || orders[0].SinceMS != 1100 || !orders[0].AfterStep {
 		t.Fatalf("the second step's order: %+v", orders)
 	}
-	newStarts().fill(state, orders, at(200), 0)
+	plan := jobs.Plan{AtMS: 1200, Placements: []jobs.Placement{{Job: id, Step: 1}}}
+	newStarts().fill(state, &plan, at(200))
 	s.forget(func(string) bool { return false })
-	orders[0].Waited = 0
-	s.fill(state, orders, at(200), 0)
-	if orders[0].Waited != 0 || len(s.taken)+len(s.done) != 0 {
-		t.Fatalf("after it was forgotten: %+v", orders)
+	s.fill(state, &plan, at(200))
+	if plan.Placements[0].SinceMS != 0 || len(s.taken)+len(s.done) != 0 {
+		t.Fatalf("after it was forgotten: %+v", plan)
 	}
 }
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -169,6 +169,7 @@
 		in.Slowness = d.slowness
 		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(waiting[g.Key()]) }
 		plan = dispatch.Next(in)
+		d.starts.fill(s.Jobs, &plan, begun)
 	})
 	dispatchSeconds.UpdateDuration(begun)
 	d.consult.wake()
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -268,7 +268,7 @@
 	}
 	costs, pairs := r.dispatcher.costs.observe(&req, time.Now())
 	return LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses(),
-		Costs: costs, Pairs: pairs, Cordoned: r.cordoned(req.Worker), Leader: r.node.View().Term}, nil
+		Costs: costs, Pairs: pairs, Cordoned: r.cordoned(req.Worker), Leader: r.node.View().Term, NowMS: r.dispatcher.nowMS()}, nil
 }
 
 // cordoned reports whether a worker's data centre is out of service.
@@ -299,7 +299,6 @@
 		r.machine.Read(func(s *State) {
 			a.Index, a.Orders = s.Index, s.Jobs.Orders(req.Worker, req.Since)
 			a.Cordoned = s.workerCordoned(req.Worker)
-			r.dispatcher.starts.fill(s.Jobs, a.Orders, time.Now(), r.dispatcher.nowMS())
 		})
 		if len(a.Orders) > 0 || (a.Cordoned && !req.Cordoned) {
 			return a, nil
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -140,6 +140,8 @@
 	// Costs are the pairs that changed after the revision asked for, up to Pairs.
 	Costs []PairCost `msgpack:"c,omitempty"`
 	Pairs uint64     `msgpack:"p,omitempty"`
+	// NowMS is the time that decisions are made by, in milliseconds since 1970.
+	NowMS int64 `msgpack:"n,omitempty"`
 }
 
 // OrdersRequest waits for what changed after a log index.
--- a/control/starts.go
+++ b/control/starts.go
@@ -44,44 +44,35 @@
 	}
 }
 
-// fill tells in each order for a start how long before the run was decided on, by the clock
-// that decides (see dispatcher.nowMS), and for a task's first run how long it has waited.
-func (s *starts) fill(state *jobs.State, orders []jobs.Order, now time.Time, nowMS int64) {
+// fill tells in a plan that is made now since when the tasks have waited that it places for
+// the first time. Repetitions are due by their own time.
+func (s *starts) fill(state *jobs.State, plan *jobs.Plan, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range orders {
-		o := &orders[i]
-		g := state.Group(o.Task)
-		if g != nil && !o.Stop {
-			o.Decided = decidedBefore(&g.Tasks[o.Task.Index], o.Run, nowMS)
-		}
-		if o.Run != 1 || o.Stop || g == nil || g.DueAt() > 0 {
+	for i := range plan.Placements {
+		p := &plan.Placements[i]
+		g := state.Group(jobs.Ref{Job: p.Job, Occurrence: p.Occurrence, Step: p.Step})
+		if g == nil || p.Copy || g.DueAt() > 0 {
 			continue
 		}
-		var since time.Time
-		o.AfterStep = len(g.Step().DependsOn) > 0
-		if !o.AfterStep {
-			since = s.taken[o.Task.Job]
-		}
-		for _, d := range g.Step().DependsOn {
-			if at := s.done[jobs.GroupKey{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: d}]; at.After(since) {
-				since = at
-			}
-		}
-		if !since.IsZero() {
-			o.Waited = now.Sub(since)
+		if since := s.since(g); !since.IsZero() {
+			p.SinceMS = plan.AtMS - now.Sub(since).Milliseconds()
 		}
 	}
 }
 
-// decidedBefore is how long ago a task's run was decided on, 0 if that isn't known.
-func decidedBefore(t *jobs.Task, run uint32, nowMS int64) time.Duration {
-	for _, r := range t.Runs() {
-		if r.Run == run && r.AtMS > 0 {
-			return time.Duration(max(nowMS-r.AtMS, 0)) * time.Millisecond
+// since returns when a group's tasks began to wait, zero if that isn't known; the caller
+// holds the lock.
+func (s *starts) since(g *jobs.Group) (since time.Time) {
+	if len(g.Step().DependsOn) == 0 {
+		return s.taken[g.Job().ID]
+	}
+	for _, d := range g.Step().DependsOn {
+		if at := s.done[jobs.GroupKey{Job: g.Job().ID, Occurrence: g.Occurrence(), Step: d}]; at.After(since) {
+			since = at
 		}
 	}
-	return 0
+	return since
 }
 
 // forget drops what concerns jobs that are not known any more.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -366,6 +366,7 @@
 		if !o.Stop {
 			o.Payload, o.Checkpoint, o.Ticket, o.TargetMS, o.Fills = j.Spec.Payload, t.Checkpoint, r.Ticket, st.TargetMS, st.Fills
 			o.Image, o.MilliCPU = st.Image, st.Need.MilliCPU
+			o.AtMS, o.SinceMS, o.AfterStep = r.AtMS, r.SinceMS, len(st.DependsOn) > 0
 		}
 		out = append(out, o)
 	}
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/resource"
 )
@@ -202,6 +201,10 @@
 	// AtMS is when the leader decided on it, by the median of many clocks, in
 	// milliseconds since 1970. It only tells runs that take long.
 	AtMS int64 `msgpack:"a,omitempty"`
+	// SinceMS is when its task began to wait for it, by the same clock: when the call that
+	// handed the job in arrived, or when the step before ended. It is 0 if that is not known,
+	// and for all but first runs. It only measures.
+	SinceMS int64 `msgpack:"b,omitempty"`
 	// Ticket is the advisor's word that the worker may run it, "" if none is needed.
 	Ticket string `msgpack:"t,omitempty"`
 	// Changed is the log index of the newest decision on the run. An agent
@@ -324,14 +327,11 @@
 	MilliCPU int64  `msgpack:"u,omitempty"`
 	// Held is what the run takes of the worker's room.
 	Held resource.Vector `msgpack:"h,omitempty"`
-	// Waited is how long the task has waited for its first run when the order
-	// left the leader: from the call that handed its job in, or with AfterStep
-	// from the end of the step before. 0 if that is not known. It only measures.
-	Waited    time.Duration `msgpack:"b,omitempty"`
-	AfterStep bool          `msgpack:"a,omitempty"`
-	// Decided is how long before the order left the leader the run was decided on, to the
-	// millisecond. It only measures.
-	Decided time.Duration `msgpack:"d,omitempty"`
+	// AtMS and SinceMS are when the run was decided on and since when its task has waited
+	// for it, see Placed. AfterStep says that it waited for the step before.
+	AtMS      int64 `msgpack:"y,omitempty"`
+	SinceMS   int64 `msgpack:"z,omitempty"`
+	AfterStep bool  `msgpack:"a,omitempty"`
 }
 
 // Placement gives tasks of one group to workers. A gang's placement names all
@@ -346,6 +346,8 @@
 	Tickets []string `msgpack:"t,omitempty"`
 	// Copy places second runs of tasks that are at work already.
 	Copy bool `msgpack:"c,omitempty"`
+	// SinceMS is since when the group's tasks have waited for their first runs, see Placed.
+	SinceMS int64 `msgpack:"b,omitempty"`
 }
 
 // run returns the run that the placement gives its i-th task.
@@ -354,6 +356,9 @@
 	if i < len(p.Tickets) {
 		r.Ticket = p.Tickets[i]
 	}
+	if number == 1 {
+		r.SinceMS = p.SinceMS
+	}
 	return r
 }
 
--- a/runner/grant.go
+++ b/runner/grant.go
@@ -32,6 +32,9 @@
 		a.Pairs = 0 // revisions are each leader's own
 	}
 	s.pairs.Store(a.Pairs)
+	if a.NowMS > 0 {
+		s.leaderMS.Store(a.NowMS - time.Since(s.began).Milliseconds())
+	}
 	s.heard(a.Cordoned, asked)
 	s.mu.Lock()
 	s.leaseEnd = max(s.leaseEnd, clockMS+a.TermMS)
--- a/runner/run.go
+++ b/runner/run.go
@@ -26,11 +26,14 @@
 	claimed bool            // its room is taken: it was, or is to be, started here
 	// unsure is set once a start went unanswered: it may still take effect.
 	unsure bool
-	since  time.Time
-	sent   time.Time // when this life first asked for its start, zero if it did not
-	began  time.Time // when this life started it, zero if an earlier one did
-	slowed bool
-	pause  time.Duration // before the next call, after one that failed
+	since  time.Time // when the order came
+	// waited and decided are how long the task had waited then and how long before the run was
+	// decided on, 0 for not known.
+	waited, decided time.Duration
+	sent            time.Time // when this life first asked for its start, zero if it did not
+	began           time.Time // when this life started it, zero if an earlier one did
+	slowed          bool
+	pause           time.Duration // before the next call, after one that failed
 }
 
 func (r *run) signal() {
@@ -48,6 +51,7 @@
 	}
 	if !r.ordered {
 		r.since = time.Now()
+		r.waited, r.decided = r.s.elapsed(o.SinceMS), r.s.elapsed(o.AtMS)
 	}
 	r.ordered = true
 	r.stop = r.stop || o.Stop
@@ -206,7 +210,7 @@
 		startsTotal.Inc()
 		waited := r.measure(o)
 		logrus.WithFields(logrus.Fields{"task": o.Task.String(), "run": o.Run, "lease_end": end, "waited_ms": waited.Milliseconds(), "after_step": o.AfterStep,
-			"decided_ms": o.Decided.Milliseconds(), "asked_ms": time.Since(r.since).Milliseconds()}).Info("runner: Started a run.")
+			"decided_ms": r.decided.Milliseconds(), "asked_ms": time.Since(r.since).Milliseconds()}).Info("runner: Started a run.")
 		r.mu.Lock()
 		r.began = time.Now()
 		r.mu.Unlock()
@@ -241,13 +245,13 @@
 
 // measure enters a start into the histograms and returns how long its task has waited
 // for it: from the call that handed its job in, or from the end of the step before, 0 if
-// that is not known. The way of the order from the leader is not in it.
+// that is not known.
 func (r *run) measure(o jobs.Order) time.Duration {
 	startSeconds.UpdateDuration(r.since)
-	if o.Waited <= 0 {
+	if r.waited <= 0 {
 		return 0
 	}
-	waited := o.Waited + time.Since(r.since)
+	waited := r.waited + time.Since(r.since)
 	h := submitSeconds
 	if o.AfterStep {
 		h = stepSeconds
--- a/runner/session.go
+++ b/runner/session.go
@@ -77,6 +77,7 @@
 	inService clock.Instant
 
 	leader   atomic.Uint64 // leadership that granted the last lease
+	leaderMS atomic.Int64  // what the leader's clock showed when the session began, 0 if it isn't known
 	pairs    atomic.Uint64 // revision of pairs that it told last
 	tellNext atomic.Bool   // it was new: tell it what the pacer knows
 
@@ -155,6 +156,15 @@
 	return s.ann.Draining || s.leaving
 }
 
+// elapsed returns how long ago a time by the leader's clock was, 0 if either isn't known.
+func (s *session) elapsed(ms int64) time.Duration {
+	began := s.leaderMS.Load()
+	if ms == 0 || began == 0 {
+		return 0
+	}
+	return max(time.Since(s.began)-time.Duration(ms-began)*time.Millisecond, 0)
+}
+
 // closed reports whether nothing new may begin: the worker is about to end, or its data
 // centre is out of service.
 func (s *session) closed() bool { return s.draining() || s.isCordoned() }
