quorum: A replica knows whether its copy is current

Cause: a replica in contact with the leader may still be catching up for seconds. Nothing told such a one from one whose copy is good to answer from.

Four tests: catching up, cut off, under load, a new leader.

--- a/quorum/calls.go
+++ b/quorum/calls.go
@@ -11,11 +11,14 @@
 	Term      uint64
 	Leader    Replica // zero when unknown
 	InContact bool    // see Status
-	Config    Config  // the replica set; never changed in place
+	// Current says that the replica has applied all that was committed an election timeout
+	// ago.
+	Current bool
+	Config  Config // the replica set; never changed in place
 }
 
 func (v View) same(o View) bool {
-	return v.Role == o.Role && v.Term == o.Term && v.Leader == o.Leader && v.InContact == o.InContact &&
+	return v.Role == o.Role && v.Term == o.Term && v.Leader == o.Leader && v.InContact == o.InContact && v.Current == o.Current &&
 		slices.Equal(v.Config.Voters, o.Config.Voters) && slices.Equal(v.Config.Learners, o.Config.Learners) &&
 		slices.Equal(v.Config.Old, o.Config.Old)
 }
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -57,6 +57,10 @@
 	reads     []pendingRead
 	transfer  uint64 // replica being handed the leadership, 0 for none
 	transferT uint64 // tick at which the hand-over began
+	// awaited is how far the leader said that the log is committed, until that is applied
+	// here, and currentAt the tick of the last such word that was.
+	awaited   position
+	currentAt uint64
 	partial   *Snapshot
 	partSize  int
 	chunk     int // bytes of one part of a snapshot
@@ -68,6 +72,9 @@
 	done     []Read
 }
 
+// position is an index of the log at a tick.
+type position struct{ index, tick uint64 }
+
 // NewCore returns a core that starts from what its disk holds. The generator
 // only spreads election timeouts.
 func NewCore(id uint64, hs HardState, snap Snapshot, entries []Entry, rng *rand.Rand) *Core {
@@ -219,6 +226,7 @@
 	}
 	c.role, c.leader = Follower, leader
 	c.peers, c.votes, c.reads, c.transfer = nil, nil, nil, 0
+	c.awaited, c.currentAt = position{}, 0
 	c.resetTimeout()
 }
 
--- /dev/null
+++ b/quorum/current_test.go
@@ -0,0 +1,61 @@
+package quorum
+
+import "testing"
+
+// A replica that comes back hears the leader at once and lacks seconds of the log. Answering
+// from its own copy meanwhile, it would tell agents what was in force long ago.
+func TestReplicaThatCatchesUpIsNotCurrent(t *testing.T) {
+	l, leader := behind(t, 1500, 1000, true)
+	begun := leader.core.log.committed
+	for range 400 {
+		l.tick()
+		if l.to.core.current() && l.to.core.log.applied < begun {
+			t.Fatalf("current with %d of %d entries", l.to.core.log.applied, begun)
+		}
+	}
+	if !l.to.core.current() || !l.to.core.leaderFresh() {
+		t.Fatal("not current though it has caught up")
+	}
+}
+
+// A replica that is cut off knows within an election timeout that it may be outdated.
+func TestReplicaThatHearsNobodyIsNotCurrent(t *testing.T) {
+	w, leader := settled(t, 5)
+	cut := w.others(leader)[0]
+	if !cut.core.current() {
+		t.Fatal("not current in a group at rest")
+	}
+	w.isolate(cut)
+	w.settle(ElectionTicks + HeartbeatTicks + 1)
+	if cut.core.current() {
+		t.Error("current without a word for an election timeout")
+	}
+}
+
+// Under load the leader has always committed more than a follower has applied. The follower is
+// current all the same: what it lacks is younger than an election timeout.
+func TestReplicaIsCurrentUnderLoad(t *testing.T) {
+	w, leader := settled(t, 3)
+	for range 10 * ElectionTicks {
+		w.propose(leader)
+		w.settle(1)
+		for _, r := range w.others(leader) {
+			if !r.core.current() {
+				t.Fatalf("%s is not current with %d of %d entries", r.name, r.core.log.applied, leader.core.log.committed)
+			}
+		}
+	}
+}
+
+// A new leader doesn't know how far the one before it had come until an entry of its own is
+// committed. A follower that lacks the rest must not pass for current by its word.
+func TestNewLeaderSaysNothingOfWhatItDoesNotKnow(t *testing.T) {
+	_, leader := settled(t, 3)
+	if leader.core.everCommitted() == 0 {
+		t.Fatal("nothing is known at rest")
+	}
+	leader.core.term++ // as after an election, before its first commit
+	if n := leader.core.everCommitted(); n != 0 {
+		t.Errorf("tells %d", n)
+	}
+}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -97,7 +97,8 @@
 }
 
 func (n *Node) publish() {
-	v := View{Role: n.core.role, Term: n.core.term, InContact: n.core.leaderFresh()}
+	n.core.noteApplied()
+	v := View{Role: n.core.role, Term: n.core.term, InContact: n.core.leaderFresh(), Current: n.core.current()}
 	v.Config = n.core.log.config().config
 	v.Leader, _ = v.Config.Find(n.core.leader)
 	if old := n.view.Load(); old == nil || !old.same(v) {
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -209,7 +209,16 @@
 
 func (c *Core) sendHeartbeat(id uint64, p *progress) {
 	c.early = append(c.early, Message{Kind: MsgHeartbeat, From: c.id, To: id, Term: c.term,
-		Commit: min(p.match, c.log.committed), Round: c.round})
+		Commit: min(p.match, c.log.committed), Index: c.everCommitted(), Round: c.round})
+}
+
+// everCommitted is how far the log was committed by any leader, 0 while that isn't known:
+// before an entry of its own term is committed, an earlier leader may have come further.
+func (c *Core) everCommitted() uint64 {
+	if t, _ := c.log.term(c.log.committed); t != c.term {
+		return 0
+	}
+	return c.log.committed
 }
 
 // sendAppend sends the next entries, or none to a replica that is probed. A replica
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -82,12 +82,31 @@
 }
 
 // onHeartbeat takes the leader's commit index. The leader sends no more of it than
-// it knows this replica to hold.
+// it knows this replica to hold, and beside it how far it is itself.
 func (c *Core) onHeartbeat(m Message) {
+	c.noteApplied()
+	if c.awaited.index == 0 {
+		// A later word doesn't replace one that is waited for: under load none would ever
+		// be reached.
+		c.awaited = position{m.Index, c.now}
+	}
 	c.log.commitTo(m.Commit)
 	c.messages = append(c.messages, Message{Kind: MsgHeartbeatResp, From: c.id, To: m.From, Term: c.term, Round: m.Round})
 }
 
+// noteApplied ends the wait for what the leader said was committed.
+func (c *Core) noteApplied() {
+	if c.awaited.index != 0 && c.log.applied >= c.awaited.index {
+		c.currentAt, c.awaited = c.awaited.tick, position{}
+	}
+}
+
+// current reports whether this replica has applied all that was committed an election
+// timeout ago. One that hears the leader may still be catching up.
+func (c *Core) current() bool {
+	return c.role == Leader || (c.leaderFresh() && c.currentAt > 0 && c.currentAt+ElectionTicks >= c.now)
+}
+
 func (c *Core) handleAppend(m Message) Message {
 	resp := Message{Kind: MsgAppendResp, From: c.id, To: m.From, Term: c.term, Round: m.Round}
 	if m.Index < c.log.committed {
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -103,7 +103,7 @@
 	From     uint64      `msgpack:"f"`
 	To       uint64      `msgpack:"o"`
 	Term     uint64      `msgpack:"t"`
-	Index    uint64      `msgpack:"i,omitempty"` // previous index, last index, or the acknowledged one
+	Index    uint64      `msgpack:"i,omitempty"` // previous index, last index, the acknowledged one, or with a heartbeat all that was ever committed
 	LogTerm  uint64      `msgpack:"l,omitempty"` // term of the entry at Index
 	Commit   uint64      `msgpack:"c,omitempty"`
 	Entries  []Entry     `msgpack:"e,omitempty"`
