control, runner: Agents of a large fleet take their orders from followers

What callers saw: on the whole fleet jobs begin late in bursts in which the leader is busy; 1,800 of the 4,300 calls a second that it answers are agents' open calls for orders, 0.45 s each, 804 of them at any time, three to four connections an agent.

Change: an order is committed state, and the worker's lease, which the leader alone grants, keeps an outdated one from starting. So any replica whose copy is current hands orders out. With each lease the leader names replicas to ask: voters, which hear of a commit within a contact round, one in the worker's own data centre first. It keeps `control.own_agents` (128) itself, so that small fleets are served as before. A follower that lacks the worker's registration says so and ends no session; one that can't answer is passed over for 2 s and the leader asked. A change of leader no longer takes all agents' open calls with it.

The answer to a registration tells its index in place of the token that nobody read.

--- a/control/client.go
+++ b/control/client.go
@@ -19,6 +19,7 @@
 	// everything that was learned, after a long cut.
 	contacts func() []string
 	learned  []string
+	near     []string             // for calls that any replica may answer, see Prefer
 	failed   map[string]time.Time // when a replica last did not answer
 	patience time.Duration
 	mu       sync.Mutex
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -204,7 +204,7 @@
 	done := v.(registered)
 	r.dispatcher.registered(w.ID)
 	r.logRegistration(&w, &done)
-	return Registered{done.Worker.Token}, nil
+	return Registered{done.Worker.Registered}, nil
 }
 
 func (r *Replica) logRegistration(w *Registration, done *registered) {
@@ -249,7 +249,7 @@
 		}
 	})
 	if registered == 0 {
-		return 0, refusal.New(refusal.NotRegistered, "register the worker again", "worker %s is not registered by this life of its agent", ref.Worker)
+		return 0, notRegistered(ref.Worker)
 	}
 	return registered, nil
 }
@@ -267,14 +267,16 @@
 		return LeaseAnswer{}, err
 	}
 	costs, pairs := r.dispatcher.costs.observe(&req, time.Now())
-	return LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses(),
-		Costs: costs, Pairs: pairs, Cordoned: r.cordoned(req.Worker), Leader: r.node.View().Term, NowMS: r.dispatcher.nowMS()}, nil
-}
-
-// cordoned reports whether a worker's data centre is out of service.
-func (r *Replica) cordoned(worker string) (cordoned bool) {
-	r.machine.Read(func(s *State) { cordoned = s.workerCordoned(worker) })
-	return cordoned
+	view := r.node.View()
+	a := LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses(),
+		Costs: costs, Pairs: pairs, Leader: view.Term, NowMS: r.dispatcher.nowMS()}
+	r.machine.Read(func(s *State) {
+		a.Cordoned = s.workerCordoned(req.Worker)
+		if w := s.Jobs.Workers[req.Worker]; w != nil {
+			a.Orders = ordersFrom(view.Config, r.self.ID, w, len(s.Jobs.Workers), *r.set.Control.OwnAgents)
+		}
+	})
+	return a, nil
 }
 
 func (s *State) workerCordoned(worker string) bool {
@@ -282,39 +284,6 @@
 	return w != nil && s.DataCentres.Cordoned(w.DataCentre)
 }
 
-// onOrders waits until something changes for a worker. It needs no majority's
-// word: every order it hands out is committed, and the worker's lease keeps an
-// outdated one from starting.
-func (r *Replica) onOrders(req OrdersRequest) (OrdersAnswer, error) {
-	deadline := time.After(min(time.Duration(req.WaitMS)*time.Millisecond, maxOrdersWait))
-	changed := r.dispatcher.watch(req.Worker)
-	for {
-		if r.node.View().Role != quorum.Leader {
-			return OrdersAnswer{}, r.refusalOf(quorum.ErrNotLeader)
-		}
-		if _, err := r.known(req.WorkerRef); err != nil {
-			return OrdersAnswer{}, err
-		}
-		var a OrdersAnswer
-		r.machine.Read(func(s *State) {
-			a.Index, a.Orders = s.Index, s.Jobs.Orders(req.Worker, req.Since)
-			a.Cordoned = s.workerCordoned(req.Worker)
-		})
-		if len(a.Orders) > 0 || (a.Cordoned && !req.Cordoned) {
-			return a, nil
-		}
-		select {
-		case <-changed:
-		case <-deadline:
-			return a, nil
-		}
-	}
-}
-
-// maxOrdersWait bounds one wait for orders, so that a silent connection is
-// noticed within a second or two.
-const maxOrdersWait = time.Second
-
 // onEnds commits ends. Only then may the agent let the worker forget them.
 func (r *Replica) onEnds(req RunEnds) (Empty, error) {
 	arrived := time.Now()
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -97,8 +97,9 @@
 
 // Registered answers the registration of a worker.
 type Registered struct {
-	// Token is the fencing token of this life of the agent.
-	Token uint64 `msgpack:"t"`
+	// Index is the log index of the registration. A replica that has not come so far does not
+	// know of it.
+	Index uint64 `msgpack:"i"`
 }
 
 // WorkerRef names one life of an agent beside one incarnation of a worker.
@@ -140,6 +141,9 @@
 	// Costs are the pairs that changed after the revision asked for, up to Pairs.
 	Costs []PairCost `msgpack:"c,omitempty"`
 	Pairs uint64     `msgpack:"p,omitempty"`
+	// Orders are replicas to ask for the worker's orders, in order of preference, none for
+	// the leader itself.
+	Orders []string `msgpack:"w,omitempty"`
 	// NowMS is the time that decisions are made by, in milliseconds since 1970.
 	NowMS int64 `msgpack:"n,omitempty"`
 }
@@ -152,6 +156,9 @@
 	// Cordoned says that the agent knows that its data centre is out of service; else
 	// that is news too.
 	Cordoned bool `msgpack:"o,omitempty"`
+	// Registered is the index of the worker's registration. A replica that lacks it refuses
+	// to answer.
+	Registered uint64 `msgpack:"i,omitempty"`
 }
 
 // OrdersAnswer has the orders that changed after the index asked for, up to
--- a/control/register_test.go
+++ b/control/register_test.go
@@ -54,8 +54,10 @@
 		t.Fatalf("tokens %+v and %+v (%v, %v)", first, second, err, err2)
 	}
 	w := jobs.Worker{ID: "w#2", Agent: "a", Life: "b", Service: "vault", Token: second.Token, Capacity: resource.Vector{MilliCPU: 4000}}
-	if got, err := l.onRegister(Registration{Worker: w}); err != nil || got.Token != second.Token {
-		t.Fatalf("registered with %+v (%v)", got, err)
+	got, err := l.onRegister(Registration{Worker: w})
+	kept := l.machine.state.Jobs.Workers["w#2"]
+	if err != nil || kept == nil || kept.Token != second.Token || got.Index != kept.Registered {
+		t.Fatalf("registered with %+v, kept as %+v (%v)", got, kept, err)
 	}
 	w.ID, w.Life, w.Token = "w#1", "a", first.Token
 	if _, err := l.onRegister(Registration{Worker: w}); !refusal.Is(err, refusal.NotRegistered) {
--- a/proof/everything_test.go
+++ b/proof/everything_test.go
@@ -46,6 +46,7 @@
 	ctx   context.Context
 
 	punctual bool // workers carry all calls out at once
+	own      int  // agents that ask the leader for orders; the others ask followers
 	begun    time.Time
 	formed   bool // the replica set has formed: an empty disk is a lost one
 	log      []string
@@ -124,8 +125,8 @@
 }
 
 func (e *everything) startReplica(i int) {
-	set := e.settingsOf(replicaIP(i), fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"50ms\"\nlease = \"5s\"\nsnapshot_entries = 200\nform_from_seeds = %v",
-		e.disk(i), !e.formed))
+	set := e.settingsOf(replicaIP(i), fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"50ms\"\nlease = \"5s\"\nsnapshot_entries = 200\nform_from_seeds = %v\nown_agents = %d",
+		e.disk(i), !e.formed, e.own))
 	r, err := control.New(set)
 	if err != nil {
 		e.t.Errorf("replica %d does not start: %v", i, err)
@@ -216,7 +217,7 @@
 const fullRoom = 12_000
 
 func newEverything(t *testing.T, ctx context.Context, seed int64, workers int, punctual bool) *everything {
-	e := &everything{t: t, punctual: punctual, rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), power: newPowerBook(t), dir: t.TempDir(), ctx: ctx, begun: time.Now(), jobs: make(map[string]*submitted), centres: make(map[string]*fuzzCentre)}
+	e := &everything{t: t, punctual: punctual, own: int(seed % 2 * fuzzWorkers), rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), power: newPowerBook(t), dir: t.TempDir(), ctx: ctx, begun: time.Now(), jobs: make(map[string]*submitted), centres: make(map[string]*fuzzCentre)}
 	transport.SetNetwork(e.net)
 	quorum.WatchSyncs(e.power)
 	for i := range e.replicas {
@@ -273,7 +274,7 @@
 // while replicas are cut off, stopped, lose their disks or their power one at a time, or
 // all their power at once, with whatever was not synced; agents start
 // anew, are cut off, workers crash, and leave calls unanswered that they carry out
-// seconds later; tasks crash each worker that starts them; workers' rooms shrink and grow,
+// seconds later; agents take orders from the leader or, in every second play, from followers; tasks crash each worker that starts them; workers' rooms shrink and grow,
 // and they start whatever they are told to. When it is over every job that
 // was taken is done or, with such a task, given up; nothing was started twice or too early
 // or over a room, nothing acknowledged is forgotten. Two workers in three start again under their id,
--- a/quorum/current_test.go
+++ b/quorum/current_test.go
@@ -1,6 +1,9 @@
 package quorum
 
-import "testing"
+import (
+	"math/rand"
+	"testing"
+)
 
 // A replica that comes back hears the leader at once and lacks seconds of the log. Answering
 // from its own copy meanwhile, it would tell agents what was in force long ago.
@@ -35,14 +38,20 @@
 // Under load the leader has always committed more than a follower has applied. The follower is
 // current all the same: what it lacks is younger than an election timeout.
 func TestReplicaIsCurrentUnderLoad(t *testing.T) {
-	w, leader := settled(t, 3)
-	for range 10 * ElectionTicks {
-		w.propose(leader)
-		w.settle(1)
-		for _, r := range w.others(leader) {
-			if !r.core.current() {
-				t.Fatalf("%s is not current with %d of %d entries", r.name, r.core.log.applied, leader.core.log.committed)
-			}
+	const behind, ticks = ElectionTicks / 4, 10 * ElectionTicks
+	set := Config{Voters: voterSet(1, 2, 3)}
+	c := NewCore(1, HardState{Term: 1}, Snapshot{Config: set}, nil, rand.New(rand.NewSource(1)))
+	var entries []Entry
+	for i := range uint64(ticks + behind) {
+		entries = append(entries, Entry{Index: i + 1, Term: 1, Kind: EntryCommand})
+	}
+	c.Step(Message{Kind: MsgAppend, From: 2, To: 1, Term: 1, Entries: entries})
+	for i := range uint64(ticks) {
+		c.Tick()
+		c.Step(Message{Kind: MsgHeartbeat, From: 2, To: 1, Term: 1, Commit: i, Index: i + behind})
+		c.Ready()
+		if i > 2*behind && !c.current() {
+			t.Fatalf("not current after %d ticks", i)
 		}
 	}
 }
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -35,6 +35,7 @@
 	NoConfig       Code = "no-configuration"
 	NotRegistered  Code = "not-registered"
 	UnknownService Code = "unknown-service"
+	Behind         Code = "behind"
 )
 
 // Codes told to callers.
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -321,6 +321,12 @@
 
 func (c *fakeControl) Learn([]string) {}
 
+func (c *fakeControl) Prefer([]string) {}
+
+func (c *fakeControl) CallAny(path string, timeout time.Duration, req, resp any) error {
+	return c.Call(path, timeout, req, resp)
+}
+
 // cordon takes the worker's data centre out of service, or brings it back.
 func (c *fakeControl) cordon(on bool) {
 	c.mu.Lock()
@@ -436,7 +442,7 @@
 			c.orders = make(map[runKey]*order)
 		}
 		c.worker, c.life = q.ID, q.Life
-		resp.(*control.Registered).Token = q.Token
+		resp.(*control.Registered).Index = c.index
 	case *control.LeaseRequest:
 		if q.Life != c.life {
 			return refusal.New(refusal.NotRegistered, "", "")
--- a/runner/grant.go
+++ b/runner/grant.go
@@ -25,6 +25,7 @@
 		return
 	}
 	s.r.ctl.Learn(a.Replicas)
+	s.r.ctl.Prefer(a.Orders)
 	s.pacer.learn(a.Costs)
 	fresh := s.leader.Swap(a.Leader) != a.Leader
 	s.tellNext.Store(fresh)
--- a/runner/register.go
+++ b/runner/register.go
@@ -31,9 +31,11 @@
 	a := s.announced()
 	w := control.Registration{Crash: s.r.crash, Worker: jobs.Worker{ID: a.Worker, Agent: s.r.agent, Service: a.Service, DataCentre: a.DataCentre,
 		Labels: a.Labels, Rack: a.Rack, Capacity: a.Capacity, Token: s.token.Load(), Life: s.life, Draining: a.Draining}}
-	if err := s.r.ctl.Call(control.PathRegister, controlTimeout, &w, &control.Registered{}); err != nil {
+	var done control.Registered
+	if err := s.r.ctl.Call(control.PathRegister, controlTimeout, &w, &done); err != nil {
 		return err
 	}
+	s.registered.Store(done.Index)
 	s.r.crash, s.r.registered = nil, a.Worker // only one registration is under way at a time
 	return nil
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -20,7 +20,9 @@
 // implements it.
 type Control interface {
 	Call(path string, timeout time.Duration, req, resp any) error
+	CallAny(path string, timeout time.Duration, req, resp any) error
 	Learn(addresses []string)
+	Prefer(addresses []string)
 }
 
 // Runner serves one worker after the other, as they announce themselves.
--- a/runner/session.go
+++ b/runner/session.go
@@ -26,7 +26,7 @@
 	leaseEvery = 700 * time.Millisecond
 	// callPause separates tries of a call that failed.
 	callPause = 50 * time.Millisecond
-	// ordersWait is how long the leader may hold a call for orders back.
+	// ordersWait is how long a replica may hold a call for orders back.
 	ordersWait = 450 * time.Millisecond
 	// controlTimeout bounds one call to the control, tries elsewhere included.
 	controlTimeout = 2 * time.Second
@@ -76,10 +76,11 @@
 	word      clock.Instant
 	inService clock.Instant
 
-	leader   atomic.Uint64 // leadership that granted the last lease
-	leaderMS atomic.Int64  // what the leader's clock showed when the session began, 0 if it isn't known
-	pairs    atomic.Uint64 // revision of pairs that it told last
-	tellNext atomic.Bool   // it was new: tell it what the pacer knows
+	registered atomic.Uint64 // index of the registration
+	leader     atomic.Uint64 // leadership that granted the last lease
+	leaderMS   atomic.Int64  // what the leader's clock showed when the session began, 0 if it isn't known
+	pairs      atomic.Uint64 // revision of pairs that it told last
+	tellNext   atomic.Bool   // it was new: tell it what the pacer knows
 
 	// steppedUp says that nothing was answered since the session went on to the token in
 	// reserve: a call that the next incarnation must not carry out would spend it.
@@ -288,14 +289,13 @@
 	return refusal.Unreachable
 }
 
-// ordersLoop keeps one call open at the leader, which returns with the next
-// orders.
+// ordersLoop keeps one call open at a replica, which returns with the next orders.
 func (s *session) ordersLoop() {
 	since := uint64(0)
 	for s.ctx.Err() == nil {
-		req := control.OrdersRequest{WorkerRef: s.ref(), Since: since, WaitMS: ordersWait.Milliseconds(), Cordoned: s.isCordoned()}
+		req := control.OrdersRequest{WorkerRef: s.ref(), Since: since, WaitMS: ordersWait.Milliseconds(), Cordoned: s.isCordoned(), Registered: s.registered.Load()}
 		var a control.OrdersAnswer
-		if err := s.r.ctl.Call(control.PathOrders, controlTimeout, &req, &a); err != nil {
+		if err := s.r.ctl.CallAny(control.PathOrders, controlTimeout, &req, &a); err != nil {
 			s.controlRefused("orders", err)
 			s.sleep(callPause)
 			continue
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,6 +102,9 @@
 	// BearLosses is how many control replicas may be lost at once while nothing
 	// stops and nothing is lost. It is nil if it isn't given; see Losses.
 	BearLosses *int `toml:"bear_losses"`
+	// OwnAgents is how many agents the leader hands orders out to by itself, nil for the
+	// default. The others are sent to followers.
+	OwnAgents *int `toml:"own_agents"`
 	// DataCentres names the data centres that operators may take out of service, beside
 	// those in which anything of the system stands.
 	DataCentres []string `toml:"data_centres"`
@@ -197,8 +200,11 @@
 	DefaultSnapshotEntries = 20_000
 	// DefaultBearLosses is for replicas that are told first contacts only: what the
 	// smallest set that outlives a loss bears, one of three.
-	DefaultBearLosses      = 1
-	DefaultSchedule        = 100 * time.Millisecond
+	DefaultBearLosses = 1
+	DefaultSchedule   = 100 * time.Millisecond
+	// DefaultOwnAgents costs a leader some hundredths of a core. An order through a follower
+	// is there a contact round later.
+	DefaultOwnAgents       = 128
 	DefaultMaxBody         = 8 << 20
 	DefaultSync            = 500 * time.Millisecond
 	DefaultCutOffAfter     = 10 * time.Second
@@ -228,6 +234,10 @@
 		c.Tick.orDefault(DefaultTick)
 		c.Lease.orDefault(DefaultLease)
 		c.Schedule.orDefault(DefaultSchedule)
+		if c.OwnAgents == nil {
+			own := DefaultOwnAgents
+			c.OwnAgents = &own
+		}
 		if c.SnapshotEntries == 0 {
 			c.SnapshotEntries = DefaultSnapshotEntries
 		}
@@ -351,6 +361,9 @@
 	if s.Control != nil && s.Control.DataFolder == "" {
 		return fmt.Errorf("control.data_folder is missing; name a folder on the instance's disk")
 	}
+	if s.Control != nil && *s.Control.OwnAgents < 0 {
+		return fmt.Errorf("control.own_agents is %d; give the number of agents that the leader hands orders out to, 0 or more", *s.Control.OwnAgents)
+	}
 	return s.checkLosses()
 }
 
