daemon: A control replica schedules on two processors, so that a sync does not hold the only one

A goroutine in a blocking call keeps its processor of the Go runtime until the runtime's watch takes it away, which looks every 20 us at best and every 10 ms at rest; these instances have one. So most syncs stopped the whole process, and under load one sync follows the other. Ruled out: the collector (16 to 30 ms a second), passes (1 to 2 ms, at most 70), the disk (6 ms a sync), the network (2 MB/s of 52).

Change: a control replica's runtime schedules on at least two processors. It takes no more of the instance's: the second only runs what would wait.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -122,7 +123,14 @@
 	return a.Run, nil
 }
 
+// syncProcessors is how many processors a control replica's runtime schedules on, also on an
+// instance with one. A goroutine that syncs the disk holds its processor, mostly for the whole
+// sync: with no other one neither contact nor leases are answered meanwhile, and under load
+// one sync follows the other.
+const syncProcessors = 2
+
 func controlRole(set *settings.Settings) (role, error) {
+	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), syncProcessors))
 	r, err := control.New(set)
 	if err != nil {
 		return nil, err
