--- a/quorum/calls.go
+++ b/quorum/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 )
 
 // View is a cheap copy of where a replica stands, for every request's use.
@@ -52,7 +53,7 @@
 	if n.hasStopped() {
 		return nil, ErrStopped
 	}
-	p := proposal{data: data, done: make(chan outcome, 1)}
+	p := proposal{data: data, at: time.Now(), done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
 	case <-ctx.Done():
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -6,6 +6,8 @@
 	"math/rand"
 	"sync/atomic"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Sender carries messages to other replicas. Send must not block; messages to
@@ -37,6 +39,13 @@
 	Seed            int64
 }
 
+var (
+	commitSeconds   = metrics.NewHistogram(`waxwinghaven_commit_seconds`)
+	syncSeconds     = metrics.NewHistogram(`waxwinghaven_log_sync_seconds`)
+	snapshotSeconds = metrics.NewHistogram(`waxwinghaven_snapshot_seconds`)
+	snapshotBytes   = metrics.NewGauge(`waxwinghaven_snapshot_bytes`, nil)
+)
+
 // fullTicks is the interval at which the room on the disk is looked up.
 const fullTicks = 20
 
@@ -50,6 +59,7 @@
 type proposal struct {
 	data []byte
 	term uint64
+	at   time.Time // when it was handed over
 	done chan outcome
 }
 
@@ -298,7 +308,7 @@
 	if rd.Snapshot != nil {
 		err = n.installSnapshot(rd)
 	} else {
-		err = n.opts.Disk.Save(rd.HardState, rd.Entries)
+		err = n.save(rd)
 	}
 	if err == nil && len(rd.Entries) > 0 {
 		last := rd.Entries[len(rd.Entries)-1]
@@ -307,6 +317,13 @@
 	return err
 }
 
+func (n *Node) save(rd Ready) error {
+	if len(rd.Entries) > 0 {
+		defer syncSeconds.UpdateDuration(time.Now())
+	}
+	return n.opts.Disk.Save(rd.HardState, rd.Entries)
+}
+
 func (n *Node) installSnapshot(rd Ready) error {
 	if err := n.opts.Disk.SaveSnapshot(*rd.Snapshot, n.hardState(), rd.Entries); err != nil {
 		return err
@@ -338,6 +355,7 @@
 			p.done <- outcome{err: ErrUnknown}
 			continue
 		}
+		commitSeconds.UpdateDuration(p.at)
 		p.done <- outcome{result: result}
 	}
 	n.releaseReads()
@@ -387,10 +405,13 @@
 	if n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries || n.fullSeen {
 		return nil
 	}
+	begun := time.Now()
 	data, err := n.opts.Machine.Snapshot()
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	snapshotSeconds.UpdateDuration(begun)
+	snapshotBytes.Set(float64(len(data)))
 	s := n.core.SnapshotAt(n.applied)
 	s.Data = data
 	n.core.Compact(s)
--- a/transport/server.go
+++ b/transport/server.go
@@ -27,6 +27,7 @@
 type route struct {
 	handle Handler
 	roles  []Role
+	calls  *metrics.Counter
 }
 
 // Server answers typed messages.
@@ -75,7 +76,10 @@
 }
 
 // Handle answers messages at path from peers whose key has one of the roles.
-func (s *Server) Handle(path string, h Handler, roles ...Role) { s.routes[path] = route{h, roles} }
+func (s *Server) Handle(path string, h Handler, roles ...Role) {
+	calls := metrics.GetOrCreateCounter(fmt.Sprintf(`waxwinghaven_calls_served_total{part=%q,path=%q}`, s.part, path))
+	s.routes[path] = route{h, roles, calls}
+}
 
 // Raw serves a path without decoding.
 func (s *Server) Raw(path string, h fasthttp.RequestHandler) { s.raw[path] = h }
@@ -95,6 +99,7 @@
 		s.refuse(ctx, refusal.New(refusal.Forbidden, "use a key made for the right role", "this key may not call %s", path))
 		return
 	}
+	r.calls.Inc()
 	resp, err := r.handle(ctx.PostBody())
 	if err != nil {
 		s.refuse(ctx, err)
