--- a/proof/growth_test.go
+++ b/proof/growth_test.go
@@ -32,7 +32,6 @@
 	leaderKB, followerKB, spareKB, agentKB                         float64
 	commits, syncs, passes                                         float64
 	allocatedMB                                                    float64 // by all processes
-	snapshotKB                                                     float64
 	// restarted is the time from a worker's crash until its tasks are done elsewhere or there
 	// again, and led the time from the leader's loss until a job is taken, leased until every
 	// agent has a lease of the next.
