control: A client believes in a leader that was heard since it failed

Cause: a client that failed to reach a replica took nobody's word that it leads for one second. That keeps callers from a leader that was cut off a moment ago, since the others notice later, but it also holds when the client itself was cut off, or the leader has come up since. A walk over three or five replicas hid it; with ten each walk ends in refusals before the second is over.

Change: the word of who leads tells how long ago that leader was heard; it is believed if that was after the failure. The second is gone, and with it a constant that suited small sets.

--- a/control/client.go
+++ b/control/client.go
@@ -81,6 +81,7 @@
 	unsure := false
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		addr := c.current()
+		asked := time.Now()
 		err := c.rpc.Call(addr, path, min(time.Until(deadline), callTimeout), req, resp)
 		if err == nil {
 			return nil
@@ -91,7 +92,7 @@
 		}
 		unsure = unsure || e.Code == refusal.Unreachable || e.Code == refusal.UnknownOutcome
 		impatient := c.patience > 0 && !unsure && time.Since(begun) > c.patience
-		if !c.moveOn(addr, e) || time.Until(deadline) < leastTry || impatient {
+		if !c.moveOn(addr, asked, e) || time.Until(deadline) < leastTry || impatient {
 			return together(e, unsure)
 		}
 		refusal.CountRetry(c.part, e.Code)
@@ -120,9 +121,6 @@
 	// leastTry is the time below which another try would only time out and
 	// hide the reason of the last one.
 	leastTry = 200 * time.Millisecond
-	// suspectTime is how long a replica that did not answer is not gone back
-	// to on another's word that it leads: the others notice later.
-	suspectTime = time.Second
 )
 
 func (c *Client) current() string {
@@ -133,7 +131,7 @@
 
 // moveOn chooses another replica after a refusal, and reports whether asking
 // again can help.
-func (c *Client) moveOn(from string, e *refusal.Error) bool {
+func (c *Client) moveOn(from string, asked time.Time, e *refusal.Error) bool {
 	switch e.Code {
 	case refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable, refusal.SendFailed, refusal.UnknownOutcome:
 	default:
@@ -146,7 +144,9 @@
 	}
 	switch {
 	case c.at != from: // somebody else has moved on already
-	case e.Code == refusal.NotLeader && e.Leader != "" && time.Since(c.failed[e.Leader]) > suspectTime:
+	case e.Code == refusal.NotLeader && e.Leader != "" && c.failed[e.Leader].Before(asked.Add(-e.LeaderHeard)):
+		// Word of a leader that was cut off lasts until the others notice. One that
+		// was heard since it failed this client has come up, or was busy.
 		c.at = e.Leader
 	default:
 		c.at = c.another(from)
--- a/control/client_test.go
+++ b/control/client_test.go
@@ -96,3 +96,32 @@
 		t.Error(err)
 	}
 }
+
+// After a loss of all power a client finds the coming leader not up yet, and the others name it
+// a moment later. Disbelieved, callers walk past a leader that is there for a second and more.
+func TestLeaderThatCameUpSinceItFailedIsGoneBackTo(t *testing.T) {
+	c := clientOf("a", "b", "c")
+	c.moveOn("a", time.Now(), refusal.New(refusal.SendFailed, "", "not up yet"))
+	c.moveOn("b", time.Now().Add(time.Millisecond), named("a", 0))
+	if c.current() != "a" {
+		t.Errorf("asks %s next", c.current())
+	}
+}
+
+// A leader was cut off a moment ago and the others have not noticed yet. Believed, their word
+// sends callers back to it, for another try that nobody answers.
+func TestLeaderThatWasCutOffIsNotGoneBackTo(t *testing.T) {
+	c := clientOf("a", "b", "c")
+	c.moveOn("a", time.Now(), refusal.New(refusal.Unreachable, "", "no answer"))
+	c.moveOn("b", time.Now().Add(time.Millisecond), named("a", time.Second))
+	if c.current() != "c" {
+		t.Errorf("asks %s next, by the word of one that had not heard from a for a second", c.current())
+	}
+}
+
+// named is a replica's word that another one leads, which it heard from so long ago.
+func named(leader string, heard time.Duration) *refusal.Error {
+	e := refusal.New(refusal.NotLeader, "", "another one leads")
+	e.Leader, e.LeaderHeard = leader, heard
+	return e
+}
--- a/control/links_test.go
+++ b/control/links_test.go
@@ -107,3 +107,25 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// A leader that is cut off stays named by the others until they notice. Without the age of what
+// they know, nobody can tell their word from that of replicas that hear it.
+func TestReplicaKnowsHowLongAgoItHeardItsLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, catchUp{snapshot: 1000, every: 1 << 40, link: sharedLink})
+		leader := g.leader()
+		follower := g.nodes[(leader+1)%groupSize]
+		const contact = 200 * time.Millisecond // more than a heartbeat's interval and its way
+		g.await("the follower hears the leader", func() bool { return follower.View().Leader.ID == uint64(leader+1) })
+		if heard := follower.LeaderHeard(); heard > contact {
+			t.Errorf("heard %v ago from a leader in contact", heard)
+		}
+		g.net.Isolate(g.ip(leader), true)
+		const cut = 400 * time.Millisecond // less than an election timeout
+		time.Sleep(cut)
+		if heard := follower.LeaderHeard(); heard < cut-contact || heard > cut+contact {
+			t.Errorf("heard %v ago from a leader that was cut off %v ago", heard, cut)
+		}
+		g.stop()
+	})
+}
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -303,3 +303,14 @@
 		}
 	})
 }
+
+// A follower's word that another replica leads carries its age, without which clients go back to
+// a leader that is gone.
+func TestWordOfALeaderTellsItsAge(t *testing.T) {
+	c := newCluster(t)
+	other := c.replicas[(c.leader()+1)%len(c.replicas)]
+	c.wait("the leader is known", func() bool { return other.node.View().Leader.ID != 0 })
+	if e, ok := refusal.Of(other.refusalOf(quorum.ErrNotLeader)); !ok || e.Leader == "" || e.LeaderHeard <= 0 {
+		t.Errorf("the word is %+v", e)
+	}
+}
--- a/quorum/calls.go
+++ b/quorum/calls.go
@@ -27,6 +27,12 @@
 // View returns the newest view.
 func (n *Node) View() View { return *n.view.Load() }
 
+// LeaderHeard returns how long ago the leader of the view was last heard, by a replica that
+// doesn't lead.
+func (n *Node) LeaderHeard() time.Duration {
+	return time.Since(n.begun) - time.Duration(n.heard.Load())
+}
+
 // Deliver hands over messages from another replica. It drops them when the replica
 // is overloaded, and reports whether it took them, so that their sender needn't wait
 // to find out.
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -104,6 +104,8 @@
 	fullSeen bool
 	known    map[uint64]Replica // who sent messages, by identity
 	view     atomic.Pointer[View]
+	begun    time.Time
+	heard    atomic.Int64 // when the leader was last heard, since begun
 }
 
 func (n *Node) publish() {
@@ -138,6 +140,7 @@
 		waiting:   make(map[uint64]proposal),
 		readers:   make(map[uint64][]chan outcome),
 		applied:   st.Snapshot.Index,
+		begun:     time.Now(),
 	}
 	if len(st.Snapshot.Data) > 0 {
 		if err := opts.Machine.Restore(st.Snapshot.Data); err != nil {
@@ -212,6 +215,9 @@
 			continue // no room to persist it; the leader sends it again
 		}
 		n.core.Step(m)
+		if m.fromLeader() && m.From == n.core.leader {
+			n.heard.Store(int64(time.Since(n.begun)))
+		}
 	}
 }
 
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -68,6 +68,8 @@
 	Remedy  string `msgpack:"r" json:"remedy"`
 	// Leader is the address to ask instead, with NotLeader.
 	Leader string `msgpack:"l,omitempty" json:"leader,omitempty"`
+	// LeaderHeard is how long ago the replica that names a leader last heard from it.
+	LeaderHeard time.Duration `msgpack:"h,omitempty" json:"-"`
 	// Winner is the change that was accepted first, with Conflict.
 	Winner string `msgpack:"w,omitempty" json:"winner,omitempty"`
 	// Revision is the present one, with Conflict, or the version of the configuration
