dispatch: A pass copies the counts of the workers that it changes only

By a profile 72% of a pass that places one look-up on 2,700 workers went into copies of what each worker serves and fills, of which it changes thirteen.

No decision changes.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -128,10 +128,11 @@
 	free    resource.Vector
 	filling int64 // processors promised to filling tasks
 	// serving and fillers count tasks by image; servingCPU is what serving
-	// ones hold.
+	// ones hold. Both are the snapshot's until something is counted, see count.
 	serving    map[string]int
 	servingCPU int64
 	fillers    map[string]int
+	counted    bool
 	// standingCPU is what standing tasks hold.
 	standingCPU int64
 	// suspects began there a moment ago or in this pass; looking says that one is looked
@@ -173,11 +174,12 @@
 	p.sparse = make(map[string]bool)
 	capacity, used := make(map[string]int64), make(map[string]int64)
 	ids := make([]string, 0, len(p.in.Jobs.Workers))
+	candidates := make([]candidate, len(p.in.Jobs.Workers))
 	for id := range p.in.Jobs.Workers {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	for _, id := range ids {
+	for i, id := range ids {
 		w := p.in.Jobs.Workers[id]
 		if p.in.closed(w) || p.in.Shunned[id] {
 			continue
@@ -185,9 +187,9 @@
 		u := p.in.Jobs.Use(id)
 		capacity[w.Service] += w.Capacity.MilliCPU
 		used[w.Service] += u.Held.MilliCPU
-		p.workers[w.Service] = append(p.workers[w.Service],
-			&candidate{worker: w, free: w.Capacity.Sub(u.Held), filling: u.Filling,
-				serving: copyCounts(u.Serving), servingCPU: u.ServingCPU, fillers: copyCounts(u.Fillers), standingCPU: u.StandingCPU})
+		candidates[i] = candidate{worker: w, free: w.Capacity.Sub(u.Held), filling: u.Filling,
+			serving: u.Serving, servingCPU: u.ServingCPU, fillers: u.Fillers, standingCPU: u.StandingCPU}
+		p.workers[w.Service] = append(p.workers[w.Service], &candidates[i])
 	}
 	for service, total := range capacity {
 		p.sparse[service] = float64(used[service]) < sparseUse*float64(total)
@@ -269,12 +271,6 @@
 	return int(math.Ceil(wholeShare * float64(r.group.Waiting())))
 }
 
-func copyCounts(m map[string]int) map[string]int {
-	out := make(map[string]int, len(m))
-	maps.Copy(out, m)
-	return out
-}
-
 func (c *candidate) take(st *jobs.Step) { c.add(st, 1) }
 
 func (c *candidate) giveBack(st *jobs.Step) { c.add(st, -1) }
@@ -287,13 +283,30 @@
 	switch {
 	case st.TargetMS > 0:
 		c.servingCPU += n * st.Need.MilliCPU
+		c.count()
 		change(c.serving, st.Image, int(n))
 	case st.Fills:
 		c.filling += n * st.Need.MilliCPU
+		c.count()
 		change(c.fillers, st.Image, int(n*st.Need.MilliCPU))
 	}
 }
 
+// count copies the counts before the first change. A pass changes a few workers, and a copy for
+// each of a large fleet would cost more than all it decides.
+func (c *candidate) count() {
+	if c.counted {
+		return
+	}
+	c.serving, c.fillers, c.counted = copyCounts(c.serving), copyCounts(c.fillers), true
+}
+
+func copyCounts(m map[string]int) map[string]int {
+	out := make(map[string]int, len(m)+1)
+	maps.Copy(out, m)
+	return out
+}
+
 func change(m map[string]int, key string, n int) {
 	if m[key] += n; m[key] == 0 {
 		delete(m, key)
--- a/dispatch/size_bench_test.go
+++ b/dispatch/size_bench_test.go
@@ -8,7 +8,7 @@
 )
 
 // loaded is a fleet of which every fifth worker serves and fills, with one job that waits.
-func loaded(b *testing.B, workers int, waits jobs.Step) *scene {
+func loaded(b testing.TB, workers int, waits jobs.Step) *scene {
 	b.Helper()
 	s := newScene(b, workers)
 	s.submit(1, "/titles/", 0, serving(workers, 1000, "s1"))
@@ -36,3 +36,16 @@
 		}
 	}
 }
+
+// Guards against passes that copy something for each worker of the fleet: there are as many
+// passes as the fleet has work, so that their cost would grow with its square.
+func TestPassAllocatesNothingForEachWorker(t *testing.T) {
+	allocated := func(workers int) float64 {
+		s := loaded(t, workers, task(13, 280, 1000))
+		return testing.AllocsPerRun(10, func() { Next(s.in) })
+	}
+	const few, many = 100, 500
+	if each := (allocated(many) - allocated(few)) / (many - few); each > 0.1 {
+		t.Errorf("each worker more costs a pass %.2f allocations", each)
+	}
+}
