proof: The harness at size loses workers and all power, too

TestSizes crashed on the loss of a worker: its heartbeat asked the incarnation that was gone for its name. Now it also measures how long after a loss of all replicas' power twenty entries need to hand a job in.

--- a/proof/growth_test.go
+++ b/proof/growth_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,8 +35,9 @@
 	allocatedMB                                                    float64 // by all processes
 	// restarted is the time from a worker's crash until its tasks are done elsewhere or there
 	// again, and led the time from the leader's loss until a job is taken, leased until every
-	// agent has a lease of the next.
-	restarted, led, leased time.Duration
+	// agent has a lease of the next. powered is the time from a leader's being there after a loss
+	// of all replicas' power until each of several entries has handed a job in.
+	restarted, led, leased, powered time.Duration
 }
 
 const (
@@ -163,6 +165,33 @@
 	return led, leased
 }
 
+// losePower cuts all replicas off for a while, as a loss of their power does that ends no process,
+// and returns how long after a leader is there again every one of several entries has handed a
+// job in.
+func (f *sized) losePower() time.Duration {
+	const first, entries, dark = 1 << 22, 20, 3 * time.Second
+	for i := range f.controls {
+		f.net.Isolate(f.replicaIP(i), true)
+	}
+	var submitting sync.WaitGroup
+	for i := range entries {
+		gateway := f.startEntry(fmt.Sprintf("10.2.1.%d", i+1))
+		submitting.Go(func() {
+			f.sleep(dark / 2)
+			for f.submitAt(gateway, first+i, 1) != nil && f.ctx.Err() == nil {
+			}
+		})
+	}
+	f.sleep(dark)
+	for i := range f.controls {
+		f.net.Isolate(f.replicaIP(i), false)
+	}
+	f.await("a replica leads again", time.Minute, func() bool { return f.leader() >= 0 })
+	led := time.Now()
+	submitting.Wait()
+	return time.Since(led)
+}
+
 // Guards against costs that grow faster than the fleet: what each agent more adds to the
 // messages and bytes of the replicas, to commits and passes, must not rise.
 func TestCostsGrowNoFasterThanTheFleet(t *testing.T) {
@@ -208,6 +237,7 @@
 			u := f.measure()
 			u.restarted = f.loseWorker()
 			u.led, u.leased = f.loseLeader()
+			u.powered = f.losePower()
 			t.Logf("%+v", u)
 			rows = append(rows, u)
 		})
@@ -227,13 +257,13 @@
 	defer out.Close()
 	w := csv.NewWriter(out)
 	w.Write([]string{"agents", "leader_messages", "leader_kb", "follower_messages", "follower_kb", "spare_messages", "spare_kb", "agent_messages", "agent_kb",
-		"commits", "syncs", "passes", "allocated_mb", "worker_lost_ms", "leader_lost_ms", "all_leased_ms"})
+		"commits", "syncs", "passes", "allocated_mb", "worker_lost_ms", "leader_lost_ms", "all_leased_ms", "power_lost_ms"})
 	for _, u := range rows {
 		row := []string{strconv.Itoa(u.agents)}
 		for _, v := range []float64{u.leaderMessages, u.leaderKB, u.followerMessages, u.followerKB, u.spareMessages, u.spareKB, u.agentMessages, u.agentKB, u.commits, u.syncs, u.passes, u.allocatedMB} {
 			row = append(row, fmt.Sprintf("%.1f", v))
 		}
-		for _, d := range []time.Duration{u.restarted, u.led, u.leased} {
+		for _, d := range []time.Duration{u.restarted, u.led, u.leased, u.powered} {
 			row = append(row, strconv.FormatInt(d.Milliseconds(), 10))
 		}
 		w.Write(row)
--- a/proof/size_test.go
+++ b/proof/size_test.go
@@ -74,12 +74,7 @@
 	for i := range replicas {
 		f.startReplica(i, filepath.Join(dir, fmt.Sprint(i)), own)
 	}
-	gateway, err := entry.NewJobs(f.settings("10.2.0.1", "dc0", "[entry]\nport = 7105\nhealth_port = 7106"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.gateway = gateway
-	f.running.Go(func() { gateway.Run(ctx) })
+	f.gateway = f.startEntry("10.2.0.1")
 	for i := range agents {
 		f.startAgent(i)
 	}
@@ -91,6 +86,15 @@
 	return f
 }
 
+func (f *sized) startEntry(ip string) *entry.Jobs {
+	gateway, err := entry.NewJobs(f.settings(ip, "dc0", "[entry]\nport = 7105\nhealth_port = 7106"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.running.Go(func() { gateway.Run(f.ctx) })
+	return gateway
+}
+
 func (f *sized) startReplica(i int, folder string, own int) {
 	r, err := control.New(f.settings(f.replicaIP(i), sizedCentre(i), fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"30ms\"\nlease = \"5s\"\nsnapshot_entries = 5000\nform_from_seeds = true\nbear_losses = %d\nown_agents = %d",
 		folder, sizedBear, own)))
@@ -114,8 +118,10 @@
 	f.running.Go(func() { r.Run(f.ctx) })
 	f.running.Go(func() {
 		for beat := uint64(1); f.ctx.Err() == nil; beat++ {
-			r.Announce(runner.Announcement{Worker: host.Current().Name(), Service: "vault", DataCentre: sizedCentre(i), Labels: []string{"a"}, Rack: "r",
-				Capacity: resource.Vector{MilliCPU: fullRoom, MemoryMB: 4000}, Sequence: beat})
+			if worker := host.Current(); worker != nil {
+				r.Announce(runner.Announcement{Worker: worker.Name(), Service: "vault", DataCentre: sizedCentre(i), Labels: []string{"a"}, Rack: "r",
+					Capacity: resource.Vector{MilliCPU: fullRoom, MemoryMB: 4000}, Sequence: beat})
+			}
 			f.sleep(sizedBeat)
 		}
 	})
@@ -175,11 +181,13 @@
 }
 
 // submit hands in a job of two steps, of so many tasks each, and returns its error.
-func (f *sized) submit(n, tasks int) error {
+func (f *sized) submit(n, tasks int) error { return f.submitAt(f.gateway, n, tasks) }
+
+func (f *sized) submitAt(gateway *entry.Jobs, n, tasks int) error {
 	step := jobs.Step{Count: tasks, Need: resource.Vector{MilliCPU: 2800, MemoryMB: 10}, EstimateMS: sizedWork.Milliseconds()}
 	next := step
 	next.DependsOn = []int{0}
-	return f.gateway.Submit("h", sizedPath(n), jobs.Spec{Payload: fmt.Sprint("ms=", sizedWork.Milliseconds()), Steps: []jobs.Step{step, next}}, 3*time.Second)
+	return gateway.Submit("h", sizedPath(n), jobs.Spec{Payload: fmt.Sprint("ms=", sizedWork.Milliseconds()), Steps: []jobs.Step{step, next}}, 3*time.Second)
 }
 
 func sizedPath(n int) string { return fmt.Sprintf("/q/%016x", n) }
