quorum: The log goes on while the state is encoded

Change: the state is encoded beside the loop. What is left: changes wait for the pause before they are applied, as before.

Test, in virtual time: a leader whose encoding takes four election timeouts stays the leader, all 200 changes are applied once, none beside the encoding; before, the others led in the next term. BenchmarkRenewAnswer, which crashed, runs again (test only).

--- a/control/schedule_bench_test.go
+++ b/control/schedule_bench_test.go
@@ -152,6 +152,7 @@
 func BenchmarkRenewAnswer(b *testing.B) {
 	l, s := filled(b, benchWorkers, benchTasks)
 	r := l.r
+	r.leader = l
 	r.set.Control.Lease = settings.Duration{Duration: settings.DefaultLease}
 	orders := s.Tasks.Orders("a0001")
 	req := &Renew{Member: *s.Members.Members["a0001"], Digest: lease.Digest(orders), Revision: s.Market.Revision}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -55,6 +55,7 @@
 	round     uint64
 	persisted uint64
 	reads     []pendingRead
+	held      bool   // nothing is handed out to be applied
 	transfer  uint64 // replica being handed the leadership, 0 for none
 	transferT uint64 // tick at which the hand-over began
 	// awaited is how far the leader said that the log is committed, until that is applied
@@ -322,6 +323,9 @@
 	return Snapshot{Index: index, Term: t, Config: c.log.configUpTo(index)}
 }
 
+// HoldCommitted keeps Ready from handing out what is to be applied, until it is called again.
+func (c *Core) HoldCommitted(on bool) { c.held = on }
+
 // Ready returns what is to be done and forgets it.
 func (c *Core) Ready() Ready {
 	if c.role == Leader {
@@ -339,7 +343,7 @@
 		rd.Entries = c.log.slice(c.log.handed+1, int(^uint(0)>>1))
 		c.log.handed = c.log.last()
 	}
-	if c.log.applied < c.log.committed {
+	if c.log.applied < c.log.committed && !c.held {
 		lo := c.log.applied - c.log.base
 		rd.Committed = c.log.entries[lo : c.log.committed-c.log.base]
 		c.log.applied = c.log.committed
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -16,8 +16,8 @@
 	Send(to Replica, msgs []Message)
 }
 
-// StateMachine is what the log's commands are applied to, in order. Only the
-// node's goroutine calls it.
+// StateMachine is what the log's commands are applied to, in order. One call is made at a
+// time, but not always by the same goroutine.
 type StateMachine interface {
 	Apply(index uint64, command []byte) any
 	Snapshot() ([]byte, error)
@@ -63,6 +63,12 @@
 	done chan outcome
 }
 
+// encodedSnapshot is the outcome of encoding the state.
+type encodedSnapshot struct {
+	Snapshot
+	err error
+}
+
 // delivery is messages with who sent them.
 type delivery struct {
 	from     Replica
@@ -96,11 +102,15 @@
 	stopped   chan struct{}
 	ending    <-chan struct{} // closed when Run is to end
 
-	waiting  map[uint64]proposal // by log index
-	readers  map[uint64][]chan outcome
-	pending  []pendingApply
-	readID   uint64
-	applied  uint64
+	waiting map[uint64]proposal // by log index
+	readers map[uint64][]chan outcome
+	pending []pendingApply
+	readID  uint64
+	applied uint64
+	// encoding says that a snapshot is being encoded. Nothing is applied meanwhile, but contact,
+	// votes and the log go on however large the state is.
+	encoding bool
+	encoded  chan encodedSnapshot
 	fullSeen bool
 	known    map[uint64]Replica // who sent messages, by identity
 	view     atomic.Pointer[View]
@@ -136,6 +146,7 @@
 		calls:     make(chan func()),
 		reads:     make(chan chan outcome, maxBatch),
 		lost:      make(chan uint64, maxLost),
+		encoded:   make(chan encodedSnapshot, 1),
 		stopped:   make(chan struct{}),
 		waiting:   make(map[uint64]proposal),
 		readers:   make(map[uint64][]chan outcome),
@@ -154,6 +165,7 @@
 // Run drives the replica until the context ends or the disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.failAll()
+	defer n.endEncoding()
 	n.ending = ctx.Done()
 	tick := time.NewTicker(n.opts.TickEvery)
 	defer tick.Stop()
@@ -180,6 +192,10 @@
 			n.core.Unreachable(id)
 		case f := <-n.calls:
 			f()
+		case s := <-n.encoded:
+			if err := n.takeSnapshot(s); err != nil {
+				return err
+			}
 		}
 		n.drain()
 	}
@@ -257,7 +273,8 @@
 		n.confirm(rd.Reads)
 		n.dropLost()
 		if len(rd.Entries) == 0 && len(rd.Committed) == 0 && rd.Snapshot == nil {
-			return n.maybeCompact()
+			n.maybeCompact()
+			return nil
 		}
 	}
 }
@@ -331,6 +348,7 @@
 }
 
 func (n *Node) installSnapshot(rd Ready) error {
+	n.endEncoding()
 	if err := n.opts.Disk.SaveSnapshot(*rd.Snapshot, n.hardState(), rd.Entries); err != nil {
 		return err
 	}
@@ -407,21 +425,34 @@
 	}
 }
 
-func (n *Node) maybeCompact() error {
-	if n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries || n.fullSeen {
-		return nil
+// maybeCompact begins a snapshot once enough was applied since the last.
+func (n *Node) maybeCompact() {
+	if n.encoding || n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries || n.fullSeen {
+		return
 	}
-	begun := time.Now()
-	data, err := n.opts.Machine.Snapshot()
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	snapshotSeconds.UpdateDuration(begun)
-	snapshotBytes.Set(float64(len(data)))
-	s := n.core.SnapshotAt(n.applied)
-	s.Data = data
-	n.core.Compact(s)
-	err = n.opts.Disk.SaveSnapshot(s, n.hardState(), n.core.log.after(s.Index))
+	n.hold(true)
+	s := encodedSnapshot{Snapshot: n.core.SnapshotAt(n.applied)}
+	go func() {
+		defer snapshotSeconds.UpdateDuration(time.Now())
+		s.Data, s.err = n.opts.Machine.Snapshot()
+		n.encoded <- s
+	}()
+}
+
+func (n *Node) hold(on bool) {
+	n.encoding = on
+	n.core.HoldCommitted(on)
+}
+
+// takeSnapshot replaces the log by a snapshot.
+func (n *Node) takeSnapshot(s encodedSnapshot) error {
+	n.hold(false)
+	if s.err != nil {
+		return Error.Wrap(s.err)
+	}
+	snapshotBytes.Set(float64(len(s.Data)))
+	n.core.Compact(s.Snapshot)
+	err := n.opts.Disk.SaveSnapshot(s.Snapshot, n.hardState(), n.core.log.after(s.Index))
 	if errors.Is(err, ErrDiskFull) {
 		// The old log is still there and in use; the next snapshot replaces it.
 		n.fullSeen = true
@@ -430,6 +461,14 @@
 	return err
 }
 
+// endEncoding waits for a snapshot that is being encoded, and drops it.
+func (n *Node) endEncoding() {
+	if n.encoding {
+		<-n.encoded
+		n.hold(false)
+	}
+}
+
 func (n *Node) failAll() {
 	close(n.stopped)
 	for _, p := range n.waiting {
--- a/quorum/node_bench_test.go
+++ b/quorum/node_bench_test.go
@@ -46,6 +46,12 @@
 
 // startNodes runs n nodes with real disks, all voters.
 func startNodes(tb testing.TB, n int) (*bus, []*Node) {
+	return startNodesOf(tb, n, 1<<30, func(int) StateMachine { return &counter{} })
+}
+
+// startNodesOf is the same with a state machine for each, of which a snapshot is taken after so
+// many entries.
+func startNodesOf(tb testing.TB, n int, snapshotEntries uint64, machine func(i int) StateMachine) (*bus, []*Node) {
 	tb.Helper()
 	b := &bus{nodes: make(map[uint64]*Node), self: make(map[uint64]Replica)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -57,7 +63,7 @@
 			tb.Fatal(err)
 		}
 		id := disk.Stored().ID
-		node, err := NewNode(Options{Disk: disk, Machine: &counter{}, Sender: busEnd{b, id}, TickEvery: 10 * time.Millisecond, SnapshotEntries: 1 << 30, Seed: int64(i)})
+		node, err := NewNode(Options{Disk: disk, Machine: machine(i), Sender: busEnd{b, id}, TickEvery: 10 * time.Millisecond, SnapshotEntries: snapshotEntries, Seed: int64(i)})
 		if err != nil {
 			tb.Fatal(err)
 		}
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -126,3 +129,83 @@
 		b = b[size:]
 	}
 }
+
+// slowSnapshot is a state machine whose first snapshot is encoded for as long as its test wants,
+// and which tells whether something was applied meanwhile.
+type slowSnapshot struct {
+	counter
+	first         sync.Once
+	begun, resume chan struct{}
+	encoding      atomic.Bool
+	disturbed     atomic.Bool
+}
+
+func (s *slowSnapshot) Apply(index uint64, command []byte) any {
+	if s.encoding.Load() {
+		s.disturbed.Store(true)
+	}
+	return s.counter.Apply(index, command)
+}
+
+func (s *slowSnapshot) Snapshot() ([]byte, error) {
+	s.encoding.Store(true)
+	defer s.encoding.Store(false)
+	s.first.Do(func() {
+		close(s.begun)
+		<-s.resume
+	})
+	return []byte{1}, nil
+}
+
+// The state of a large fleet takes as long to encode as followers wait for a word of their leader.
+// A leader that is silent meanwhile is replaced with each snapshot that it takes.
+func TestLeaderThatEncodesItsStateKeepsInTouch(t *testing.T) {
+	synctest.Test(t, leaderThatEncodes)
+}
+
+func leaderThatEncodes(t *testing.T) {
+	machine := &slowSnapshot{begun: make(chan struct{}), resume: make(chan struct{})}
+	_, nodes := startNodesOf(t, 3, 50, func(i int) StateMachine {
+		if i == 0 {
+			return machine
+		}
+		return &counter{}
+	})
+	resume := sync.OnceFunc(func() { close(machine.resume) })
+	defer resume()
+	ctx := context.Background()
+	before, err := nodes[0].Status(ctx)
+	if err != nil || before.Role != Leader {
+		t.Fatalf("%+v, %v", before, err)
+	}
+	var changes sync.WaitGroup
+	var failed atomic.Int32
+	change := func(n int) {
+		for range n {
+			changes.Go(func() {
+				if _, err := nodes[0].Propose(ctx, []byte("x")); err != nil {
+					failed.Add(1)
+				}
+			})
+		}
+	}
+	change(100)
+	<-machine.begun
+	change(100)
+	time.Sleep(4 * ElectionTicks * nodes[0].opts.TickEvery)
+	for _, n := range nodes[1:] {
+		if st, err := n.Status(ctx); err != nil || st.Term != before.Term || st.Leader != before.ID {
+			t.Fatalf("beside the encoding the leader's place is given to %d in term %d, from %d in %d (%v)", st.Leader, st.Term, before.ID, before.Term, err)
+		}
+	}
+	resume()
+	changes.Wait()
+	machine.mu.Lock()
+	defer machine.mu.Unlock()
+	if failed.Load() > 0 || machine.n != 200 {
+		t.Errorf("%d changes failed, %d were applied, want 200", failed.Load(), machine.n)
+	}
+	if machine.disturbed.Load() {
+		t.Error("something was applied to the state while it was encoded")
+	}
+}
