--- a/proof/growth_test.go
+++ b/proof/growth_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/resource"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
@@ -38,6 +41,9 @@
 	// agent has a lease of the next. powered is the time from a leader's being there after a loss
 	// of all replicas' power until each of several entries has handed a job in.
 	restarted, led, leased, powered time.Duration
+	// reachedHalf and reachedAll are the times from handing a job in until half and all of the
+	// workers have begun its one task each.
+	reachedHalf, reachedAll time.Duration
 }
 
 const (
@@ -138,6 +144,31 @@
 	return time.Since(crashed) - sizedWork/2 - sizedWork
 }
 
+// reach hands a job in that has a task for each worker, and returns how long its orders take to
+// half and to all of them.
+func (f *sized) reach() (half, all time.Duration) {
+	const job = 1 << 23
+	step := jobs.Step{Count: len(f.hosts), MaxPerWorker: 1, Need: resource.Vector{MilliCPU: 100, MemoryMB: 10}, EstimateMS: sizedWork.Milliseconds()}
+	handed := time.Now()
+	if err := f.gateway.Submit("h", sizedPath(job), jobs.Spec{Payload: fmt.Sprint("ms=", sizedWork.Milliseconds()), Steps: []jobs.Step{step}}, 3*time.Second); err != nil {
+		f.t.Fatal(err)
+	}
+	f.await("the job is done", time.Minute, func() bool { return f.completed(job) })
+	var taken []time.Duration
+	for _, host := range f.hosts {
+		for _, run := range host.Current().Record() {
+			if strings.HasPrefix(run.Task, sizedID(job)) && run.Run == 1 {
+				taken = append(taken, time.UnixMilli(run.StartMS).Sub(handed))
+			}
+		}
+	}
+	if len(taken) != len(f.hosts) {
+		f.t.Fatalf("%d of %d workers began their task", len(taken), len(f.hosts))
+	}
+	slices.Sort(taken)
+	return taken[len(taken)/2], taken[len(taken)-1]
+}
+
 // loseLeader cuts the leader off and returns how long it takes until a job is taken, and until
 // each agent has a lease of the next leader.
 func (f *sized) loseLeader() (led, leased time.Duration) {
@@ -235,6 +266,7 @@
 		}
 		playSized(t, 10, agents, 128, func(f *sized) {
 			u := f.measure()
+			u.reachedHalf, u.reachedAll = f.reach()
 			u.restarted = f.loseWorker()
 			u.led, u.leased = f.loseLeader()
 			u.powered = f.losePower()
@@ -257,13 +289,13 @@
 	defer out.Close()
 	w := csv.NewWriter(out)
 	w.Write([]string{"agents", "leader_messages", "leader_kb", "follower_messages", "follower_kb", "spare_messages", "spare_kb", "agent_messages", "agent_kb",
-		"commits", "syncs", "passes", "allocated_mb", "worker_lost_ms", "leader_lost_ms", "all_leased_ms", "power_lost_ms"})
+		"commits", "syncs", "passes", "allocated_mb", "worker_lost_ms", "leader_lost_ms", "all_leased_ms", "power_lost_ms", "reached_half_ms", "reached_all_ms"})
 	for _, u := range rows {
 		row := []string{strconv.Itoa(u.agents)}
 		for _, v := range []float64{u.leaderMessages, u.leaderKB, u.followerMessages, u.followerKB, u.spareMessages, u.spareKB, u.agentMessages, u.agentKB, u.commits, u.syncs, u.passes, u.allocatedMB} {
 			row = append(row, fmt.Sprintf("%.1f", v))
 		}
-		for _, d := range []time.Duration{u.restarted, u.led, u.leased, u.powered} {
+		for _, d := range []time.Duration{u.restarted, u.led, u.leased, u.powered, u.reachedHalf, u.reachedAll} {
 			row = append(row, strconv.FormatInt(d.Milliseconds(), 10))
 		}
 		w.Write(row)
--- a/proof/size_test.go
+++ b/proof/size_test.go
@@ -190,7 +190,9 @@
 	return gateway.Submit("h", sizedPath(n), jobs.Spec{Payload: fmt.Sprint("ms=", sizedWork.Milliseconds()), Steps: []jobs.Step{step, next}}, 3*time.Second)
 }
 
-func sizedPath(n int) string { return fmt.Sprintf("/q/%016x", n) }
+func sizedPath(n int) string { return "/q/" + sizedID(n) }
+
+func sizedID(n int) string { return fmt.Sprintf("%016x", n) }
 
 // completed reports whether a job is done.
 func (f *sized) completed(n int) bool {
