--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -128,11 +128,11 @@
 	free    resource.Vector
 	filling int64 // processors promised to filling tasks
 	// serving and fillers count tasks by image; servingCPU is what serving
-	// ones hold. Both are the snapshot's until something is counted, see count.
+	// ones hold. The counts are the snapshot's unless they are owned, see ownCounts.
 	serving    map[string]int
 	servingCPU int64
 	fillers    map[string]int
-	counted    bool
+	owned      bool
 	// standingCPU is what standing tasks hold.
 	standingCPU int64
 	// suspects began there a moment ago or in this pass; looking says that one is looked
@@ -307,22 +307,22 @@
 	switch {
 	case st.TargetMS > 0:
 		c.servingCPU += n * st.Need.MilliCPU
-		c.count()
+		c.ownCounts()
 		change(c.serving, st.Image, int(n))
 	case st.Fills:
 		c.filling += n * st.Need.MilliCPU
-		c.count()
+		c.ownCounts()
 		change(c.fillers, st.Image, int(n*st.Need.MilliCPU))
 	}
 }
 
-// count copies the counts before the first change. A pass changes a few workers, and a copy for
-// each of a large fleet would cost more than all it decides.
-func (c *candidate) count() {
-	if c.counted {
+// ownCounts copies the counts before the first change. A pass changes a few workers, and a copy
+// for each of a large fleet would cost more than all it decides.
+func (c *candidate) ownCounts() {
+	if c.owned {
 		return
 	}
-	c.serving, c.fillers, c.counted = copyCounts(c.serving), copyCounts(c.fillers), true
+	c.serving, c.fillers, c.owned = copyCounts(c.serving), copyCounts(c.fillers), true
 }
 
 func copyCounts(m map[string]int) map[string]int {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -348,7 +348,7 @@
 }
 
 func (n *Node) installSnapshot(rd Ready) error {
-	n.endEncoding()
+	n.endEncoding() // what it encodes is behind the leader's snapshot
 	if err := n.opts.Disk.SaveSnapshot(*rd.Snapshot, n.hardState(), rd.Entries); err != nil {
 		return err
 	}
@@ -439,6 +439,7 @@
 	}()
 }
 
+// hold keeps the state as it is while it is encoded.
 func (n *Node) hold(on bool) {
 	n.encoding = on
 	n.core.HoldCommitted(on)
