--- a/quorum/core.go
+++ b/quorum/core.go
@@ -55,7 +55,7 @@
 	round     uint64
 	persisted uint64
 	reads     []pendingRead
-	held      bool   // nothing is handed out to be applied
+	held      bool   // nothing is handed out to be applied: the state is being encoded
 	transfer  uint64 // replica being handed the leadership, 0 for none
 	transferT uint64 // tick at which the hand-over began
 	// awaited is how far the leader said that the log is committed, until that is applied
@@ -323,9 +323,6 @@
 	return Snapshot{Index: index, Term: t, Config: c.log.configUpTo(index)}
 }
 
-// HoldCommitted keeps Ready from handing out what is to be applied, until it is called again.
-func (c *Core) HoldCommitted(on bool) { c.held = on }
-
 // Ready returns what is to be done and forgets it.
 func (c *Core) Ready() Ready {
 	if c.role == Leader {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -107,9 +107,8 @@
 	pending []pendingApply
 	readID  uint64
 	applied uint64
-	// encoding says that a snapshot is being encoded. Nothing is applied meanwhile, but contact,
-	// votes and the log go on however large the state is.
-	encoding bool
+	// encoded brings a snapshot that was encoded beside the loop. Until then the core holds what is
+	// committed back, but contact, votes and the log go on however large the state is.
 	encoded  chan encodedSnapshot
 	fullSeen bool
 	known    map[uint64]Replica // who sent messages, by identity
@@ -427,10 +426,10 @@
 
 // maybeCompact begins a snapshot once enough was applied since the last.
 func (n *Node) maybeCompact() {
-	if n.encoding || n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries || n.fullSeen {
+	if n.core.held || n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries || n.fullSeen {
 		return
 	}
-	n.hold(true)
+	n.core.held = true
 	s := encodedSnapshot{Snapshot: n.core.SnapshotAt(n.applied)}
 	go func() {
 		defer snapshotSeconds.UpdateDuration(time.Now())
@@ -439,15 +438,9 @@
 	}()
 }
 
-// hold keeps the state as it is while it is encoded.
-func (n *Node) hold(on bool) {
-	n.encoding = on
-	n.core.HoldCommitted(on)
-}
-
 // takeSnapshot replaces the log by a snapshot.
 func (n *Node) takeSnapshot(s encodedSnapshot) error {
-	n.hold(false)
+	n.core.held = false
 	if s.err != nil {
 		return Error.Wrap(s.err)
 	}
@@ -464,9 +457,9 @@
 
 // endEncoding waits for a snapshot that is being encoded, and drops it.
 func (n *Node) endEncoding() {
-	if n.encoding {
+	if n.core.held {
 		<-n.encoded
-		n.hold(false)
+		n.core.held = false
 	}
 }
 
