control: Two tests that show the incident, red: a loss decided by the book of an earlier registration

What they show: a registration is in the state as soon as it is applied, and in the book of leases only once its handler has gone on. expire reads both in between: the worker's old entry, or its missing one under a leader that is older than a term, counts as an ended lease of the registration that is just there. The handler then opens the book again and grants, while the loss is on its way into the log. On a busy machine goroutines come late and commits are slow.

--- /dev/null
+++ b/control/loss_test.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/resource"
+)
+
+// testTerm is the lease in newCluster's settings, with its margin.
+const testTerm = 1050 * time.Millisecond
+
+// registerOnly commits a registration whose handler doesn't go on after the commit.
+func (c *cluster) registerOnly(l *Replica, w jobs.Worker) {
+	c.t.Helper()
+	if _, err := l.proposeJob(JobCommand{Register: &Registration{Worker: w}}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func isRegistered(l *Replica, worker string) (registered bool) {
+	l.machine.Read(func(s *State) { registered = s.Jobs.Workers[worker] != nil })
+	return registered
+}
+
+func testWorker(id, agent, life string) jobs.Worker {
+	return jobs.Worker{ID: id, Agent: agent, Life: life, Service: "vault", Capacity: resource.Vector{MilliCPU: 4000}}
+}
+
+// Guards against runs that are made void while they have a lease: a loss was decided by what the
+// book said before the registration that it names.
+func TestRegistrationIsNotLostByTheBookOfTheOneBefore(t *testing.T) {
+	for _, c := range []struct{ name, worker, agent string }{
+		{"a worker that is new to an old leader", "new", "b"},
+		{"a worker whose lease had ended", "w", "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := newCluster(t)
+			cl.prepareJobs(4)
+			l := cl.replicas[cl.leader()]
+			cl.wait("the lease's end", func() bool { return !isRegistered(l, "w") })
+			w := testWorker(c.worker, c.agent, "2")
+			cl.registerOnly(l, w)
+			time.Sleep(2 * watchEvery) // a goroutine that comes late on a busy machine
+			l.dispatcher.registered(c.worker)
+			for range 10 {
+				if _, err := l.onLease(LeaseRequest{WorkerRef: WorkerRef{c.worker, "2"}}); err != nil {
+					t.Fatalf("the worker's lease: %v", err)
+				}
+				time.Sleep(watchEvery / 2)
+			}
+		})
+	}
+}
+
+// Guards against a lease that is granted while its end is being committed: what is started on it
+// is made void a moment later.
+func TestNoLeaseIsGrantedBetweenALossAndItsCommit(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	l := c.replicas[c.leader()]
+	d := l.dispatcher
+	var registered uint64
+	l.machine.Read(func(s *State) { registered = s.Jobs.Workers["w"].Registered })
+	d.mu.Lock()
+	closed := d.keeper.Close("w", time.Now().Add(2*testTerm))
+	d.mu.Unlock()
+	if !closed {
+		t.Fatal("the lease isn't ended: nothing is shown")
+	}
+	d.registered("w") // the handler of the registration that is being ended goes on late
+	if _, err := l.onLease(LeaseRequest{WorkerRef: WorkerRef{"w", "1"}}); !refusal.Is(err, refusal.Unreachable) {
+		t.Errorf("a lease of registration %d, which is being ended: %v", registered, err)
+	}
+}
