jobs: The session of a lost worker can't register again

What callers would see: a task at work twice.

Cause: ApplyRegister took the registration of any life as new once ApplyLost had dropped its worker: an update of the live session (its worker is about to leave), or a repeated or held-up registration. The session goes on as if nothing had been made void: what waited for a lease starts with the next renewal, though it has been placed elsewhere. Outdated compared with the present registration only, and after a loss there is none.

The session ends on that and the next one has a higher token.

TestSessionOfALostWorkerCannotRegisterAgain failed before (the update was taken); one mutation, red. Tests of jobs, runner, platform pass, those of control and proof about sessions, too.

--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -78,3 +78,33 @@
 		t.Errorf("a lease of registration %d, which is being ended: %v", w.Registered, err)
 	}
 }
+
+// Guards against a session that goes on after its worker was lost: its update would register it
+// anew, and it would start what was made void.
+func TestSessionOfALostWorkerCannotRegisterAgain(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	l := c.replicas[c.leader()]
+	w := testWorker("x", "b", "b1")
+	first, err := l.onFence(FenceRequest{Agent: "b", Worker: "x", Service: "vault"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Token = first.Token
+	if _, err := l.onRegister(Registration{Worker: w}); err != nil {
+		t.Fatal(err)
+	}
+	c.wait("the lease's end", func() bool { return !isRegistered(l, "x") })
+	w.Draining = true
+	if _, err := l.onRegister(Registration{Worker: w}); !refusal.Is(err, refusal.NotRegistered) {
+		t.Errorf("an update of a session whose worker was lost: %v", err)
+	}
+	next, err := l.onFence(FenceRequest{Agent: "b", Worker: "x", Service: "vault"})
+	if err != nil || next.Worker != "" {
+		t.Fatalf("the next session is told of worker %q (%v)", next.Worker, err)
+	}
+	w.Token, w.Life = next.Token, "b2"
+	if _, err := l.onRegister(Registration{Worker: w}); err != nil {
+		t.Errorf("the next session: %v", err)
+	}
+}
--- a/jobs/register.go
+++ b/jobs/register.go
@@ -12,13 +12,17 @@
 }
 
 // Outdated reports why a registration comes too late: a session that began after it has
-// registered, and its worker has seen the higher token.
+// registered, or its own was lost. A session whose worker was lost knows of runs that are void;
+// registered again, it would start them, or keep them at work.
 func (s *State) Outdated(w *Worker) error {
-	old := s.byAgent[w.Agent]
-	if w.Token == 0 || old == nil || old.Life == w.Life || old.Token < w.Token {
+	if w.Token == 0 || s.Tokens[w.Agent] < w.Token {
 		return nil
 	}
-	return refusal.New(refusal.NotRegistered, "register the worker again with a newer token", "worker %s registered with token %d, %s with %d since", w.ID, w.Token, old.ID, old.Token)
+	if now := s.byAgent[w.Agent]; now != nil && now.Life == w.Life {
+		return nil // an update, or the same told again
+	}
+	return refusal.New(refusal.NotRegistered, "register the worker again with a newer token",
+		"worker %s comes with token %d, and agent %s has registered with %d before", w.ID, w.Token, w.Agent, s.Tokens[w.Agent])
 }
 
 // ApplyRegister takes in an agent's announcement of its worker and returns the
@@ -36,6 +40,7 @@
 	if w.Token == 0 {
 		w.Token = index
 	}
+	s.noteToken(&w)
 	if old != nil && old.Life == w.Life {
 		w.Token = old.Token
 		w.Draining = w.Draining || old.Draining
@@ -48,6 +53,9 @@
 	return done
 }
 
+// noteToken keeps the highest token with which an agent has registered.
+func (s *State) noteToken(w *Worker) { s.Tokens[w.Agent] = max(s.Tokens[w.Agent], w.Token) }
+
 // ApplyLost drops workers whose lease has certainly ended, and returns how many runs
 // that made void. One that registered again after that was decided stays: its agent may
 // have been given a new lease on that, and its runs would be started elsewhere while
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -16,6 +16,9 @@
 	// Stood are the data centres in which workers of a service stand or have stood, in
 	// order. One that is only being restarted counts.
 	Stood map[string][]string `msgpack:"s,omitempty"`
+	// Tokens are the highest fencing tokens with which agents have registered, by agent. They
+	// outlive the registrations: what comes late must not be taken for new.
+	Tokens map[string]uint64 `msgpack:"t,omitempty"`
 
 	byAgent map[string]*Worker
 	use     map[string]*Use // by worker id
@@ -47,7 +50,7 @@
 
 // NewState returns the empty state.
 func NewState() *State {
-	s := &State{Jobs: make(map[string]*Job), Workers: make(map[string]*Worker), Stood: make(map[string][]string)}
+	s := &State{Jobs: make(map[string]*Job), Workers: make(map[string]*Worker), Stood: make(map[string][]string), Tokens: make(map[string]uint64)}
 	s.Rebuild()
 	return s
 }
@@ -63,6 +66,9 @@
 	if s.Stood == nil {
 		s.Stood = make(map[string][]string)
 	}
+	if s.Tokens == nil {
+		s.Tokens = make(map[string]uint64)
+	}
 	s.byAgent = make(map[string]*Worker)
 	s.use = make(map[string]*Use)
 	s.ready = make(map[*Group]struct{})
@@ -73,6 +79,7 @@
 	for _, w := range s.Workers {
 		s.byAgent[w.Agent] = w
 		s.noteStood(w)
+		s.noteToken(w) // a snapshot from before there were tokens has only these
 	}
 	for _, j := range s.Jobs {
 		s.derive(j)
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -261,6 +261,47 @@
 	}
 }
 
+// Guards against void runs that are started: the session whose worker was lost registers again,
+// with an update or a call that was held up, also over a snapshot.
+func TestSessionOfALostWorkerIsOutdated(t *testing.T) {
+	w := newWorld(t)
+	session := Worker{ID: "w1", Agent: "a", Life: "life-1", Service: "vault", Token: 5}
+	w.ApplyRegister(session, 10)
+	if err := w.Outdated(&session); err != nil {
+		t.Fatalf("an update of the present session: %v", err)
+	}
+	w.lose("w1")
+	for _, s := range []*State{w.State, restored(t, w.State)} {
+		if s.Outdated(&session) == nil {
+			t.Error("the session of a lost worker can register again")
+		}
+		next := Worker{ID: "w1", Agent: "a", Life: "life-2", Service: "vault", Token: 6}
+		if err := s.Outdated(&next); err != nil {
+			t.Errorf("the next session: %v", err)
+		}
+	}
+	w.ApplyRegister(Worker{ID: "w1", Agent: "a", Life: "life-2", Service: "vault", Token: 6}, 20)
+	w.Tokens = nil // as in a snapshot of an earlier version
+	if s := restored(t, w.State); s.Outdated(&session) == nil {
+		t.Error("a session that another has followed can register again")
+	}
+}
+
+// restored is a state as a replica has it that was sent its snapshot.
+func restored(t *testing.T, s *State) *State {
+	t.Helper()
+	b, err := msgpack.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := &State{}
+	if err := msgpack.Unmarshal(b, out); err != nil {
+		t.Fatal(err)
+	}
+	out.Rebuild()
+	return out
+}
+
 func TestAttemptsAndStandingTasks(t *testing.T) {
 	w := newWorld(t, "w1")
 	standing := step(1, 100)
@@ -409,15 +450,7 @@
 	w.place(idA, 0, 0, "w1")
 	w.place(idA, 0, 1, "w2")
 	w.end("w2", Ref{idA, 0, 0, 1}, 1, OutcomeDone, "")
-	b, err := msgpack.Marshal(w.State)
-	if err != nil {
-		t.Fatal(err)
-	}
-	back := NewState()
-	if err := msgpack.Unmarshal(b, back); err != nil {
-		t.Fatal(err)
-	}
-	back.Rebuild()
+	back := restored(t, w.State)
 	if !reflect.DeepEqual(back.Use("w1").Held, w.Use("w1").Held) || back.Live() != w.Live() || back.Pending(host, prefix) != w.Pending(host, prefix) {
 		t.Error("the derived state differs")
 	}
--- a/runner/register.go
+++ b/runner/register.go
@@ -18,7 +18,7 @@
 			return false
 		case codeOf(err) == refusal.NotRegistered:
 			s.r.tokens.spend(s.token.Load())
-			s.end("a later session has registered")
+			s.end("a later session has registered, or this one's worker was lost")
 			return false
 		}
 		refusal.CountRetry(part, codeOf(err))
