runner: What a worker runs and the control doesn't know there is stopped

Cause: an agent believed in what it found at work. A session that the control had lost ended, and the next one of the same process took the token in reserve and its own memory of whom it had registered last: nothing was cleared, the worker was registered with an empty book, and the lease that followed held for everything at work there. Nobody compared what runs with what is ordered; a run that was reported as never started and is at work all the same was never looked at again, either.

Change: after a session that the control had lost the next one asks for its token, and so learns whom the control has registered; what runs on a worker that it lost is stopped before the registration, as on one that takes another's place. The first answer with orders comes at once and names all that the control knows: what was taken over and isn't among it is stopped, and so is each run that a later list shows and the session knows nothing of. Nothing is started beside one that is being stopped, since nobody told what it holds.

New counter waxwinghaven_strays_stopped_total.

--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -33,8 +33,9 @@
 	late       []func() // lost starts that are still to be carried out
 	sameID     bool     // late starts for the incarnation before are carried out by this one
 	rejectNext Verdict
-	away       bool  // takes no connections
-	failing    error // what all calls end with, nil for nothing
+	stopping   time.Duration // how long a stop takes
+	away       bool          // takes no connections
+	failing    error         // what all calls end with, nil for nothing
 	starts     []StartCall
 	figures    map[string]float64 // told of the runs of a job
 	paces      []toldPace
@@ -129,12 +130,30 @@
 		return r, nil
 	}
 	w.fences[c.Task] = max(w.fences[c.Task], c.Run)
-	if w.running[runKey{c.Task, c.Run}] {
-		w.finish(runKey{c.Task, c.Run}, jobs.OutcomeStopped)
+	key := runKey{c.Task, c.Run}
+	if w.stopping > 0 {
+		time.AfterFunc(w.stopping, func() { w.endIfRunning(key, jobs.OutcomeStopped) })
+	} else if w.running[key] {
+		w.finish(key, jobs.OutcomeStopped)
 	}
 	return r, nil
 }
 
+// setStopping makes stops take a while.
+func (w *fakeWorker) setStopping(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopping = d
+}
+
+func (w *fakeWorker) endIfRunning(key runKey, o jobs.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[key] {
+		w.finish(key, o)
+	}
+}
+
 // finish ends a run; the caller holds the lock.
 func (w *fakeWorker) finish(key runKey, o jobs.Outcome) {
 	delete(w.running, key)
@@ -223,6 +242,13 @@
 	return w.running[key]
 }
 
+// begin lets a run be at work that nobody asked for in this session.
+func (w *fakeWorker) begin(key runKey) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running[key] = true
+}
+
 func (w *fakeWorker) end(key runKey, o jobs.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -366,6 +392,14 @@
 	c.orders = make(map[runKey]*order)
 }
 
+// lose makes the control drop the worker with its runs, as the end of its lease does.
+func (c *fakeControl) lose() {
+	c.forget()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.worker = ""
+}
+
 func (c *fakeControl) toldCrashes() []jobs.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/runner/fence.go
+++ b/runner/fence.go
@@ -42,9 +42,11 @@
 	return false
 }
 
-// takeToken takes the token that is kept in reserve, or a new one.
+// takeToken takes the token that is kept in reserve, or a new one. With a new one the control
+// tells whom it has registered, which after a session that it had lost isn't the worker that
+// this agent registered last.
 func (s *session) takeToken() bool {
-	if token := s.r.tokens.next(); token != 0 {
+	if token := s.r.tokens.next(); token != 0 && !s.r.disowned {
 		s.setToken(token)
 		s.before = s.r.registered
 		return true
--- a/runner/register.go
+++ b/runner/register.go
@@ -18,6 +18,7 @@
 			return false
 		case codeOf(err) == refusal.NotRegistered:
 			s.r.tokens.spend(s.token.Load())
+			s.disowned.Store(true)
 			s.end("a later session has registered, or this one's worker was lost")
 			return false
 		}
--- a/runner/remains.go
+++ b/runner/remains.go
@@ -50,6 +50,7 @@
 // knows no better than the one before it. What the incarnation left is told once another
 // stands in its place.
 func (r *Runner) keep(s *session) {
+	r.disowned = s.disowned.Load()
 	if left := s.remains(); s.reached || left.worker != r.left.worker {
 		r.left = left
 	} else {
--- a/runner/run.go
+++ b/runner/run.go
@@ -24,6 +24,7 @@
 	stop    bool
 	held    resource.Vector // what it takes of the worker's room
 	claimed bool            // its room is taken: it was, or is to be, started here
+	stray   bool            // nobody told what it takes of the room, see strays.go
 	// unsure is set once a start went unanswered: it may still take effect.
 	unsure bool
 	since  time.Time // when the order came
@@ -67,6 +68,12 @@
 	r.signal()
 }
 
+func (r *run) isOrdered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ordered
+}
+
 func (r *run) setEnded() {
 	r.mu.Lock()
 	r.ended = true
@@ -181,6 +188,10 @@
 		r.rest()
 		return
 	}
+	if s.hasStrays() {
+		r.rest()
+		return
+	}
 	if !s.claim(r) {
 		logrus.WithFields(logrus.Fields{"task": r.key.task.String(), "run": r.key.run}).Info("runner: A run doesn't fit what the worker has by its last word.")
 		countVerdict("room", VerdictNoRoom)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -44,6 +44,8 @@
 	left       remains
 	crash      *jobs.Crash
 	registered string
+	// disowned says that the control didn't know the last session any more.
+	disowned bool
 
 	tokens tokens
 
--- a/runner/session.go
+++ b/runner/session.go
@@ -50,7 +50,9 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	gone   atomic.Bool // the incarnation is no longer there
-	began  time.Time
+	// disowned says that the control doesn't know this session: what it had may be void.
+	disowned atomic.Bool
+	began    time.Time
 	// reached says that the incarnation told what it runs, and stock is what that was until
 	// it is taken in.
 	reached bool
@@ -239,6 +241,7 @@
 			renewed = time.Now()
 			go s.renew(reply.ClockMS)
 		}
+		s.stopUnknown(reply.Running)
 		s.pace(reply.Running)
 		s.progress.note(time.Now(), reply.Running, s.pacer.slowedRuns())
 		s.list(reply)
@@ -280,6 +283,7 @@
 	code := codeOf(err)
 	refusal.Count(part, code)
 	if code == refusal.NotRegistered {
+		s.disowned.Store(true)
 		s.end("the control does not know this life of the agent any more")
 		return
 	}
@@ -293,11 +297,12 @@
 	return refusal.Unreachable
 }
 
-// ordersLoop keeps one call open at a replica, which returns with the next orders.
+// ordersLoop keeps one call open at a replica, which returns with the next orders. The first
+// answer has them all, and comes at once.
 func (s *session) ordersLoop() {
-	since := uint64(0)
+	since, wait := uint64(0), time.Duration(0)
 	for s.ctx.Err() == nil {
-		req := control.OrdersRequest{WorkerRef: s.ref(), Since: since, WaitMS: ordersWait.Milliseconds(), Cordoned: s.isCordoned(), Registered: s.registered.Load()}
+		req := control.OrdersRequest{WorkerRef: s.ref(), Since: since, WaitMS: wait.Milliseconds(), Cordoned: s.isCordoned(), Registered: s.registered.Load()}
 		var a control.OrdersAnswer
 		if err := s.r.ctl.CallAny(control.PathOrders, controlTimeout, &req, &a); err != nil {
 			s.controlRefused("orders", err)
@@ -308,7 +313,10 @@
 			s.cordon()
 		}
 		s.takeAll(a.Orders)
-		since = max(since, a.Index)
+		if since == 0 {
+			s.stopUnordered()
+		}
+		since, wait = max(since, a.Index), ordersWait
 	}
 }
 
--- /dev/null
+++ b/runner/strays.go
@@ -0,0 +1,71 @@
+package runner
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+)
+
+// A stray is a run at work on the worker that the control doesn't know there: it was made void,
+// or reported as never started, and its task may be at work elsewhere. It is stopped wherever it
+// came from, since each renewal of the lease would keep it at work.
+
+var straysTotal = metrics.NewCounter(`waxwinghaven_strays_stopped_total`)
+
+// stopUnordered stops what the session has taken over and the control's first orders, which name
+// all that it knows here, don't have.
+func (s *session) stopUnordered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, r := range s.runs {
+		if !r.isOrdered() {
+			s.stopStray(key, r)
+		}
+	}
+}
+
+// stopUnknown stops what the worker runs and the session knows nothing of: it was listed by none
+// of its orders, nor by the worker when the session began.
+func (s *session) stopUnknown(running []RunningRun) {
+	for _, x := range running {
+		key := runKey{x.Task, x.Run}
+		s.mu.Lock()
+		known := s.runs[key] != nil
+		s.mu.Unlock()
+		if known {
+			continue
+		}
+		r := s.ensure(jobs.Order{Task: x.Task, Run: x.Run})
+		r.setStarted()
+		s.stopStray(key, r)
+	}
+}
+
+func (s *session) stopStray(key runKey, r *run) {
+	straysTotal.Inc()
+	logrus.WithFields(logrus.Fields{"worker": s.worker, "task": key.task.String(), "run": key.run}).
+		Warn("runner: The worker runs what the control doesn't know there; it is stopped.")
+	r.mu.Lock()
+	r.stray = true
+	r.mu.Unlock()
+	r.order(jobs.Order{Task: key.task, Run: key.run, Stop: true})
+}
+
+// hasStrays reports whether a stray is still there. Nothing is started beside it: what it takes
+// of the worker's room isn't known.
+func (s *session) hasStrays() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.runs {
+		if r.isStray() {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) isStray() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stray && !r.ended
+}
