control, quorum: What a leader's book decides is committed in its own leadership only

What callers would see: a task at work twice.

Cause: a loss, and a member's move, are decided by the leader's book of leases, and were proposed without saying in which leadership. A goroutine that comes late between the two, on a replica that was deposed and leads again, commits what its old book said, while workers and agents renewed with the leader in between; the registration is the same, so nothing made the loss void.

Change: Node.ProposeIn proposes in one term only. An entry of that term is committed by the replicas only if no leader in between could be elected without it, and a leader that has it applies it before it confirms any read, and so before it grants a lease. Losses and members' moves are proposed in the term of the book that decided them.

TestLossIsCommittedInItsOwnLeadershipOnly fails without it (mutations of both places, red). Tests of quorum pass, those of control about losses, sessions and members.

--- a/control/leader.go
+++ b/control/leader.go
@@ -110,9 +110,11 @@
 func (l *leader) watch(ctx context.Context) {
 	l.r.repair(ctx)
 	var moves []membership.Move
+	var term uint64 // of the book that they are decided by
 	l.r.machine.Read(func(s *State) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		term = l.term
 		for _, m := range s.Members.Members {
 			if m.Phase == membership.Down {
 				l.keeper.Reopen(m.Agent) // its end is committed
@@ -128,7 +130,7 @@
 	for _, mv := range moves {
 		logrus.WithFields(logrus.Fields{"agent": mv.Agent, "phase": mv.Phase, "reason": mv.Reason}).Warn("control: A member changes its phase.")
 	}
-	if _, err := l.r.propose(Command{Moves: moves}); err != nil {
+	if _, err := l.r.proposeIn(term, Command{Moves: moves}); err != nil {
 		// The outcome may be unknown: the moves can still be committed. So
 		// the leases stay closed, and the next watch proposes them again.
 		logrus.Warnf("control: Could not commit %d membership moves: %v.", len(moves), err)
--- a/control/leases.go
+++ b/control/leases.go
@@ -117,12 +117,16 @@
 
 // expire ends the leases of workers that nobody renewed for a whole term.
 func (d *dispatcher) expire() {
-	l := d.decideLoss()
-	if len(l.workers) == 0 {
-		return
+	if l := d.decideLoss(); len(l.workers) > 0 {
+		d.commitLoss(&l)
 	}
+}
+
+// commitLoss commits a loss in the leadership that decided it: in a later one of this replica the
+// workers may hold leases of a leader in between.
+func (d *dispatcher) commitLoss(l *loss) {
 	decided := time.Now()
-	v, err := d.r.proposeJob(JobCommand{Lost: l.workers})
+	v, err := d.r.proposeIn(l.term, Command{Jobs: &JobCommand{Lost: l.workers}})
 	if err != nil {
 		// The outcome may be unknown, so the leases stay closed and the
 		// next watch proposes the same again.
--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -108,3 +108,23 @@
 		t.Errorf("the next session: %v", err)
 	}
 }
+
+// Guards against a loss that is committed by a later leadership of the replica that decided it:
+// the workers have leases of the leader in between.
+func TestLossIsCommittedInItsOwnLeadershipOnly(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	l := c.replicas[c.leader()]
+	var w jobs.Worker
+	l.machine.Read(func(s *State) { w = *s.Jobs.Workers["w"] })
+	decided := loss{workers: []jobs.Loss{{Worker: "w", Registered: w.Registered}}, term: l.node.View().Term - 1}
+	l.dispatcher.commitLoss(&decided)
+	if !isRegistered(l, "w") {
+		t.Error("a loss of an earlier leadership took effect")
+	}
+	decided.term++
+	l.dispatcher.commitLoss(&decided)
+	if isRegistered(l, "w") {
+		t.Error("a loss of the present leadership took no effect")
+	}
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -174,7 +174,10 @@
 }
 
 // propose commits a command and returns what it did.
-func (r *Replica) propose(c Command) (any, error) {
+func (r *Replica) propose(c Command) (any, error) { return r.proposeIn(quorum.AnyTerm, c) }
+
+// proposeIn does the same in the leadership of one term only.
+func (r *Replica) proposeIn(term uint64, c Command) (any, error) {
 	c.Now = time.Now().UnixMilli()
 	b, err := msgpack.Marshal(&c)
 	if err != nil {
@@ -182,7 +185,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	v, err := r.node.Propose(ctx, b)
+	v, err := r.node.ProposeIn(ctx, term, b)
 	if err != nil {
 		return nil, r.refusalOf(err)
 	}
--- a/quorum/calls.go
+++ b/quorum/calls.go
@@ -54,12 +54,22 @@
 	}
 }
 
+// AnyTerm is the term of a proposal that was not decided by what one leadership knows.
+const AnyTerm = 0
+
 // Propose commits a command and returns what the state machine made of it.
 func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	return n.ProposeIn(ctx, AnyTerm, data)
+}
+
+// ProposeIn commits a command in the leadership of one term only, else it returns ErrNotLeader.
+// What a leader knows without the log, such as a book of leases, is outdated once another has
+// led, also if the same replica leads again.
+func (n *Node) ProposeIn(ctx context.Context, term uint64, data []byte) (any, error) {
 	if n.hasStopped() {
 		return nil, ErrStopped
 	}
-	p := proposal{data: data, at: time.Now(), done: make(chan outcome, 1)}
+	p := proposal{data: data, in: term, at: time.Now(), done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
 	case <-ctx.Done():
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -58,7 +58,8 @@
 // proposal is a command on its way to being applied.
 type proposal struct {
 	data []byte
-	term uint64
+	in   uint64    // the term that it may be proposed in, AnyTerm for all
+	term uint64    // the term that it was proposed in
 	at   time.Time // when it was handed over
 	done chan outcome
 }
@@ -241,6 +242,10 @@
 		p.done <- outcome{err: ErrDiskFull}
 		return
 	}
+	if p.in != AnyTerm && p.in != n.core.term {
+		p.done <- outcome{err: ErrNotLeader}
+		return
+	}
 	index, term, err := n.core.Propose(p.data)
 	if err != nil {
 		p.done <- outcome{err: err}
