runner: What runs past the lease that was granted is stopped

What callers would see: a task at work twice.

Change: an agent knows until when it was granted the lease. That covers an agent that is cut off. The worker's own end comes first in all other cases, so nothing else changes.

New counter waxwinghaven_overdue_stopped_total.

--- a/runner/run.go
+++ b/runner/run.go
@@ -61,6 +61,14 @@
 	r.signal()
 }
 
+// stopNow has the run stopped without an order. What it holds of the worker's room stays held.
+func (r *run) stopNow() {
+	r.mu.Lock()
+	r.ordered, r.stop = true, true
+	r.mu.Unlock()
+	r.signal()
+}
+
 func (r *run) setStarted() {
 	r.mu.Lock()
 	r.started = true
@@ -74,6 +82,12 @@
 	return r.ordered
 }
 
+func (r *run) isStopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stop
+}
+
 func (r *run) setEnded() {
 	r.mu.Lock()
 	r.ended = true
--- a/runner/session.go
+++ b/runner/session.go
@@ -242,6 +242,7 @@
 			go s.renew(reply.ClockMS)
 		}
 		s.stopUnknown(reply.Running)
+		s.stopOverdue(reply)
 		s.pace(reply.Running)
 		s.progress.note(time.Now(), reply.Running, s.pacer.slowedRuns())
 		s.list(reply)
--- a/runner/strays.go
+++ b/runner/strays.go
@@ -10,7 +10,10 @@
 // or reported as never started, and its task may be at work elsewhere. It is stopped wherever it
 // came from, since each renewal of the lease would keep it at work.
 
-var straysTotal = metrics.NewCounter(`waxwinghaven_strays_stopped_total`)
+var (
+	straysTotal  = metrics.NewCounter(`waxwinghaven_strays_stopped_total`)
+	overdueTotal = metrics.NewCounter(`waxwinghaven_overdue_stopped_total`)
+)
 
 // stopUnordered stops what the session has taken over and the control's first orders, which name
 // all that it knows here, don't have.
@@ -41,6 +44,27 @@
 	}
 }
 
+// stopOverdue stops what is at work past the lease that this session was granted: the worker knows
+// of a longer one, by a call for an earlier start of it that was carried out late and named a time
+// on that one's clock. The control takes these runs for ended soon.
+func (s *session) stopOverdue(reply HoldReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaseEnd == 0 || reply.ClockMS <= s.leaseEnd {
+		return
+	}
+	for _, x := range reply.Running {
+		r := s.runs[runKey{x.Task, x.Run}]
+		if r == nil || r.isStopping() {
+			continue
+		}
+		overdueTotal.Inc()
+		logrus.WithFields(logrus.Fields{"worker": s.worker, "task": x.Task.String(), "run": x.Run, "clock_ms": reply.ClockMS, "lease_end": s.leaseEnd}).
+			Warn("runner: The worker runs this past the lease that it was granted; it is stopped.")
+		r.stopNow()
+	}
+}
+
 func (s *session) stopStray(key runKey, r *run) {
 	straysTotal.Inc()
 	logrus.WithFields(logrus.Fields{"worker": s.worker, "task": key.task.String(), "run": key.run}).
@@ -48,7 +72,7 @@
 	r.mu.Lock()
 	r.stray = true
 	r.mu.Unlock()
-	r.order(jobs.Order{Task: key.task, Run: key.run, Stop: true})
+	r.stopNow()
 }
 
 // hasStrays reports whether a stray is still there. Nothing is started beside it: what it takes
--- a/runner/strays_test.go
+++ b/runner/strays_test.go
@@ -90,3 +90,21 @@
 		}
 	})
 }
+
+// Guards against a run that outlives its lease while its agent is cut off: a late call has given
+// the worker a longer one than the control lent, and lets its task run elsewhere.
+func TestRunIsStoppedPastTheLeaseThatWasGranted(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		b.ctl.give(startOf(runA1))
+		time.Sleep(2 * time.Second)
+		b.ctl.setDown(true)
+		time.Sleep(4 * time.Second)
+		if !b.worker.isRunning(runA1) {
+			t.Fatal("the run ended before its lease: nothing is shown")
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if b.worker.isRunning(runA1) {
+			t.Error("the run goes on past its lease")
+		}
+	})
+}
