runner: A worker that left is gone only once its address refuses connections

What callers would see: a task at work twice.

Cause: a worker that had said it ends was told as gone after ten calls that could not be sent. That counts connections that come to nothing, and those that the agent had none free for: a worker that says that it ends and is then only slow, on a busy machine, was taken for gone, and what ran there was placed elsewhere without waiting for a lease.

Change: ten refused connections. Where a machine is gone with its worker nobody refuses, and the lease decides, as for a worker that said nothing.

--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -34,7 +34,7 @@
 	sameID     bool     // late starts for the incarnation before are carried out by this one
 	rejectNext Verdict
 	stopping   time.Duration // how long a stop takes
-	away       bool          // takes no connections
+	away       error         // what connecting to it ends with, nil if it takes connections
 	failing    error         // what all calls end with, nil for nothing
 	starts     []StartCall
 	figures    map[string]float64 // told of the runs of a job
@@ -166,9 +166,9 @@
 
 func (w *fakeWorker) Hold(c HoldCall) (HoldReply, error) {
 	w.mu.Lock()
-	if w.away {
+	if err := w.away; err != nil {
 		w.mu.Unlock()
-		return HoldReply{}, ErrNotSent
+		return HoldReply{}, err
 	}
 	if err := w.failing; err != nil {
 		w.mu.Unlock()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -268,20 +269,26 @@
 
 // A worker says that it ends, and ends. Its standing tasks are missed until the
 // control knows; waiting for the lease costs their users five seconds. One that takes
-// no connections but said nothing may only be cut off: the lease decides.
+// no connections but said nothing may only be cut off, and one whose connections come
+// to nothing may only be slow, and run on: the lease decides.
 func TestWorkerThatLeftIsReportedAtOnce(t *testing.T) {
-	for _, said := range []bool{true, false} {
+	refused := fmt.Errorf("%w: %w", ErrNotSent, ErrClosed)
+	for _, c := range []struct {
+		said bool
+		away error
+		want bool
+	}{{true, refused, true}, {false, refused, false}, {true, ErrNotSent, false}} {
 		play(t, func(t *testing.T, b *bench) {
 			time.Sleep(time.Second)
-			if said {
+			if c.said {
 				b.runner.Left("w1")
 			}
 			b.worker.mu.Lock()
-			b.worker.away = true
+			b.worker.away = c.away
 			b.worker.mu.Unlock()
 			time.Sleep(2 * time.Second)
-			if got := b.ctl.reportedGone(); (got > 0) != said {
-				t.Errorf("the worker said so: %v; it was reported %d times", said, got)
+			if got := b.ctl.reportedGone(); (got > 0) != c.want {
+				t.Errorf("the worker said so: %v, connecting: %v; it was reported %d times", c.said, c.away, got)
 			}
 		})
 	}
--- a/runner/silence.go
+++ b/runner/silence.go
@@ -8,19 +8,20 @@
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
 
-// leftAfter is the calls in a row that could not be sent to a worker that said
-// that it ends, after which it is gone: half a second.
+// leftAfter is the calls in a row whose connections a worker's address refused, after
+// which a worker that said that it ends is gone: half a second.
 const leftAfter = 10
 
-// hasLeft tells the control that a worker is gone which said that it ends and then
-// took no connection any more. What ran there ended with it; waiting for the lease
-// to end would keep its tasks away for seconds more. A worker that said nothing is
-// not believed to be gone that easily.
+// hasLeft tells the control that a worker is gone which said that it ends and at whose
+// address nobody takes connections any more. What ran there ended with it; waiting for the
+// lease to end would keep its tasks away for seconds more. A worker that said nothing is
+// not believed to be gone that easily, nor one to which connecting comes to nothing: it may
+// be too busy to take connections, and run on.
 func (s *session) hasLeft(err error) bool {
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
-	if !leaving || !errors.Is(err, ErrNotSent) {
+	if !leaving || !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrClosed) {
 		return false
 	}
 	if s.unreached++; s.unreached < leftAfter {
