control, lease: A member that is back is not taken for down before its first lease

What callers would see: on a busy machine tasks of markets' jobs that are placed late: an agent that is back is taken for down at once, and again each time it comes. No task twice: a renewal is refused while the end is being committed.

Cause: the announcement is in the state before its handler has told the leader's book, which still had the lease that ended, opened again.

Change: what the book knew is forgotten when the end is seen committed, and a member that it doesn't know has a whole term.

--- a/control/leader.go
+++ b/control/leader.go
@@ -148,7 +148,9 @@
 }
 
 func (l *leader) expired(m *membership.Member) (membership.Move, bool) {
-	if !l.keeper.Close(m.Agent, time.Now()) {
+	now := time.Now()
+	l.keeper.Note(m.Agent, now) // it is in the state before its handler has told the book
+	if !l.keeper.Close(m.Agent, now) {
 		return membership.Move{}, false
 	}
 	return membership.Move{Agent: m.Agent, Boot: m.Boot, Phase: membership.Down, Reason: "its lease ended without a renewal"}, true
--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/membership"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/resource"
 )
@@ -128,3 +129,28 @@
 		t.Error("a loss of the present leadership took no effect")
 	}
 }
+
+// Guards against a member that is taken for down as soon as it is back: its announcement is
+// applied, and its handler hasn't told the book of leases yet.
+func TestMemberThatIsBackIsNotTakenForDown(t *testing.T) {
+	c := newCluster(t)
+	l := c.replicas[c.leader()]
+	m := membership.Member{Agent: "a", Address: "127.0.0.1:1", Boot: "b"}
+	phase := func() (p membership.Phase) {
+		l.machine.Read(func(s *State) { p = s.Members.Members["a"].Phase })
+		return p
+	}
+	announce := func() {
+		if _, err := l.propose(Command{Announce: &m}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce()
+	c.wait("the end of the first lease", func() bool { return phase() == membership.Down })
+	time.Sleep(2 * watchEvery) // that it has ended is seen to be committed
+	announce()
+	time.Sleep(2 * watchEvery) // a goroutine that comes late on a busy machine
+	if p := phase(); p != membership.Up {
+		t.Errorf("it is %v", p)
+	}
+}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -91,14 +91,10 @@
 	return now.Sub(h.expires) + k.full()
 }
 
-// Reopen lets a holder renew again. It may be called only when the end of its
-// lease is seen to be committed: as long as that is not known, it may still be,
+// Reopen lets a holder renew again, and forgets what the book knew of it. It may be called only
+// when the end of its lease is seen to be committed: as long as that is not known, it may still be,
 // and a renewal granted meanwhile would be for attempts that are given away.
-func (k *Keeper[Holder]) Reopen(holder Holder) {
-	if h := k.leases[holder]; h != nil {
-		h.closing = false
-	}
-}
+func (k *Keeper[Holder]) Reopen(holder Holder) { delete(k.leases, holder) }
 
 // Retain drops the holders that don't exist any more.
 func (k *Keeper[Holder]) Retain(exists func(Holder) bool) {
