--- a/control/leases.go
+++ b/control/leases.go
@@ -40,15 +40,15 @@
 			err = refused
 			return
 		}
-		err = d.extend(holderOf(w), time.Now())
+		err = d.extend(holderOf(w))
 	})
 	return err
 }
 
-func (d *dispatcher) extend(h holder, now time.Time) error {
+func (d *dispatcher) extend(h holder) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.keeper.Grant(h, now) {
+	if d.keeper.Grant(h, time.Now()) {
 		return nil
 	}
 	e := refusal.New(refusal.Unreachable, "ask again in a moment", "the lease of worker %s is just being ended", h.worker)
@@ -62,7 +62,7 @@
 		if x := s.Jobs.Workers[w.ID]; x == nil || x.Registered != w.Registered {
 			return // it was lost, or has registered again
 		}
-		if err := d.extend(holderOf(w), time.Now()); err != nil {
+		if err := d.extend(holderOf(w)); err != nil {
 			logrus.WithFields(logrus.Fields{"worker": w.ID, "registered": w.Registered}).Warn("control: A registration was just being ended when its lease was to begin.")
 		}
 	})
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -54,7 +54,9 @@
 	if h.closing {
 		return false
 	}
-	h.expires = now.Add(k.full())
+	if end := now.Add(k.full()); end.After(h.expires) { // goroutines come late
+		h.expires = end
+	}
 	return true
 }
 
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -66,3 +66,16 @@
 		t.Error("a holder that was dropped is still closed")
 	}
 }
+
+// Guards against a lease that is ended early: a grant that was read off an earlier clock is entered
+// after a later one.
+func TestGrantThatComesLateShortensNothing(t *testing.T) {
+	k := NewKeeper[string](testTerm, epoch)
+	later := epoch.Add(2 * testTerm)
+	if !k.Grant("a", later) || !k.Grant("a", later.Add(-testTerm/2)) {
+		t.Fatal("a renewal was refused")
+	}
+	if k.Close("a", later.Add(testTerm)) {
+		t.Error("the later grant's lease was ended early")
+	}
+}
