jobs, runner: An update of a lost worker's session is refused whatever its token

Its update then comes with a higher token than the agent's last registration, and was taken for a new session's: cut off for longer than a lease, with a run that waited for a connection, it could start that run once it was back.

Change: a registration says whether its session has registered before. One that has is taken only as the present session's.

--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -80,7 +80,7 @@
 // register takes in a worker, and the crash of the one before it. A worker that was leaving,
 // or that the control itself took down, has not crashed under its tasks.
 func (s *State) register(r *Registration, index uint64) (registered, error) {
-	if err := s.Jobs.Outdated(&r.Worker); err != nil {
+	if err := s.Jobs.Outdated(&r.Worker, r.Update); err != nil {
 		return registered{}, err
 	}
 	crash := r.Crash
--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -100,6 +100,14 @@
 	if _, err := l.onRegister(Registration{Worker: w}); !refusal.Is(err, refusal.NotRegistered) {
 		t.Errorf("an update of a session whose worker was lost: %v", err)
 	}
+	reserve, err := l.onFence(FenceRequest{Agent: "b", Worker: "x", Service: "vault"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Token = reserve.Token
+	if _, err := l.onRegister(Registration{Worker: w, Update: true}); !refusal.Is(err, refusal.NotRegistered) {
+		t.Errorf("an update with the token in reserve: %v", err)
+	}
 	next, err := l.onFence(FenceRequest{Agent: "b", Worker: "x", Service: "vault"})
 	if err != nil || next.Worker != "" {
 		t.Fatalf("the next session is told of worker %q (%v)", next.Worker, err)
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -93,6 +93,8 @@
 	// Crash is the end of the incarnation before, as the agent saw it, nil if it did not
 	// crash or that isn't certain.
 	Crash *jobs.Crash `msgpack:"x,omitempty"`
+	// Update says that this session has registered before.
+	Update bool `msgpack:"u,omitempty"`
 }
 
 // Registered answers the registration of a worker.
--- a/jobs/register.go
+++ b/jobs/register.go
@@ -13,13 +13,14 @@
 
 // Outdated reports why a registration comes too late: a session that began after it has
 // registered, or its own was lost. A session whose worker was lost knows of runs that are void;
-// registered again, it would start them, or keep them at work.
-func (s *State) Outdated(w *Worker) error {
-	if w.Token == 0 || s.Tokens[w.Agent] < w.Token {
-		return nil
-	}
+// registered again, it would start them, or keep them at work. An update is a session's second
+// registration or a later one, whatever its token: sessions go on to higher ones.
+func (s *State) Outdated(w *Worker, update bool) error {
 	if now := s.byAgent[w.Agent]; now != nil && now.Life == w.Life {
-		return nil // an update, or the same told again
+		return nil // or the same told again
+	}
+	if !update && (w.Token == 0 || s.Tokens[w.Agent] < w.Token) {
+		return nil
 	}
 	return refusal.New(refusal.NotRegistered, "register the worker again with a newer token",
 		"worker %s comes with token %d, and agent %s has registered with %d before", w.ID, w.Token, w.Agent, s.Tokens[w.Agent])
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -267,22 +267,27 @@
 	w := newWorld(t)
 	session := Worker{ID: "w1", Agent: "a", Life: "life-1", Service: "vault", Token: 5}
 	w.ApplyRegister(session, 10)
-	if err := w.Outdated(&session); err != nil {
+	if err := w.Outdated(&session, true); err != nil {
 		t.Fatalf("an update of the present session: %v", err)
 	}
 	w.lose("w1")
 	for _, s := range []*State{w.State, restored(t, w.State)} {
-		if s.Outdated(&session) == nil {
+		if s.Outdated(&session, false) == nil {
 			t.Error("the session of a lost worker can register again")
 		}
+		raised := session
+		raised.Token = 7
+		if s.Outdated(&raised, true) == nil {
+			t.Error("it can once it has gone on to a higher token")
+		}
 		next := Worker{ID: "w1", Agent: "a", Life: "life-2", Service: "vault", Token: 6}
-		if err := s.Outdated(&next); err != nil {
+		if err := s.Outdated(&next, false); err != nil {
 			t.Errorf("the next session: %v", err)
 		}
 	}
 	w.ApplyRegister(Worker{ID: "w1", Agent: "a", Life: "life-2", Service: "vault", Token: 6}, 20)
 	w.Tokens = nil // as in a snapshot of an earlier version
-	if s := restored(t, w.State); s.Outdated(&session) == nil {
+	if s := restored(t, w.State); s.Outdated(&session, false) == nil {
 		t.Error("a session that another has followed can register again")
 	}
 }
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -327,6 +327,7 @@
 	gone          []string          // workers that the agent reported
 	crashes       []jobs.Crash
 	registrations int
+	updates       int // registrations of sessions that had registered before
 	silent        []string // workers that the agent told as silent
 	down          bool     // answers nothing
 	cordoned      bool     // the worker's data centre is out of service
@@ -469,6 +470,9 @@
 		c.onRegister()
 		c.index++
 		c.registrations++
+		if q.Update {
+			c.updates++
+		}
 		if q.Crash != nil {
 			c.crashes = append(c.crashes, *q.Crash)
 		}
--- a/runner/register.go
+++ b/runner/register.go
@@ -30,7 +30,7 @@
 
 func (s *session) sendRegistration() error {
 	a := s.announced()
-	w := control.Registration{Crash: s.r.crash, Worker: jobs.Worker{ID: a.Worker, Agent: s.r.agent, Service: a.Service, DataCentre: a.DataCentre,
+	w := control.Registration{Crash: s.r.crash, Update: s.registered.Load() != 0, Worker: jobs.Worker{ID: a.Worker, Agent: s.r.agent, Service: a.Service, DataCentre: a.DataCentre,
 		Labels: a.Labels, Rack: a.Rack, Capacity: a.Capacity, Token: s.token.Load(), Life: s.life, Draining: a.Draining}}
 	var done control.Registered
 	if err := s.r.ctl.Call(control.PathRegister, controlTimeout, &w, &done); err != nil {
--- a/runner/strays_test.go
+++ b/runner/strays_test.go
@@ -108,3 +108,19 @@
 		}
 	})
 }
+
+// Guards against a session that outlives the loss of its worker: the control tells its updates from
+// the first registration of another one by their own word.
+func TestUpdateOfASessionSaysThatItIsOne(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		if b.ctl.registered() != 1 || b.ctl.updates != 0 {
+			t.Fatalf("%d registrations, %d of them updates", b.ctl.registered(), b.ctl.updates)
+		}
+		b.announce("w1", true)
+		time.Sleep(time.Second)
+		if b.ctl.registered() != 2 || b.ctl.updates != 1 {
+			t.Errorf("%d registrations, %d of them updates", b.ctl.registered(), b.ctl.updates)
+		}
+	})
+}
