runner: The first orders start nothing beside what they have made void

Change: orders about what is there, then the strays, then the starts. Starts wait for a stray's end instead of trying again, and one that the worker doesn't list any more is dropped, so that it blocks nobody.

--- a/runner/ends.go
+++ b/runner/ends.go
@@ -33,7 +33,11 @@
 		end := jobs.End{Task: f.Task, Run: f.Run, Outcome: f.Outcome, Checkpoint: f.Checkpoint}
 		if r != nil {
 			end.WorkMS = r.workMS()
+			stray := r.isStray()
 			r.setEnded()
+			if stray {
+				s.wakeRuns() // they waited for its end
+			}
 		}
 		logrus.WithFields(logrus.Fields{"task": f.Task.String(), "run": f.Run, "how": f.How, "n": f.Number}).Info("runner: A run ended.")
 		s.send(report{end: end, number: f.Number, at: time.Now()})
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -327,7 +327,7 @@
 	gone          []string          // workers that the agent reported
 	crashes       []jobs.Crash
 	registrations int
-	updates       int // registrations of sessions that had registered before
+	updates       int      // registrations of sessions that had registered before
 	silent        []string // workers that the agent told as silent
 	down          bool     // answers nothing
 	cordoned      bool     // the worker's data centre is out of service
--- a/runner/run.go
+++ b/runner/run.go
@@ -203,7 +203,7 @@
 		return
 	}
 	if s.hasStrays() {
-		r.rest()
+		r.await(extended)
 		return
 	}
 	if !s.claim(r) {
@@ -362,17 +362,25 @@
 	return true
 }
 
-func (r *run) listed(reply HoldReply) bool {
+// lists reports whether a worker's list has a run, at work or ended.
+func lists(reply HoldReply, key runKey) bool {
 	for _, x := range reply.Running {
-		if x.Task == r.key.task && x.Run == r.key.run {
+		if x.Task == key.task && x.Run == key.run {
 			return true
 		}
 	}
 	for _, x := range reply.Finished {
-		if x.Task == r.key.task && x.Run == r.key.run {
+		if x.Task == key.task && x.Run == key.run {
 			return true
 		}
 	}
+	return false
+}
+
+func (r *run) listed(reply HoldReply) bool {
+	if lists(reply, r.key) {
+		return true
+	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	return r.s.ended[r.key]
--- a/runner/session.go
+++ b/runner/session.go
@@ -246,6 +246,7 @@
 		s.pace(reply.Running)
 		s.progress.note(time.Now(), reply.Running, s.pacer.slowedRuns())
 		s.list(reply)
+		s.forgetStrays(reply)
 		if len(reply.Finished) > 0 {
 			// The worker answers at once as long as it lists ends. Without
 			// the wait a control that is away would make this a busy loop.
@@ -313,17 +314,14 @@
 		if a.Cordoned {
 			s.cordon()
 		}
-		s.takeAll(a.Orders)
-		if since == 0 {
-			s.stopUnordered()
-		}
+		s.takeAll(a.Orders, since == 0)
 		since, wait = max(since, a.Index), ordersWait
 	}
 }
 
 // takeAll carries out orders, first those about runs that are there already: what they hold
-// has to be known before anything is started beside them.
-func (s *session) takeAll(orders []jobs.Order) {
+// has to be known before anything is started beside them, and which of them no order names.
+func (s *session) takeAll(orders []jobs.Order, complete bool) {
 	var starts []jobs.Order
 	for _, o := range orders {
 		if s.has(o) {
@@ -332,6 +330,9 @@
 			starts = append(starts, o)
 		}
 	}
+	if complete {
+		s.stopUnordered()
+	}
 	for _, o := range starts {
 		s.take(o)
 	}
--- a/runner/strays.go
+++ b/runner/strays.go
@@ -75,8 +75,28 @@
 	r.stopNow()
 }
 
+// forgetStrays drops the strays that a list doesn't have any more, neither at work nor ended: their
+// ends were acknowledged before this session.
+func (s *session) forgetStrays(reply HoldReply) {
+	s.mu.Lock()
+	var gone []*run
+	for key, r := range s.runs {
+		if r.isStray() && !lists(reply, key) {
+			delete(s.runs, key)
+			gone = append(gone, r)
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range gone {
+		r.setEnded()
+	}
+	if len(gone) > 0 {
+		s.wakeRuns()
+	}
+}
+
 // hasStrays reports whether a stray is still there. Nothing is started beside it: what it takes
-// of the worker's room isn't known.
+// of the worker's room isn't known, and it may be a run of the same task.
 func (s *session) hasStrays() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/runner/strays_test.go
+++ b/runner/strays_test.go
@@ -124,3 +124,28 @@
 		}
 	})
 }
+
+// Guards against a task at two places on one worker: the first orders place its next run beside the
+// void one that the session took over, with others, and each is started by a goroutine of its own.
+func TestFirstOrdersStartNothingBesideAStray(t *testing.T) {
+	for range 50 {
+		play(t, func(t *testing.T, b *bench) {
+			b.ctl.give(startOf(runA1))
+			time.Sleep(2 * time.Second)
+			b.worker.setStopping(time.Second)
+			b.ctl.forget()
+			for i := range 20 {
+				b.ctl.give(startOf(runKey{jobs.Ref{Job: "00000000000000bb", Index: i}, 1}))
+			}
+			b.ctl.give(startOf(runKey{taskA, 2}))
+			time.Sleep(900 * time.Millisecond)
+			if n := len(b.worker.started()); !b.worker.isRunning(runA1) || n != 1 {
+				t.Fatalf("%d runs were started, the void one is there: %v", n, b.worker.isRunning(runA1))
+			}
+			time.Sleep(3 * time.Second)
+			if n := len(b.worker.started()); n != 22 {
+				t.Errorf("%d of 22 runs were started", n)
+			}
+		})
+	}
+}
