--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -272,12 +272,13 @@
 // no connections but said nothing may only be cut off, and one whose connections come
 // to nothing may only be slow, and run on: the lease decides.
 func TestWorkerThatLeftIsReportedAtOnce(t *testing.T) {
-	refused := fmt.Errorf("%w: %w", ErrNotSent, ErrClosed)
+	reset := fmt.Errorf("%w: %w", ErrNotSent, ErrClosed)
+	refused := fmt.Errorf("%w: %w", ErrRefused, reset)
 	for _, c := range []struct {
 		said bool
 		away error
 		want bool
-	}{{true, refused, true}, {false, refused, false}, {true, ErrNotSent, false}} {
+	}{{true, refused, true}, {false, refused, false}, {true, ErrNotSent, false}, {true, reset, false}} {
 		play(t, func(t *testing.T, b *bench) {
 			time.Sleep(time.Second)
 			if c.said {
--- a/runner/silence.go
+++ b/runner/silence.go
@@ -15,13 +15,13 @@
 // hasLeft tells the control that a worker is gone which said that it ends and at whose
 // address nobody takes connections any more. What ran there ended with it; waiting for the
 // lease to end would keep its tasks away for seconds more. A worker that said nothing is
-// not believed to be gone that easily, nor one to which connecting comes to nothing: it may
-// be too busy to take connections, and run on.
+// not believed to be gone that easily, nor one whose connections come to nothing or are
+// reset: it may be too busy, or behind a bad link, and run on.
 func (s *session) hasLeft(err error) bool {
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
-	if !leaving || !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrClosed) {
+	if !leaving || !errors.Is(err, ErrRefused) {
 		return false
 	}
 	if s.unreached++; s.unreached < leftAfter {
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -27,6 +27,10 @@
 // is gone, or the connection was reset. A call may have both errors.
 var ErrClosed = transport.ErrClosed
 
+// ErrRefused is the error of a call to an address where nobody takes connections: no worker
+// stands there. Such a call has the other two errors as well.
+var ErrRefused = transport.ErrRefused
+
 // Target names whom a call is for and with which right it is made.
 type Target struct {
 	Worker string `json:"worker"` // incarnation
--- a/transport/json.go
+++ b/transport/json.go
@@ -22,6 +22,10 @@
 // refused. One that is merely not answered is not closed.
 var ErrClosed = errors.New("the other side closed the connection")
 
+// ErrRefused is the error of a call to an address where nobody takes connections. It was not
+// sent, either.
+var ErrRefused = errors.New("nobody takes connections there")
+
 // ContentJSON is the content type of JSON bodies.
 const ContentJSON = "application/json"
 
@@ -149,8 +153,11 @@
 	return p.StatusCode(), append([]byte(nil), p.Body()...), conn.SetDeadline(time.Time{})
 }
 
-// noteClosed marks the error of a connection that the other side ended.
+// noteClosed marks the error of a connection that the other side ended, or refused.
 func noteClosed(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w: %w", ErrRefused, ErrClosed, err)
+	}
 	for _, closed := range []error{fasthttp.ErrConnectionClosed, io.EOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE} {
 		if errors.Is(err, closed) {
 			return fmt.Errorf("%w: %w", ErrClosed, err)
