control: What a leader remembers is not begun anew by an older view

What was just being ended was open again, so a renewal could be granted on it. Safe without that, since a new book gives whole terms; now a book is begun anew by a later leadership only.

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -102,7 +102,7 @@
 		return false
 	}
 	d.mu.Lock()
-	fresh := d.term != v.Term
+	fresh := d.term < v.Term // the view may be an older leadership's
 	if fresh {
 		d.reset(v.Term)
 	}
--- a/control/leader.go
+++ b/control/leader.go
@@ -90,7 +90,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term != v.Term {
+	if l.term < v.Term { // the view may be an older leadership's
 		l.reset(v.Term)
 		logrus.WithField("term", v.Term).Info("control: This replica leads.")
 	}
--- a/control/waves.go
+++ b/control/waves.go
@@ -139,7 +139,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.term != v.Term {
+	if v.Term < w.term {
+		return 0, false // the view is an older leadership's
+	}
+	if w.term < v.Term {
 		w.term, w.since, w.fenced = v.Term, time.Now(), false
 	}
 	return v.Term, !w.fenced && time.Since(w.since) >= w.lease
