control: A new leader that lacks a registration ends no session

Change: a leader says so only once it has come as far, as followers do. The test's new case failed before (not-registered).

--- a/control/orders.go
+++ b/control/orders.go
@@ -52,15 +52,15 @@
 	return a, err
 }
 
-// speaksFor refuses an agent whose life is not registered. A replica that doesn't lead says so
-// only if it has come as far as the registration: the agent's word ends its session.
+// speaksFor refuses an agent whose life is not registered. A replica says so only if it has come
+// as far as the registration, which a new leader may not have either: its word ends the session.
 func (s *State) speaksFor(req *OrdersRequest, leads bool) error {
 	_, err := s.known(req.WorkerRef)
 	if err == nil {
 		return nil
 	}
-	if !leads && (req.Registered == 0 || s.Index < req.Registered) {
-		return refusal.New(refusal.Behind, "ask the leader", "the registration of worker %s is not known here yet", req.Worker)
+	if s.Index < req.Registered || (!leads && req.Registered == 0) {
+		return refusal.New(refusal.Behind, "ask the leader, or again in a moment", "the registration of worker %s is not known here yet", req.Worker)
 	}
 	return err
 }
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -69,6 +69,7 @@
 		{"an agent that doesn't tell where it was registered", 0, false, refusal.Behind},
 		{"the registration is known to be replaced", 7, false, refusal.NotRegistered},
 		{"the leader knows", 0, true, refusal.NotRegistered},
+		{"a new leader lacks the registration", 8, true, refusal.Behind},
 	}
 	for _, c := range cases {
 		if err := s.speaksFor(&OrdersRequest{WorkerRef: ref, Registered: c.registered}, c.leads); !refusal.Is(err, c.code) {
