jobs: A late end as done stops the task's next run

Cause: the end of a void run is committed, and acknowledged on that, also where its task has been placed again; the order to start the next run stood. Whatever made the run void, the task was done, and started once more, or done twice.

Change: such an end finishes the task as it does one that waits, and stops the newer run, which holds its room until its end; where its start is still on the way it never begins. So after a cut, too, work that was done before the lease ended isn't done again.

A check of TestLateEndOfALostRunIsIgnored said the contrary: a late done end of a task that was placed again must not count, "or the task would be done while its successor still runs". The successor is stopped now, as a copy is whose twin is done.

--- a/jobs/run.go
+++ b/jobs/run.go
@@ -238,7 +238,7 @@
 	}
 	t := &g.Tasks[e.Task.Index]
 	if r := t.On(worker); r == nil || r.Run != e.Run {
-		s.doneAfterAll(g, t, e)
+		s.doneAfterAll(g, e, index)
 		return true
 	}
 	if e.Checkpoint != "" && g.Step().Checkpointing {
@@ -265,15 +265,23 @@
 
 // doneAfterAll takes in that a run has ended as done which had been given up for lost, or was
 // started late by an order that was: its worker reported nothing for a whole lease, or started
-// again. The end is acknowledged on this, so a task that waits must not be started any more.
-// One that has been placed again goes on with its newer run.
-func (s *State) doneAfterAll(g *Group, t *Task, e End) {
-	st := g.Step()
-	if e.Outcome != OutcomeDone || st.Standing || st.Gang || !t.waits() || e.Run > t.Run || g.job.Phase.Over() {
+// again. The end is acknowledged on this, so the task must not be started any more: if it has been
+// placed again, what is there is stopped, and never begins if its start is still on the way.
+func (s *State) doneAfterAll(g *Group, e End, index uint64) {
+	st, t := g.Step(), &g.Tasks[e.Task.Index]
+	if e.Outcome != OutcomeDone || st.Standing || st.Gang || t.Done || g.job.Phase.Over() {
 		return
 	}
-	g.waiting--
+	switch {
+	case t.waits() && e.Run <= t.Run:
+		g.waiting--
+	case t.Placed != nil && e.Run < t.Placed.Run:
+		s.stopRuns(t, index)
+	default:
+		return // never ordered
+	}
 	s.finish(g, e.Task.Index)
+	s.reviewCopy(g, e.Task.Index)
 	s.review(g)
 	s.completed(g)
 }
