runner: Lists that the next start of a worker may carry out extend no lease

What callers would see: a task at work twice.

Cause: once a worker falls silent its session goes on to the token in reserve, so that whoever answers next refuses what was sent before. The lists that it sends from then on had no cursor, but the lease's end on the clock of the start before. The next session has the same token, so it doesn't fence them: carried out late they lent the next start all that the platform allows, over and over.

Evidence: TestListsLostAtARestartLendTheNextStartNothing, a minute after a worker's start: a lease of 1m3s where the control lent 5s.

Change: these lists extend no lease, and a list that does spends its token. Two mutations, red.

--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -36,6 +36,7 @@
 	stopping   time.Duration // how long a stop takes
 	away       error         // what connecting to it ends with, nil if it takes connections
 	failing    error         // what all calls end with, nil for nothing
+	lostHolds  []HoldCall    // that ended so
 	starts     []StartCall
 	figures    map[string]float64 // told of the runs of a job
 	paces      []toldPace
@@ -171,6 +172,7 @@
 		return HoldReply{}, err
 	}
 	if err := w.failing; err != nil {
+		w.lostHolds = append(w.lostHolds, c)
 		w.mu.Unlock()
 		return HoldReply{}, err
 	}
@@ -315,6 +317,34 @@
 	w.changed = make(chan struct{})
 }
 
+// restart lets another start of the worker stand here, whose clock begins anew.
+func (w *fakeWorker) restart(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.become(name)
+	w.begun, w.leaseEnd = time.Now(), 0
+}
+
+// carryOutLostHolds carries the holds out that ended without an answer, for whoever is there.
+func (w *fakeWorker) carryOutLostHolds() (n int) {
+	w.mu.Lock()
+	lost, id := w.lostHolds, w.id
+	w.lostHolds = nil
+	w.mu.Unlock()
+	for _, c := range lost {
+		c.Worker, c.Wait = id, 0
+		w.Hold(c)
+	}
+	return len(lost)
+}
+
+// lease returns how long the worker's lease goes on.
+func (w *fakeWorker) lease() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.leaseEnd-w.clock()) * time.Millisecond
+}
+
 // fakeControl is the control as one agent sees it.
 type fakeControl struct {
 	mu            sync.Mutex
--- a/runner/session.go
+++ b/runner/session.go
@@ -211,11 +211,8 @@
 func (s *session) holdLoop() {
 	renewed := s.stocked
 	for s.ctx.Err() == nil {
-		s.mu.Lock()
-		end := s.leaseEnd
-		s.mu.Unlock()
 		to, cursor := s.target(), s.safeCursor()
-		wait := holdWait
+		end, wait := s.safeLease(), holdWait
 		if s.steppedUp.Load() {
 			wait = 0 // starts wait for the answer
 		}
@@ -255,6 +252,21 @@
 	}
 }
 
+// safeLease returns the lease's end for the next call, 0 for one that extends nothing. With the
+// token in reserve the next incarnation may carry the call out, on whose clock it lies far ahead.
+func (s *session) safeLease() int64 {
+	s.mu.Lock()
+	end := s.leaseEnd
+	s.mu.Unlock()
+	if s.steppedUp.Load() {
+		return 0
+	}
+	if end > 0 {
+		s.r.tokens.spend(s.token.Load())
+	}
+	return end
+}
+
 // safeCursor returns the cursor for the next call. A worker that is silent gets none: the call
 // may be carried out by the next incarnation, whose ends have the same numbers.
 func (s *session) safeCursor() uint64 {
