A crash that speaks for a task, or first makes it a suspect, doesn't give it up

Change: what the fifth crash may give up is started alone for it (a suspect of four crashes, whatever its odds), and a crash gives nobody up that it speaks for or that wasn't a suspect when it was started. No threshold changes.

--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -1,9 +1,6 @@
 package jobs
 
-import (
-	"fmt"
-	"math"
-)
+import "fmt"
 
 // A task may crash each worker that starts it. Its runs then end with their worker, which
 // reports nothing, and everything else there ends too: its siblings, tasks of other jobs
@@ -29,10 +26,10 @@
 	ownRate = 50
 	// leastSpanMS is the shortest time within which a crash is taken to be known.
 	leastSpanMS = 20
-	// suspectOdds make a task a suspect, and aloneOdds one that has to be looked at alone:
-	// after a crash under fourteen tasks alike that had just begun each has odds of 0.05,
-	// after one under two 0.14, and two of the fourteen that were still together have even
-	// ones after the second.
+	// suspectOdds make a task a suspect, and aloneOdds one that has to be looked at alone, as
+	// every suspect has once the next crash is the last for it: after a crash under fourteen
+	// tasks alike that had just begun each has odds of 0.05, after one under two 0.14, and two
+	// of the fourteen that were still together have even ones after the second.
 	suspectOdds = one / 100
 	aloneOdds   = one / 8
 	// anywayLimit is the crashes after which a task is given up whatever its odds, unless
@@ -41,26 +38,31 @@
 	anywayLimit = 10
 )
 
-// neededOdds are the odds with which a task is given up, by the crashes under it. Its
-// callers grant that after two crashes, and bear two more starts after the third; so the
-// fifth should be the last for the one that did it, with whatever company it had before.
-// Up to then one crash that comes by chance while a task is looked at alone, which raises
-// its odds 200 to 500 times, gives none up that had less than even odds. From the fifth on it
-// is enough to be suspected: one that takes up to a second to crash its worker stands out no
-// more than that.
-func neededOdds(crashes int) int64 {
+// certainOdds give a task up after two crashes. One crash that comes by chance while a task is
+// looked at alone, which raises its odds 200 to 500 times, gives none up that had less than
+// even odds.
+const certainOdds = 300 * one
+
+// givesUp reports whether a crash gives a task up, before being the odds that it was started
+// with. Callers grant that after two crashes, and bear two more starts after the third; so the
+// fifth should be the last for the one that did it, with whatever company it had before. From
+// then on it is enough that the crash speaks against a suspect: one that takes up to a second
+// to crash its worker stands out no more than that. Suspects are started alone by then (see
+// Doubt): a crash that speaks for one, or that is the first to make it a suspect, may well be
+// another's.
+func (s *Suspicion) givesUp(before int64) bool {
 	switch {
-	case crashes < 2:
-		return math.MaxInt64
-	case crashes <= mostInCompany:
-		return 300 * one
-	case crashes < anywayLimit:
-		return suspectOdds
+	case s.Crashes < 2:
+		return false
+	case s.Crashes <= mostInCompany:
+		return s.Odds >= certainOdds
+	case s.Crashes < anywayLimit:
+		return before >= suspectOdds && s.Odds >= before
 	}
-	return 0
+	return true
 }
 
-// mostInCompany is the crashes after which a strongly suspected task starts alone or not at all.
+// mostInCompany is the crashes after which a suspect starts alone or not at all.
 const mostInCompany = 4
 
 // OnlyAlone reports whether a task may be started only where nothing else begins.
@@ -149,13 +151,14 @@
 
 // Doubt returns how a task of the group is to be started.
 func (g *Group) Doubt(k int) Doubt {
-	switch odds := g.odds(k); {
-	case odds >= aloneOdds:
+	s := g.Suspicion(k)
+	switch {
+	case s == nil || s.Odds < suspectOdds:
+		return NoDoubt
+	case s.Odds >= aloneOdds || s.Crashes >= mostInCompany:
 		return LookAlone
-	case odds >= suspectOdds:
-		return Suspect
 	}
-	return NoDoubt
+	return Suspect
 }
 
 func (g *Group) odds(k int) int64 {
@@ -231,13 +234,17 @@
 	}
 	for i := range list {
 		a := &list[i]
-		if a.group == nil || !a.weigh(total-a.chance, agent) {
+		if a.group == nil {
 			continue
 		}
 		g, k := a.group, a.run.Task.Index
+		before := g.odds(k)
+		if !a.weigh(total-a.chance, agent) {
+			continue
+		}
 		s.reviewAccused(g, k)
 		sus := g.Suspicion(k)
-		if g.job.Phase.Over() || sus.Odds < neededOdds(sus.Crashes) {
+		if g.job.Phase.Over() || !sus.givesUp(before) {
 			continue
 		}
 		g.job.Why = fmt.Sprintf("task %v was given up: %d workers crashed under it", a.run.Task, sus.Crashes)
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -115,6 +115,75 @@
 	}
 }
 
+// accusedFourTimes lets four workers crash under a task, each beside another that is known to
+// crash them.
+func accusedFourTimes(w *world, ref Ref) {
+	for n := range 4 {
+		known := fmt.Sprintf("00000000000000d%d", n)
+		w.submit(known, step(1, 500))
+		for range 2 {
+			w.crash("w1", 10, w.startOn("w1", Ref{Job: known}))
+		}
+		w.crash("w1", 10, w.startOn("w1", Ref{Job: known}), w.startOn("w1", ref))
+	}
+}
+
+// Guards against a task that is given up by a crash which speaks for it: it was looked at
+// alone, left its worker alone for the time of a look, and what began then crashed the worker.
+func TestACrashThatSpeaksForATaskDoesNotGiveItUp(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(crashID, step(1, 500))
+	w.submit(idA, step(1, 500))
+	for range 4 {
+		w.crash("w1", 10, w.startOn("w1", crashTask(0)), w.startOn("w1", Ref{Job: idA}))
+	}
+	g := w.Jobs[crashID].Groups[0]
+	before := *g.Suspicion(0)
+	w.crashAt("w1", map[Stop]int64{w.startOn("w1", crashTask(0)): 650, w.startOn("w1", Ref{Job: idA}): 10})
+	if after := *g.Suspicion(0); w.phase(crashID) == Failed || after.Crashes != 5 || after.Odds < suspectOdds || after.Odds >= before.Odds {
+		t.Errorf("the job is %v, held against it were %+v and are %+v", w.phase(crashID), before, after)
+	}
+	if w.phase(idA) != Failed {
+		t.Errorf("the one that crashed five workers right after its start is %v", w.phase(idA))
+	}
+	if w.crash("w1", 10, w.startOn("w1", crashTask(0))); w.phase(crashID) != Failed {
+		t.Errorf("after a crash alone the job is %v", w.phase(crashID))
+	}
+}
+
+// Guards against a task that is given up by one crash in company, nothing having been held
+// against it before.
+func TestTheFirstSuspicionGivesNobodyUp(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(crashID, step(1, 500))
+	for range 4 {
+		w.crash("w1", 2000, w.startOn("w1", crashTask(0)))
+	}
+	w.submit(idA, step(3, 500))
+	g := w.Jobs[crashID].Groups[0]
+	if g.Doubt(0) != NoDoubt || g.Suspicion(0).Crashes != 4 {
+		t.Fatalf("in doubt as %v: %+v", g.Doubt(0), *g.Suspicion(0))
+	}
+	w.crash("w1", 10, w.startOn("w1", crashTask(0)), w.startOn("w1", Ref{Job: idA}), w.startOn("w1", Ref{Job: idA, Index: 1}), w.startOn("w1", Ref{Job: idA, Index: 2}))
+	if w.phase(crashID) == Failed || g.Doubt(0) != LookAlone {
+		t.Errorf("the job is %v, its task in doubt as %v: %+v", w.phase(crashID), g.Doubt(0), *g.Suspicion(0))
+	}
+}
+
+// Guards against a suspect that is started in company when the next crash gives it up.
+func TestASuspectOfFourCrashesIsLookedAtAlone(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(crashID, step(1, 500))
+	accusedFourTimes(w, crashTask(0))
+	g := w.Jobs[crashID].Groups[0]
+	if s := g.Suspicion(0); s.Crashes != 4 || s.Odds < suspectOdds || s.Odds >= aloneOdds {
+		t.Fatalf("held against the task is %+v", *s)
+	}
+	if !g.OnlyAlone(0) {
+		t.Errorf("the task is in doubt as %v, and may start in company", g.Doubt(0))
+	}
+}
+
 // A task that works for four seconds meets four crashes of workers that go down by
 // themselves, at other moments each, beside tasks that have just begun. It is not given up.
 func TestOrdinaryCrashesGiveNobodyUp(t *testing.T) {
