A start without an answer is one of the last that a crashing task gets

Cause, from the trace of its crashes: its fourth crash came under a start that had gone unanswered and had begun all the same. The agent tells it as unsure, since it may never have begun. It raised the odds and wasn't counted, so the fifth and the sixth start went for the fourth and the fifth.

Change: crashes under unanswered starts are counted apart. Both together bound the starts: from four on a suspect starts alone, the fifth that speaks against it gives it up, and what may be one crash from its end waits for the word on its lost worker. The two crashes that are granted at the least, and the ten after which a task is given up anyway, are still of runs that were at work for certain.

Tests: five starts of which the fourth went unanswered (red before: four crashes, running); unanswered starts alone give nobody up.

--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -54,7 +54,7 @@
 	switch {
 	case s.Crashes < 2:
 		return false
-	case s.Crashes <= mostInCompany:
+	case s.atMost() <= mostInCompany:
 		return s.Odds >= certainOdds
 	case s.Crashes < anywayLimit:
 		return before >= suspectOdds && s.Odds >= before
@@ -62,12 +62,16 @@
 	return true
 }
 
+// atMost is how many workers crashed under the task if all starts without an answer took
+// effect: what is sent has to be bounded, not only what is known to have begun.
+func (s *Suspicion) atMost() int { return s.Crashes + s.Unsure }
+
 // mostInCompany is the crashes after which a suspect starts alone or not at all.
 const mostInCompany = 4
 
 // OnlyAlone reports whether a task may be started only where nothing else begins.
 func (g *Group) OnlyAlone(k int) bool {
-	return g.Doubt(k) == LookAlone && g.Suspicion(k).Crashes >= mostInCompany
+	return g.Doubt(k) == LookAlone && g.Suspicion(k).atMost() >= mostInCompany
 }
 
 // survival is the part, in millionths, of the tasks that crash their workers which have not
@@ -130,7 +134,10 @@
 // Suspicion is what is held against a task, or against a gang as a whole, since workers
 // crashed under its runs.
 type Suspicion struct {
+	// Crashes are those of workers on which a run was at work for certain, and Unsure those of
+	// workers on which its start had gone unanswered.
 	Crashes int    `msgpack:"c"`
+	Unsure  int    `msgpack:"u,omitempty"`
 	Odds    int64  `msgpack:"o"` // in millionths
 	Run     uint32 `msgpack:"r"` // newest run that was counted: each counts once
 	Agent   string `msgpack:"a"` // beside the worker that crashed last
@@ -155,7 +162,7 @@
 	switch {
 	case s == nil || s.Odds < suspectOdds:
 		return NoDoubt
-	case s.Odds >= aloneOdds || s.Crashes >= mostInCompany:
+	case s.Odds >= aloneOdds || s.atMost() >= mostInCompany:
 		return LookAlone
 	}
 	return Suspect
@@ -193,7 +200,7 @@
 // an agent whose worker was lost under it: the lease may end before the next incarnation is
 // there. Started at once, the task would crash one worker more than its callers bear.
 func (s *State) awaitWitness(g *Group, k int, agent string) {
-	if sus := g.Suspicion(k); g.Doubt(k) == LookAlone && sus.Crashes >= mostInCompany-1 {
+	if sus := g.Suspicion(k); g.Doubt(k) == LookAlone && sus.atMost() >= mostInCompany-1 {
 		sus.Awaits = agent
 	}
 }
@@ -287,8 +294,10 @@
 	sus.Run, sus.Agent = a.run.Run, agent
 	switch {
 	case a.run.FromMS >= longAge:
-		sus.Crashes = 0
-	case !a.run.Unsure:
+		sus.Crashes, sus.Unsure = 0, 0
+	case a.run.Unsure:
+		sus.Unsure++
+	default:
 		sus.Crashes++
 	}
 	odds := sus.Odds * surviving(a.run.FromMS) / one
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -184,6 +184,47 @@
 	}
 }
 
+// Guards against a task that is started more often than its callers bear since one of its
+// starts went unanswered and crashed its worker all the same.
+func TestAnUnansweredStartIsOneOfTheLast(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(crashID, step(2, 500))
+	for n := 1; n <= 5; n++ {
+		if w.phase(crashID) == Failed {
+			t.Fatalf("given up before crash %d, always in company", n)
+		}
+		c := Crash{Worker: "w1", SpanMS: 10}
+		for i := range 2 {
+			run := w.startOn("w1", crashTask(i))
+			c.Runs = append(c.Runs, CrashedRun{Task: run.Task, Run: run.Run, ToMS: 10, Unsure: n == 4})
+		}
+		w.register("w1'", "agent-w1", "life-2")
+		w.ApplyCrash(c, "agent-w1", w.next())
+		w.register("w1", "agent-w1", "life-3")
+	}
+	if w.phase(crashID) != Failed {
+		t.Errorf("after five starts, of which one went unanswered, the job is %v: %+v", w.phase(crashID), *w.Jobs[crashID].Groups[0].Suspicion(0))
+	}
+}
+
+// Guards against a task that is given up for starts that may never have taken effect: two
+// workers have to have crashed under it for certain.
+func TestUnansweredStartsAloneGiveNobodyUp(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(crashID, step(1, 500))
+	w.crash("w1", 10, w.startOn("w1", crashTask(0)))
+	for range anywayLimit {
+		run := w.startOn("w1", crashTask(0))
+		c := Crash{Worker: "w1", SpanMS: 10, Runs: []CrashedRun{{Task: run.Task, Run: run.Run, ToMS: 10, Unsure: true}}}
+		w.register("w1'", "agent-w1", "life-2")
+		w.ApplyCrash(c, "agent-w1", w.next())
+		w.register("w1", "agent-w1", "life-3")
+	}
+	if w.phase(crashID) == Failed {
+		t.Errorf("given up after one crash for certain: %+v", *w.Jobs[crashID].Groups[0].Suspicion(0))
+	}
+}
+
 // A task that works for four seconds meets four crashes of workers that go down by
 // themselves, at other moments each, beside tasks that have just begun. It is not given up.
 func TestOrdinaryCrashesGiveNobodyUp(t *testing.T) {
