upkeep: The workers that waves know come in the order in which they were noted

What operators could see: with two waves that know two starts of one machine's worker under one id, and none of them registered, the machine was listed under the one or the other, by the order of a map, anew at each look; a wave may then take it for back, or not. Cause: State.Workers went over a map, and the last one named the machine. They are now in the order of their marks, so the last is the one noted last, as the list's comment says. Test red before (three runs, three orders), green after. Found by reading, not seen in a play.

--- a/upkeep/state.go
+++ b/upkeep/state.go
@@ -1,6 +1,7 @@
 package upkeep
 
 import (
+	"cmp"
 	"maps"
 	"reflect"
 	"slices"
@@ -109,15 +110,22 @@
 	return out
 }
 
-// Workers returns the workers that waves with something left to do know.
+// Workers returns the workers that waves with something left to do know, the one that was
+// noted last at the end.
 func (s *State) Workers() (out []string) {
-	for _, r := range s.Waves {
+	var known []*Progress
+	for _, n := range s.numbers() {
+		r := s.Waves[n]
 		for i := range r.Machines {
 			if p := &r.Machines[i]; p.Worker != "" && !r.over() {
-				out = append(out, p.Worker)
+				known = append(known, p)
 			}
 		}
 	}
+	slices.SortStableFunc(known, func(a, b *Progress) int { return cmp.Compare(a.SinceMS, b.SinceMS) })
+	for _, p := range known {
+		out = append(out, p.Worker)
+	}
 	return out
 }
 
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -245,3 +246,23 @@
 		t.Errorf("%d waves are kept; the one at work is %v", len(s.Waves), s.Waves[3])
 	}
 }
+
+// Guards against a machine that is listed under a worker of before, or now under one and now
+// under the other, since two waves know two starts of it.
+func TestTheWorkerNotedLastIsKnownLast(t *testing.T) {
+	s := NewState()
+	var want []string
+	for at := range int64(10) {
+		number := uint64(10 - at)
+		if err := s.ApplyStart(Wave{Number: number, Machines: []string{"m0"}, DurationMS: 60_000, MaxConcurrent: 1}, 1); err != nil {
+			t.Fatal(err)
+		}
+		want = append(want, fmt.Sprint("w", at))
+		if s.ApplyMarks([]Mark{{Wave: number, Machine: "m0", Phase: Down, Worker: want[at], AtMS: 2 + at}}) != 1 {
+			t.Fatalf("the mark of wave %d did not hold", number)
+		}
+	}
+	if got := s.Workers(); !slices.Equal(got, want) {
+		t.Errorf("known are %v, want %v", got, want)
+	}
+}
