transport: A call that speaks JSON is made and read in one place

No behaviour that a caller sees changes: CallJSON and CallJSONOn each acquired a request and an answer, filled the one, copied the other and released both; exchange does so for both, and they say only how the request is carried out. A connection whose deadline can't be taken back answers with its error alone now; its one caller looked at nothing else. Tests of transport, platform, runner and agent pass as they are.

--- a/transport/json.go
+++ b/transport/json.go
@@ -89,17 +89,26 @@
 // CallJSON makes a call and returns the answer's status and body. Any error but
 // ErrNotSent means that the call may have been carried out. ErrClosed is told besides.
 func CallJSON(h *fasthttp.HostClient, c JSONCall) (status int, answer []byte, err error) {
+	return c.exchange(h.Addr, func(q *fasthttp.Request, p *fasthttp.Response) error {
+		err := h.DoTimeout(q, p, c.Timeout)
+		if err != nil && (header.NeverSent(err) || errors.Is(err, errNotGreeted)) {
+			return fmt.Errorf("%w: %w", ErrNotSent, noteClosed(err))
+		}
+		return noteClosed(err)
+	})
+}
+
+// exchange makes the call's request to a host, lets do carry it out, and returns the answer's
+// status and body.
+func (c *JSONCall) exchange(host string, do func(*fasthttp.Request, *fasthttp.Response) error) (status int, answer []byte, err error) {
 	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(q)
 	defer fasthttp.ReleaseResponse(p)
-	if err := c.fill(q, h.Addr); err != nil {
+	if err := c.fill(q, host); err != nil {
 		return 0, nil, err
 	}
-	switch err := h.DoTimeout(q, p, c.Timeout); {
-	case err != nil && (header.NeverSent(err) || errors.Is(err, errNotGreeted)):
-		return 0, nil, fmt.Errorf("%w: %w", ErrNotSent, noteClosed(err))
-	case err != nil:
-		return 0, nil, noteClosed(err)
+	if err := do(q, p); err != nil {
+		return 0, nil, err
 	}
 	return p.StatusCode(), append([]byte(nil), p.Body()...), nil
 }
@@ -128,29 +137,25 @@
 
 // CallJSONOn makes a call on a connection that carries no other meanwhile.
 func CallJSONOn(conn net.Conn, c JSONCall) (status int, answer []byte, err error) {
-	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(q)
-	defer fasthttp.ReleaseResponse(p)
-	if err := c.fill(q, conn.RemoteAddr().String()); err != nil {
-		return 0, nil, err
-	}
-	if err := conn.SetDeadline(time.Now().Add(c.Timeout)); err != nil {
-		return 0, nil, err
-	}
-	w := bufio.NewWriter(conn)
-	if err := q.Write(w); err != nil {
-		return 0, nil, err
-	}
-	if err := w.Flush(); err != nil {
-		return 0, nil, err
-	}
-	if err := p.Read(bufio.NewReader(conn)); err != nil {
-		if nothing := (fasthttp.ErrNothingRead{}); errors.As(err, &nothing) {
-			err = fmt.Errorf("%w: %w", fasthttp.ErrConnectionClosed, err)
+	return c.exchange(conn.RemoteAddr().String(), func(q *fasthttp.Request, p *fasthttp.Response) error {
+		if err := conn.SetDeadline(time.Now().Add(c.Timeout)); err != nil {
+			return err
 		}
-		return 0, nil, err
-	}
-	return p.StatusCode(), append([]byte(nil), p.Body()...), conn.SetDeadline(time.Time{})
+		w := bufio.NewWriter(conn)
+		if err := q.Write(w); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		if err := p.Read(bufio.NewReader(conn)); err != nil {
+			if nothing := (fasthttp.ErrNothingRead{}); errors.As(err, &nothing) {
+				err = fmt.Errorf("%w: %w", fasthttp.ErrConnectionClosed, err)
+			}
+			return err
+		}
+		return conn.SetDeadline(time.Time{})
+	})
 }
 
 // noteClosed marks the error of a connection that the other side ended, or refused.
