runner: A new incarnation's heartbeat counts though the old session ends meanwhile

What callers saw: a worker that had started again was served only from its second heartbeat on, when the agent's own calls found the next incarnation at the same moment as its first heartbeat came; one beat later. TestWhatProvesThatAWorkerCrashed, whose worker sends one heartbeat, failed for it ("the control knows w1").

Cause, from the log of such a run: while the heartbeat's incarnation is asked whether it stands there, the old session ends ("another incarnation stands at the worker's address") and the old announcement is dropped; the new one was then kept only if the old one was still there, though the log said that it was. It is kept now also if none is there: the worker has just said that it stands there.

Test, red before: the old announcement goes while the new incarnation is asked.

--- a/runner/announce.go
+++ b/runner/announce.go
@@ -129,7 +129,7 @@
 		return ErrNotThere
 	}
 	r.mu.Lock()
-	if r.newest == old {
+	if r.newest == old || r.newest == nil { // the old one's session may have ended meanwhile
 		r.newest, r.doubted = &a, nil
 	}
 	s := r.session
--- a/runner/announce_test.go
+++ b/runner/announce_test.go
@@ -77,3 +77,31 @@
 		}
 	})
 }
+
+// goneMeanwhile is a worker whose incarnation of before is taken for gone while the next one
+// is asked whether it stands there.
+type goneMeanwhile struct {
+	Worker
+	runner *Runner
+}
+
+func (w *goneMeanwhile) Hold(HoldCall) (HoldReply, error) {
+	w.runner.mu.Lock()
+	defer w.runner.mu.Unlock()
+	w.runner.newest = nil
+	return HoldReply{Reply: Reply{Verdict: VerdictDone}}, nil
+}
+
+// Guards against a worker that isn't served until its next heartbeat, since the session with
+// the incarnation before ended while the first one was looked at.
+func TestAHeartbeatCountsThoughTheOldSessionEndsMeanwhile(t *testing.T) {
+	w := &goneMeanwhile{}
+	w.runner = New("a", nil, w, time.Second)
+	w.runner.newest = &Announcement{Worker: "w1", Service: "vault", Sequence: 7}
+	if err := w.runner.Announce(Announcement{Worker: "w2", Service: "vault", Sequence: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if got := w.runner.Newest().Worker; got != "w2" {
+		t.Errorf("the newest worker is %q, want w2", got)
+	}
+}
