--- a/standin/host.go
+++ b/standin/host.go
@@ -16,24 +16,36 @@
 	back time.Duration // from a crash until the next incarnation stands there
 	room int64         // of each incarnation at first, in thousandths of a processor, 0 for no bound
 
-	mu    sync.Mutex
-	now   *Runs // nil while nobody stands there
-	lives []*Runs
+	mu      sync.Mutex
+	now     *Runs // nil while nobody stands there
+	lives   []*Runs
+	longest time.Duration // the longest lease that each incarnation takes
 }
 
 // NewHost returns a host on which an incarnation stands already.
 func NewHost(name string, back time.Duration, room int64) *Host {
-	h := &Host{name: name, back: back, room: room}
+	h := &Host{name: name, back: back, room: room, longest: longestLease}
 	h.Replace()
 	return h
 }
 
+// SetLongestLease changes the longest lease that the present incarnation and later ones take.
+func (h *Host) SetLongestLease(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.longest = d
+	if h.now != nil {
+		h.now.SetLongestLease(d)
+	}
+}
+
 // Replace ends the present incarnation, if there is one, and begins the next.
 func (h *Host) Replace() *Runs {
 	h.mu.Lock()
 	old := h.now
 	r := NewRuns(fmt.Sprintf("%s-%d", h.name, len(h.lives)+1))
 	r.OnCrash = func() { h.crashed(r) }
+	r.SetLongestLease(h.longest)
 	if h.room > 0 {
 		r.SetRoom(h.room)
 	}
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -40,7 +40,8 @@
 	changed  chan struct{}
 	record   []RunInterval
 	crashed  bool
-	rooms    []room // oldest first, none for a worker without bound
+	rooms    []room        // oldest first, none for a worker without bound
+	longest  time.Duration // the longest lease that it takes
 	overfull []RunInterval
 }
 
@@ -81,7 +82,14 @@
 
 // NewRuns returns a worker with a name that none had before.
 func NewRuns(worker string) *Runs {
-	return &Runs{worker: worker, begun: time.Now(), running: make(map[runID]*stoodRun), fences: make(map[jobs.Ref]uint32), changed: make(chan struct{})}
+	return &Runs{worker: worker, begun: time.Now(), running: make(map[runID]*stoodRun), fences: make(map[jobs.Ref]uint32), changed: make(chan struct{}), longest: longestLease}
+}
+
+// SetLongestLease changes the longest lease that the worker takes.
+func (w *Runs) SetLongestLease(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.longest = d
 }
 
 // Name returns the incarnation.
@@ -255,12 +263,13 @@
 	return r, nil
 }
 
-// longestLease is the longest lease that a worker takes; a longer one is shortened. It is what
-// the control lends: a late call for the incarnation before may make this one's as long.
+// longestLease is the longest lease that a worker takes unless it is told otherwise; a longer
+// one is shortened. It is what the control lends: a late call for the incarnation before may
+// make this one's as long.
 const longestLease = 5 * time.Second
 
 func (w *Runs) extend(leaseEndMS int64) {
-	w.leaseEnd = max(w.leaseEnd, min(leaseEndMS, w.clock()+longestLease.Milliseconds()))
+	w.leaseEnd = max(w.leaseEnd, min(leaseEndMS, w.clock()+w.longest.Milliseconds()))
 }
 
 func (w *Runs) begin(id runID, c runner.StartCall) {
