--- a/proof/everything_acts_test.go
+++ b/proof/everything_acts_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand"
@@ -341,6 +342,8 @@
 	// keepsID says that the worker starts again under its id: the next incarnation carries
 	// out what was sent to the one before.
 	keepsID bool
+	// lists says that one list in so many is carried out late, 0 for lateLists.
+	lists int
 
 	mu    sync.Mutex
 	rng   *rand.Rand
@@ -442,7 +445,7 @@
 	if v, err := w.greet(c.Target); v != runner.VerdictDone || err != nil {
 		return runner.HoldReply{Reply: runner.Reply{Verdict: v}}, err
 	}
-	if w.lose(lateLists, &c.Target, func() { w.Host.Hold(c) }) {
+	if w.lose(cmp.Or(w.lists, lateLists), &c.Target, func() { w.Host.Hold(c) }) {
 		return runner.HoldReply{}, errNoAnswer
 	}
 	return w.Host.Hold(c)
--- a/proof/soak_check_test.go
+++ b/proof/soak_check_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -71,6 +72,7 @@
 // check compares the workers' records with the rules, and what callers were told with them.
 func (s *soak) check() (found []soakFinding) {
 	record := s.recordOf()
+	s.keepRecord(record)
 	runs, lapsed := 0, 0
 	for task, list := range record {
 		runs += len(list)
@@ -95,6 +97,24 @@
 	return found
 }
 
+// keepRecord writes all runs beside the logs.
+func (s *soak) keepRecord(record map[string][]ran) {
+	var out strings.Builder
+	for _, task := range slices.Sorted(maps.Keys(record)) {
+		for _, r := range record[task] {
+			out.WriteString(task + s.lineOf(r))
+		}
+	}
+	if err := os.WriteFile(filepath.Join(s.dir, "record.txt"), []byte(out.String()), 0o600); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// lineOf tells one run, with its times in seconds since the play began.
+func (s *soak) lineOf(r ran) string {
+	return fmt.Sprintf("    %s run %d from %.3f to %.3f, %s, noted %v, stray %v\n", r.worker, r.Run, s.at(r.StartMS), s.at(r.end), howOf(r.RunInterval), r.Noted, r.stray)
+}
+
 // checkCompleted reports tasks of completed jobs that never ended as done.
 func (s *soak) checkCompleted(record map[string][]ran) (found []soakFinding) {
 	for id, j := range s.jobs {
@@ -128,7 +148,7 @@
 		}
 		fmt.Fprintf(&out, "task %s: %v\n", f.task, f.err)
 		for _, r := range f.runs {
-			fmt.Fprintf(&out, "    %s run %d from %.3f to %.3f, %s, noted %v, stray %v\n", r.worker, r.Run, s.at(r.StartMS), s.at(r.end), howOf(r.RunInterval), r.Noted, r.stray)
+			out.WriteString(s.lineOf(r))
 		}
 	}
 	s.mu.Lock()
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -160,6 +160,7 @@
 func (s *soak) freezing(d time.Duration, list []*soakProcess) func() {
 	return func() {
 		s.note("stopped for %v: %s", d, namesOf(list))
+		s.awayIfAgents(list, d)
 		s.whileFrozen(list, func() { time.Sleep(d) })
 		s.note("go on: %s", namesOf(list))
 	}
@@ -246,6 +247,15 @@
 	a.agentProcess.away = append(a.agentProcess.away, span{time.Now(), time.Now().Add(d)})
 }
 
+// awayIfAgents keeps which agents among stopped processes are not there for a while.
+func (s *soak) awayIfAgents(list []*soakProcess, d time.Duration) {
+	for _, a := range s.agents {
+		if slices.Contains(list, a.process()) {
+			s.away(a, d)
+		}
+	}
+}
+
 // succeedAgents starts agents' successors at their other addresses shortly before or after
 // the predecessors are asked to end.
 func (s *soak) succeedAgents() func() {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -31,6 +31,7 @@
 	soakBurners  = flag.Int("soak-burners", 0, "goroutines that keep processors busy beside the soak")
 	soakSameID   = flag.Bool("soak-same-id", false, "workers of the soak start again under the id they had")
 	soakKinds    = flag.String("soak-faults", "", "names of the faults that the soak draws from, separated by commas; all by default")
+	soakBin      = flag.String("soak-bin", "", "folder of the programs that the soak plays; built from this tree by default")
 	soakKeep     = flag.Bool("soak-keep", false, "keep the soak's logs also if nothing was found")
 )
 
@@ -88,16 +89,20 @@
 	s.prepare()
 	s.play()
 	found := s.check()
+	report := s.report(found)
 	if len(found) > 0 {
-		t.Errorf("seed %d: %d findings, the logs are in %s\n%s", seed, len(found), s.dir, s.report(found))
+		t.Errorf("seed %d: %d findings, the logs are in %s\n%s", seed, len(found), s.dir, report)
 	}
 }
 
 func newSoak(t *testing.T, seed int64) *soak {
 	t.Helper()
-	bin, err := binaries()
-	if err != nil {
-		t.Fatal(err)
+	bin := *soakBin
+	if bin == "" {
+		var err error
+		if bin, err = binaries(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
