proof: Soak: restarts around a freeze, a busy disk

Agents that restart while the leader is frozen, and a disk that is kept busy beside the replicas: both make registrations come together with ends of leases, and commits slow.

--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -47,6 +47,7 @@
 	{"succeed-agents", 5, (*soak).succeedAgents},
 	{"drain", 6, (*soak).drainWorkers},
 	{"drain-and-freeze", 6, (*soak).drainAroundFreeze},
+	{"restart-around-freeze", 6, (*soak).restartAroundFreeze},
 	{"crash-workers", 3, (*soak).crashWorkers},
 	{"slow-workers", 3, (*soak).slowWorkers},
 }
@@ -346,6 +347,31 @@
 	}
 }
 
+// restartAroundFreeze restarts agents while the control is stopped for about a lease: when it
+// goes on it finds books that have ended and registrations of the same workers at once.
+func (s *soak) restartAroundFreeze() func() {
+	agents := s.drawAgents(2 + s.rng.Intn(len(s.agents)))
+	d := time.Duration((0.8 + 0.6*s.rng.Float64()) * float64(*soakLease))
+	wait, after, share := s.draw(0, 2), s.draw(0, 4), s.share()
+	throttled := s.rng.Intn(2) == 0
+	return func() {
+		list := s.controls
+		s.faults.Go(func() {
+			s.freezing(d, list)()
+			if throttled {
+				s.throttle(2*time.Second, share, s.leader())
+			}
+		})
+		time.Sleep(wait)
+		var places []*soakProcess
+		for _, a := range agents {
+			s.away(a, after+time.Second)
+			places = append(places, a.process())
+		}
+		s.restart("killed", after, places)
+	}
+}
+
 func (s *soak) crashWorkers() func() {
 	agents := s.drawAgents(1 + s.rng.Intn(max(1, len(s.agents)/3)))
 	return func() {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand"
@@ -29,6 +30,7 @@
 	soakControls = flag.Int("soak-controls", 3, "control replicas of the soak, each a process, at most 9")
 	soakLease    = flag.Duration("soak-lease", 5*time.Second, "lease that the control lends in the soak")
 	soakBurners  = flag.Int("soak-burners", 0, "goroutines that keep processors busy beside the soak")
+	soakSyncers  = flag.Int("soak-syncers", 0, "goroutines that keep the disk busy beside the soak")
 	soakSameID   = flag.Bool("soak-same-id", false, "workers of the soak start again under the id they had")
 	soakKinds    = flag.String("soak-faults", "", "names of the faults that the soak draws from, separated by commas; all by default")
 	soakBin      = flag.String("soak-bin", "", "folder of the programs that the soak plays; built from this tree by default")
@@ -211,6 +213,9 @@
 	for range *soakBurners {
 		go burn(ctx)
 	}
+	for i := range *soakSyncers {
+		go s.burnDisk(ctx, i)
+	}
 	s.handIn(soakStandingSpec())
 	callers := make(chan struct{})
 	go func() {
@@ -235,6 +240,23 @@
 	}
 }
 
+// burnDisk keeps the disk busy: it writes a megabyte and syncs it, again and again.
+func (s *soak) burnDisk(ctx context.Context, i int) {
+	f, err := os.Create(filepath.Join(s.dir, fmt.Sprint("syncer-", i)))
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	defer f.Close()
+	for block := make([]byte, 1<<20); ctx.Err() == nil; {
+		_, err := f.WriteAt(block, 0)
+		if err = errors.Join(err, f.Sync()); err != nil {
+			s.t.Error(err)
+			return
+		}
+	}
+}
+
 func soakStandingSpec() jobs.Spec {
 	return jobs.Spec{Payload: "lasts=1&cpu=500", Steps: []jobs.Step{standingStep(max(1, *soakAgents), 500)}}
 }
