proof: Soak: tasks that outlast a lease, crashes before a freeze

Runs that end within a lease show nothing of a lease that outlives the book; workers that crash just before a freeze are new to an old book.

--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -48,6 +48,7 @@
 	{"drain", 6, (*soak).drainWorkers},
 	{"drain-and-freeze", 6, (*soak).drainAroundFreeze},
 	{"restart-around-freeze", 6, (*soak).restartAroundFreeze},
+	{"crash-and-freeze", 5, (*soak).crashBeforeFreeze},
 	{"crash-workers", 3, (*soak).crashWorkers},
 	{"slow-workers", 3, (*soak).slowWorkers},
 }
@@ -384,6 +385,32 @@
 	}
 }
 
+// crashBeforeFreeze crashes workers and stops their agents, or the control, for longer than a
+// lease, once the next incarnations are at work.
+func (s *soak) crashBeforeFreeze() func() {
+	agents := s.drawAgents(1 + s.rng.Intn(len(s.agents)))
+	wait := soakBackAfter + s.draw(0.5, 5)
+	d := time.Duration((1 + s.rng.Float64()) * float64(*soakLease))
+	controls := s.rng.Intn(2) == 0
+	return func() {
+		list := s.controls
+		for _, a := range agents {
+			if r := a.host.Current(); r != nil {
+				s.note("%s crashes", r.Name())
+				r.Crash()
+			}
+		}
+		time.Sleep(wait)
+		if !controls {
+			list = nil
+			for _, a := range agents {
+				list = append(list, a.process())
+			}
+		}
+		s.freezing(d, list)()
+	}
+}
+
 // slowWorkers delays all answers of some workers for a while.
 func (s *soak) slowWorkers() func() {
 	agents, d, by := s.drawAgents(1+s.rng.Intn(3)), s.draw(1, 5), s.draw(0.05, 0.9)
