--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -51,8 +51,12 @@
 	{"crash-and-freeze", 5, (*soak).crashBeforeFreeze},
 	{"crash-workers", 3, (*soak).crashWorkers},
 	{"slow-workers", 3, (*soak).slowWorkers},
+	{slowDisksFault, 8, (*soak).slowDisks},
 }
 
+// slowDisksFault is drawn only where the replicas' disks can be slow.
+const slowDisksFault = "slow-disks"
+
 // draw returns a time between two, in seconds; short ones are as likely as long ones.
 func (s *soak) draw(from, to float64) time.Duration {
 	x := s.rng.Float64()
@@ -82,7 +86,7 @@
 func (s *soak) chosenFaults() (list []soakFault) {
 	names := strings.Split(*soakKinds, ",")
 	for _, f := range soakFaults {
-		if *soakKinds != "" && !slices.Contains(names, f.name) {
+		if (*soakKinds != "" && !slices.Contains(names, f.name)) || (f.name == slowDisksFault && !*soakDisks) {
 			continue
 		}
 		for range f.weight {
--- a/proof/soak_process_test.go
+++ b/proof/soak_process_test.go
@@ -18,6 +18,7 @@
 	program  string
 	settings string // the file's path
 	log      string // the file's path
+	env      []string
 
 	mu    sync.Mutex
 	now   *processLife // nil while it is down
@@ -46,6 +47,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(p.program, "--settings", p.settings)
+	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -31,6 +31,7 @@
 	soakLease    = flag.Duration("soak-lease", 5*time.Second, "lease that the control lends in the soak")
 	soakBurners  = flag.Int("soak-burners", 0, "goroutines that keep processors busy beside the soak")
 	soakSyncers  = flag.Int("soak-syncers", 0, "goroutines that keep the disk busy beside the soak")
+	soakDisks    = flag.Bool("soak-slow-disks", false, "the control replicas of the soak run from the test's program, and their disks are slow at times")
 	soakSameID   = flag.Bool("soak-same-id", false, "workers of the soak start again under the id they had")
 	soakKinds    = flag.String("soak-faults", "", "names of the faults that the soak draws from, separated by commas; all by default")
 	soakBin      = flag.String("soak-bin", "", "folder of the programs that the soak plays; built from this tree by default")
@@ -156,9 +157,17 @@
 		filepath.Join(s.dir, "data-"+name), soakLease.String(), (*soakControls-1)/2, s.seed%2*int64(*soakAgents))
 	p, err := newSoakProcess(bin, s.dir, name, soakSettings(name, s.address(10+i), s.seeds(), roles))
 	s.must(err)
+	if *soakDisks {
+		p.program, err = os.Executable()
+		s.must(err)
+		p.env = []string{soakDiskEnv + "=" + s.diskOf(name)}
+	}
 	s.controls = append(s.controls, p)
 }
 
+// diskOf is the file that tells how slow a replica's disk is.
+func (s *soak) diskOf(name string) string { return filepath.Join(s.dir, "disk-"+name) }
+
 func (s *soak) addAgent(bin string, i int) {
 	name := fmt.Sprint("agent-", i)
 	a := newSoakWorker(fmt.Sprint("w", i), s.address(20+i)+":7108", s.rng, *soakSameID)
