--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -48,6 +48,7 @@
 	{"drain", 6, (*soak).drainWorkers},
 	{"drain-and-freeze", 6, (*soak).drainAroundFreeze},
 	{"restart-around-freeze", 6, (*soak).restartAroundFreeze},
+	{"power-loss", 4, (*soak).losePowerOfSome},
 	{"crash-and-freeze", 5, (*soak).crashBeforeFreeze},
 	{"crash-workers", 3, (*soak).crashWorkers},
 	{"slow-workers", 3, (*soak).slowWorkers},
@@ -415,6 +416,22 @@
 	}
 }
 
+// losePowerOfSome ends some workers and their agents at one moment.
+func (s *soak) losePowerOfSome() func() {
+	agents, after := s.drawAgents(1+s.rng.Intn(len(s.agents))), s.draw(0, 4)
+	return func() {
+		var list []*soakProcess
+		for _, a := range agents {
+			s.away(a, after+2*time.Second)
+			list = append(list, a.process())
+			if r := a.host.Current(); r != nil {
+				r.Crash()
+			}
+		}
+		s.restart("without power, with their workers", after, list)
+	}
+}
+
 // slowWorkers delays all answers of some workers for a while.
 func (s *soak) slowWorkers() func() {
 	agents, d, by := s.drawAgents(1+s.rng.Intn(3)), s.draw(1, 5), s.draw(0.05, 0.9)
