--- a/proof/soak_process_test.go
+++ b/proof/soak_process_test.go
@@ -49,6 +49,7 @@
 	cmd := exec.Command(p.program, "--settings", p.settings)
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives a test that is killed
 	if err := cmd.Start(); err != nil {
 		return err
 	}
