--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -33,6 +33,7 @@
 	soakSyncers  = flag.Int("soak-syncers", 0, "goroutines that keep the disk busy beside the soak")
 	soakDisks    = flag.Bool("soak-slow-disks", false, "the control replicas of the soak run from the test's program, and their disks are slow at times")
 	soakSameID   = flag.Bool("soak-same-id", false, "workers of the soak start again under the id they had")
+	soakLate     = flag.Int("soak-late-lists", 40, "one list in so many is carried out late in the soak")
 	soakKinds    = flag.String("soak-faults", "", "names of the faults that the soak draws from, separated by commas; all by default")
 	soakBin      = flag.String("soak-bin", "", "folder of the programs that the soak plays; built from this tree by default")
 	soakKeep     = flag.Bool("soak-keep", false, "keep the soak's logs also if nothing was found")
--- a/proof/soak_worker_test.go
+++ b/proof/soak_worker_test.go
@@ -127,8 +127,6 @@
 }
 
 const (
-	// soakLateLists makes one list in so many be carried out late.
-	soakLateLists = 40
 	// Of so many answers one is lost, or is late by up to soakLateAnswer.
 	soakLostAnswers = 80
 	soakLateAnswers = 60
@@ -236,6 +234,6 @@
 func newSoakWorker(name, address string, rng *rand.Rand, sameID bool) *soakAgent {
 	host := standin.NewHost(name, soakBackAfter, soakRoom)
 	host.SetLongestLease(soakLongestLease)
-	calls := &lateWorker{Host: host, keepsID: sameID, lists: soakLateLists, rng: rand.New(rand.NewSource(rng.Int63())), sent: make(map[string]tokenSeen), asked: make(map[string][]tokenSeen)}
+	calls := &lateWorker{Host: host, keepsID: sameID, lists: *soakLate, rng: rand.New(rand.NewSource(rng.Int63())), sent: make(map[string]tokenSeen), asked: make(map[string][]tokenSeen)}
 	return &soakAgent{agentProcess: &agentProcess{host: host, calls: calls}, name: name, worker: address, rng: newLockedRand(rng.Int63()), sequence: make(map[string]uint64)}
 }
