--- a/proof/everything_acts_test.go
+++ b/proof/everything_acts_test.go
@@ -422,9 +422,10 @@
 	if v, err := w.greet(c.Target); v != runner.VerdictDone || err != nil {
 		return runner.Reply{Verdict: v}, err
 	}
+	sent := tokenSeen{c.Token, time.Now()} // the call's target may change once it is lost
 	if w.lose(lateOrders, &c.Target, func() { w.Host.Start(c) }) {
 		w.mu.Lock()
-		w.sent[startName(c.Task.String(), c.Run)] = tokenSeen{c.Token, time.Now()}
+		w.sent[startName(c.Task.String(), c.Run)] = sent
 		w.mu.Unlock()
 		return runner.Reply{}, errNoAnswer
 	}
