--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -131,7 +131,7 @@
 }
 
 func (s *soak) address(i int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 110+os.Getpid()/200%100, s.net, i)
+	return fmt.Sprintf("127.%d.%d.%d", 210+os.Getpid()/200%40, s.net, i)
 }
 
 func (s *soak) controlAddress(i int) string { return s.address(10+i) + ":7101" }
