jobs: Tokens of agents that are long gone are forgotten

Now those without a worker are dropped once nothing of their sessions can be on its way any more, which the token tells by itself: it is an index of the log. Test and mutation (red).

--- a/jobs/register.go
+++ b/jobs/register.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "github.com/waxwinghaven/waxwinghaven/refusal"
+import (
+	"maps"
+
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
 
 // Registered is what a registration did.
 type Registered struct {
@@ -42,6 +46,7 @@
 		w.Token = index
 	}
 	s.noteToken(&w)
+	s.forgetTokens(index)
 	if old != nil && old.Life == w.Life {
 		w.Token = old.Token
 		w.Draining = w.Draining || old.Draining
@@ -57,6 +62,25 @@
 // noteToken keeps the highest token with which an agent has registered.
 func (s *State) noteToken(w *Worker) { s.Tokens[w.Agent] = max(s.Tokens[w.Agent], w.Token) }
 
+const (
+	// sparedTokens are the agents without a worker whose tokens are kept whatever their age.
+	sparedTokens = 1000
+	// tokenAge is the entries of the log after which nothing of an agent's session is on its
+	// way any more: hours at the size designed for.
+	tokenAge = 10_000_000
+)
+
+// forgetTokens drops the tokens of agents that are long gone: instances are replaced under new
+// names, and without it the map would grow for ever.
+func (s *State) forgetTokens(index uint64) {
+	if len(s.Tokens) <= len(s.byAgent)+sparedTokens {
+		return
+	}
+	maps.DeleteFunc(s.Tokens, func(agent string, token uint64) bool {
+		return s.byAgent[agent] == nil && token+tokenAge < index
+	})
+}
+
 // ApplyLost drops workers whose lease has certainly ended, and returns how many runs
 // that made void. One that registered again after that was decided stays: its agent may
 // have been given a new lease on that, and its runs would be started elsewhere while
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -320,6 +321,25 @@
 	}
 }
 
+// Guards against a state that grows with each instance there ever was.
+func TestTokensOfAgentsThatAreLongGoneAreForgotten(t *testing.T) {
+	w := newWorld(t)
+	for i := range sparedTokens + 10 {
+		id := fmt.Sprint("w", i)
+		w.ApplyRegister(Worker{ID: id, Agent: id, Life: "1", Service: "vault"}, uint64(i+1))
+		if i > 0 {
+			w.lose(id)
+		}
+	}
+	if len(w.Tokens) != sparedTokens+10 {
+		t.Fatalf("%d tokens are kept of agents that may still be on their way", len(w.Tokens))
+	}
+	w.ApplyRegister(Worker{ID: "late", Agent: "late", Life: "1", Service: "vault"}, 2*tokenAge)
+	if len(w.Tokens) != 2 || w.Tokens["w0"] == 0 {
+		t.Errorf("%d tokens are kept, of an agent that is there %d", len(w.Tokens), w.Tokens["w0"])
+	}
+}
+
 // restored is a state as a replica has it that was sent its snapshot.
 func restored(t *testing.T, s *State) *State {
 	t.Helper()
