--- a/control/links_test.go
+++ b/control/links_test.go
@@ -79,6 +79,8 @@
 			time.Sleep(time.Duration(i%7) * time.Millisecond)
 		}
 		time.Sleep(20 * time.Second)
+		a.mu.Lock()
+		defer a.mu.Unlock()
 		if !slices.Equal(a.append, want) {
 			t.Errorf("%d of %d arrived, or in another order: %v", len(a.append), len(want), a.append)
 		}
