--- a/runner/fence_test.go
+++ b/runner/fence_test.go
@@ -107,7 +107,7 @@
 func TestCallWithTheTokenBeforeIsRepeated(t *testing.T) {
 	play(t, func(t *testing.T, b *bench) {
 		time.Sleep(time.Second)
-		s := b.runner.session
+		s := b.session()
 		before := s.target()
 		s.stepUp()
 		if s.target().Token <= before.Token {
--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -39,7 +39,7 @@
 		b.ctl.setNoTokens(true)
 		b.worker.fall(errLost)
 		time.Sleep(3 * time.Second)
-		if !b.runner.session.steppedUp.Load() {
+		if !b.session().steppedUp.Load() {
 			t.Fatal("the session hasn't gone on to its token in reserve: nothing is shown")
 		}
 		b.worker.fall(nil)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -54,6 +54,12 @@
 	time.Sleep(2 * controlTimeout) // calls under way end by themselves
 }
 
+func (b *bench) session() *session {
+	b.runner.mu.Lock()
+	defer b.runner.mu.Unlock()
+	return b.runner.session
+}
+
 func (b *bench) announce(worker string, draining bool) error {
 	b.seq++
 	return b.runner.Announce(Announcement{Worker: worker, Service: "vault", Capacity: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}, Draining: draining, Sequence: b.seq})
