--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -52,6 +52,7 @@
 type soak struct {
 	t        *testing.T
 	seed     int64
+	sameID   bool       // workers start again under the id they had
 	rng      *rand.Rand // of the main loop only
 	dir      string
 	net      int
@@ -81,14 +82,25 @@
 // acknowledged end, while processes are stopped, throttled, killed and replaced.
 func TestSoakOfProcessesRunsNoTaskTwice(t *testing.T) {
 	quietly(t)
+	playSoaks(t, *soakSameID)
+}
+
+// Guards against a start or a list for a worker's start before that its next one carries out, and
+// that lends it the platform's longest lease where the control counts on its own.
+func TestSoakOfWorkersThatKeepTheirIDs(t *testing.T) {
+	quietly(t)
+	playSoaks(t, true)
+}
+
+func playSoaks(t *testing.T, sameID bool) {
 	for k := range int64(*soakRuns) {
 		seed := *soakSeed + k
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playSoak(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playSoak(t, seed, sameID) })
 	}
 }
 
-func playSoak(t *testing.T, seed int64) {
-	s := newSoak(t, seed)
+func playSoak(t *testing.T, seed int64, sameID bool) {
+	s := newSoak(t, seed, sameID)
 	defer s.end()
 	s.prepare()
 	s.play()
@@ -99,7 +111,7 @@
 	}
 }
 
-func newSoak(t *testing.T, seed int64) *soak {
+func newSoak(t *testing.T, seed int64, sameID bool) *soak {
 	t.Helper()
 	bin := *soakBin
 	if bin == "" {
@@ -113,7 +125,7 @@
 		t.Fatal(err)
 	}
 	fleetNet++
-	s := &soak{t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), dir: dir, net: fleetNet % 250, begun: time.Now(), stop: make(chan struct{}), jobs: make(map[string]*soakJob)}
+	s := &soak{t: t, seed: seed, sameID: sameID, rng: rand.New(rand.NewSource(seed)), dir: dir, net: fleetNet % 250, begun: time.Now(), stop: make(chan struct{}), jobs: make(map[string]*soakJob)}
 	for i := range *soakControls {
 		s.addControl(bin, i)
 	}
@@ -171,7 +183,7 @@
 
 func (s *soak) addAgent(bin string, i int) {
 	name := fmt.Sprint("agent-", i)
-	a := newSoakWorker(fmt.Sprint("w", i), s.address(20+i)+":7108", s.rng, *soakSameID)
+	a := newSoakWorker(fmt.Sprint("w", i), s.address(20+i)+":7108", s.rng, s.sameID)
 	var err error
 	a.trace, err = newCallTrace(s.begun, s.dir, name)
 	s.must(err)
