control: A watch that comes late gives new registrations a whole term

Found while reading the mends again: the watch read its clock before it had the state and the book, and entered what it found there as of then. Kept waiting for longer than a term, it took a registration of a moment ago for one whose term was over; with a lease from the registration before, renewed meanwhile, what runs there could have been made void under it.

Change: the clock is read with both locks held.

--- a/control/leases.go
+++ b/control/leases.go
@@ -92,10 +92,10 @@
 
 // decideLoss closes the leases that nobody renewed for a whole term.
 func (d *dispatcher) decideLoss() (l loss) {
-	now := time.Now()
 	d.r.machine.Read(func(s *State) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		now := time.Now() // with both locks held: what is in the book by now was entered before
 		l.term, l.led, l.applied = d.term, d.keeper.Age(now), s.Index
 		d.keeper.Retain(func(h holder) bool {
 			w := s.Jobs.Workers[h.worker]
