--- a/quorum/calls.go
+++ b/quorum/calls.go
@@ -69,7 +69,7 @@
 	if n.hasStopped() {
 		return nil, ErrStopped
 	}
-	p := proposal{data: data, in: term, at: time.Now(), done: make(chan outcome, 1)}
+	p := proposal{data: data, onlyIn: term, at: time.Now(), done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
 	case <-ctx.Done():
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -57,11 +57,11 @@
 
 // proposal is a command on its way to being applied.
 type proposal struct {
-	data []byte
-	in   uint64    // the term that it may be proposed in, AnyTerm for all
-	term uint64    // the term that it was proposed in
-	at   time.Time // when it was handed over
-	done chan outcome
+	data   []byte
+	onlyIn uint64    // the term that it may be proposed in, AnyTerm for all
+	term   uint64    // the term that it was proposed in
+	at     time.Time // when it was handed over
+	done   chan outcome
 }
 
 // encodedSnapshot is the outcome of encoding the state.
@@ -242,7 +242,7 @@
 		p.done <- outcome{err: ErrDiskFull}
 		return
 	}
-	if p.in != AnyTerm && p.in != n.core.term {
+	if p.onlyIn != AnyTerm && p.onlyIn != n.core.term {
 		p.done <- outcome{err: ErrNotLeader}
 		return
 	}
--- a/runner/fence.go
+++ b/runner/fence.go
@@ -144,12 +144,12 @@
 			return false
 		}
 	}
-	return s.commitStrays()
+	return s.commitLateEnds()
 }
 
-// commitStrays commits the ends in stock as the incarnation's before, also if the control has
+// commitLateEnds commits the ends in stock as the incarnation's before, also if the control has
 // lost that one meanwhile: a task that waits must not be placed on the registration.
-func (s *session) commitStrays() bool {
+func (s *session) commitLateEnds() bool {
 	if len(s.stock.Finished) == 0 {
 		return true
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -61,7 +61,8 @@
 	r.signal()
 }
 
-// stopNow has the run stopped without an order. What it holds of the worker's room stays held.
+// stopNow has the run stopped without an order of the control: decide acts as on one. What it
+// holds of the worker's room stays held.
 func (r *run) stopNow() {
 	r.mu.Lock()
 	r.ordered, r.stop = true, true
--- a/runner/strays.go
+++ b/runner/strays.go
@@ -8,7 +8,8 @@
 
 // A stray is a run at work on the worker that the control doesn't know there: it was made void,
 // or reported as never started, and its task may be at work elsewhere. It is stopped wherever it
-// came from, since each renewal of the lease would keep it at work.
+// came from, since each renewal of the lease would keep it at work. So is a run that the control
+// knows and soon takes for ended, since the lease that it granted has.
 
 var (
 	straysTotal  = metrics.NewCounter(`waxwinghaven_strays_stopped_total`)
