--- a/control/leases.go
+++ b/control/leases.go
@@ -14,12 +14,9 @@
 // that a loss is decided by speaks of the registration that is lost and of no other. A later one
 // is in the state before its handler has told the book; what the book knows of the worker until
 // then has nothing to do with it.
-type holder struct {
-	worker     string
-	registered uint64 // log index
-}
+type holder = jobs.Loss
 
-func holderOf(w *jobs.Worker) holder { return holder{w.ID, w.Registered} }
+func holderOf(w *jobs.Worker) holder { return holder{Worker: w.ID, Registered: w.Registered} }
 
 // known returns the registration by which this life of an agent speaks for its worker, or
 // refuses.
@@ -51,7 +48,7 @@
 	if d.keeper.Grant(h, time.Now()) {
 		return nil
 	}
-	e := refusal.New(refusal.Unreachable, "ask again in a moment", "the lease of worker %s is just being ended", h.worker)
+	e := refusal.New(refusal.Unreachable, "ask again in a moment", "the lease of worker %s is just being ended", h.Worker)
 	e.RetryAfter = watchEvery
 	return e
 }
@@ -59,7 +56,7 @@
 // registered starts the lease of a worker that has just been committed.
 func (d *dispatcher) registered(w *jobs.Worker) {
 	d.r.machine.Read(func(s *State) {
-		if x := s.Jobs.Workers[w.ID]; x == nil || x.Registered != w.Registered {
+		if !s.Jobs.IsRegistered(holderOf(w)) {
 			return // it was lost, or has registered again
 		}
 		if err := d.extend(holderOf(w)); err != nil {
@@ -83,7 +80,7 @@
 
 // loss is a decision that leases have ended, and what it was made by.
 type loss struct {
-	workers   []jobs.Loss
+	workers   []holder
 	term      uint64          // of the leadership whose book it was decided by
 	led       time.Duration   // for how long this replica had led
 	applied   uint64          // log index of the state
@@ -97,19 +94,16 @@
 		defer d.mu.Unlock()
 		now := time.Now() // with both locks held: what is in the book by now was entered before
 		l.term, l.led, l.applied = d.term, d.keeper.Age(now), s.Index
-		d.keeper.Retain(func(h holder) bool {
-			w := s.Jobs.Workers[h.worker]
-			return w != nil && w.Registered == h.registered
-		})
-		for id, w := range s.Jobs.Workers {
+		d.keeper.Retain(s.Jobs.IsRegistered)
+		for _, w := range s.Jobs.Workers {
 			d.keeper.Note(holderOf(w), now)
 			if d.keeper.Close(holderOf(w), now) {
-				l.workers = append(l.workers, jobs.Loss{Worker: id, Registered: w.Registered})
+				l.workers = append(l.workers, holderOf(w))
 			}
 		}
-		slices.SortFunc(l.workers, func(a, b jobs.Loss) int { return strings.Compare(a.Worker, b.Worker) })
+		slices.SortFunc(l.workers, func(a, b holder) int { return strings.Compare(a.Worker, b.Worker) })
 		for _, x := range l.workers {
-			l.ungranted = append(l.ungranted, d.keeper.Ungranted(holder{x.Worker, x.Registered}, now))
+			l.ungranted = append(l.ungranted, d.keeper.Ungranted(x, now))
 		}
 	})
 	return l
--- a/jobs/register.go
+++ b/jobs/register.go
@@ -21,7 +21,7 @@
 // registration or a later one, whatever its token: sessions go on to higher ones.
 func (s *State) Outdated(w *Worker, update bool) error {
 	if now := s.byAgent[w.Agent]; now != nil && now.Life == w.Life {
-		return nil // or the same told again
+		return nil // an update, or the same told again
 	}
 	if !update && (w.Token == 0 || s.Tokens[w.Agent] < w.Token) {
 		return nil
@@ -81,13 +81,19 @@
 	})
 }
 
+// IsRegistered reports whether a worker is registered as it was then.
+func (s *State) IsRegistered(l Loss) bool {
+	w := s.Workers[l.Worker]
+	return w != nil && w.Registered == l.Registered
+}
+
 // ApplyLost drops workers whose lease has certainly ended, and returns how many runs
 // that made void. One that registered again after that was decided stays: its agent may
 // have been given a new lease on that, and its runs would be started elsewhere while
 // they go on.
 func (s *State) ApplyLost(losses []Loss) (void int) {
 	for _, l := range losses {
-		if w := s.Workers[l.Worker]; w != nil && w.Registered == l.Registered {
+		if s.IsRegistered(l) {
 			void += s.loseWorker(l.Worker)
 		}
 	}
--- a/runner/session.go
+++ b/runner/session.go
@@ -88,7 +88,7 @@
 	// reserve: a call that the next incarnation must not carry out would spend it.
 	steppedUp atomic.Bool
 
-	unreached  int       // calls in a row that could not be sent; only holdLoop uses these three
+	unreached  int       // connections refused since the last answer; only holdLoop uses these three
 	toldSilent time.Time // when the control was last told that the worker is silent
 	clockMS    int64     // the worker's clock in its last list
 
--- a/runner/strays.go
+++ b/runner/strays.go
@@ -21,9 +21,9 @@
 func (s *session) stopUnordered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, r := range s.runs {
+	for _, r := range s.runs {
 		if !r.isOrdered() {
-			s.stopStray(key, r)
+			s.stopStray(r)
 		}
 	}
 }
@@ -32,16 +32,13 @@
 // of its orders, nor by the worker when the session began.
 func (s *session) stopUnknown(running []RunningRun) {
 	for _, x := range running {
-		key := runKey{x.Task, x.Run}
-		s.mu.Lock()
-		known := s.runs[key] != nil
-		s.mu.Unlock()
-		if known {
+		o := jobs.Order{Task: x.Task, Run: x.Run}
+		if s.has(o) {
 			continue
 		}
-		r := s.ensure(jobs.Order{Task: x.Task, Run: x.Run})
+		r := s.ensure(o)
 		r.setStarted()
-		s.stopStray(key, r)
+		s.stopStray(r)
 	}
 }
 
@@ -66,9 +63,9 @@
 	}
 }
 
-func (s *session) stopStray(key runKey, r *run) {
+func (s *session) stopStray(r *run) {
 	straysTotal.Inc()
-	logrus.WithFields(logrus.Fields{"worker": s.worker, "task": key.task.String(), "run": key.run}).
+	logrus.WithFields(logrus.Fields{"worker": s.worker, "task": r.key.task.String(), "run": r.key.run}).
 		Warn("runner: The worker runs what the control doesn't know there; it is stopped.")
 	r.mu.Lock()
 	r.stray = true
