control: The line on late ends says that they may be told again

The line and the counter on ends of runs that hold no room any more called all of them void. An end that is told again after a lost answer is among them: nothing in the state tells the two apart. What is counted and the counter's name are as before.

--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -58,14 +58,14 @@
 	return nil, nil
 }
 
-// applyEnds takes in ends, and returns those of runs that had been made void.
-func (s *State) applyEnds(c *RunEnds, index uint64) (void []jobs.End) {
+// applyEnds takes in ends, and returns those of runs that held no room any more.
+func (s *State) applyEnds(c *RunEnds, index uint64) (late []jobs.End) {
 	for _, e := range c.Ends {
 		if s.Jobs.ApplyEnd(c.Worker, e, s.jobRules(), index) {
-			void = append(void, e)
+			late = append(late, e)
 		}
 	}
-	return void
+	return late
 }
 
 // registered is what a registration did.
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -275,21 +275,22 @@
 	if err != nil {
 		return Empty{}, err
 	}
-	logVoidEnds(req.Worker, v.([]jobs.End))
+	logLateEnds(req.Worker, v.([]jobs.End))
 	r.dispatcher.ended(req, arrived)
 	return Empty{}, nil
 }
 
-// logVoidEnds tells of runs that had been made void and ended by themselves, not with their
-// worker or its lease: they did before that, and it is told late, or beside their successors.
-func logVoidEnds(worker string, ends []jobs.End) {
+// logLateEnds tells of runs that held no room any more and ended by themselves, not with their
+// worker or its lease: they had been made void, and ended before that or beside their successors,
+// or the end is told again.
+func logLateEnds(worker string, ends []jobs.End) {
 	for _, e := range ends {
 		if e.Outcome != jobs.OutcomeDone && e.Outcome != jobs.OutcomeFailed {
 			continue
 		}
 		voidEnds.Inc()
 		logrus.WithFields(logrus.Fields{"worker": worker, "task": e.Task.String(), "run": e.Run, "outcome": e.Outcome.String(), "work_ms": e.WorkMS}).
-			Warn("control: A run that had been made void ended by itself.")
+			Warn("control: A run that held no room any more ended by itself.")
 	}
 }
 
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -229,9 +229,9 @@
 	s.review(g)
 }
 
-// ApplyEnd takes in the end of a run, and reports whether the run had been made void. Ends of
-// runs that hold no room any more change nothing: they were counted, or their worker was lost.
-func (s *State) ApplyEnd(worker string, e End, rules Rules, index uint64) (void bool) {
+// ApplyEnd takes in the end of a run, and reports whether the run held no room any more: it had
+// been made void, or the end is told again. Such ends change nothing, but for doneAfterAll.
+func (s *State) ApplyEnd(worker string, e End, rules Rules, index uint64) (late bool) {
 	g := s.group(e.Task)
 	if g == nil {
 		return false
