runner: A worker's next start is fenced as soon as anything shows it

What callers saw: a task at work again where workers keep their ids.

Cause: a start that went unanswered may be carried out by the worker's next start until that has seen a higher token, and the agent was slow to bring it one, though it had it. The session ended on the first verdict "elsewhere", or on anything else, and from then on nobody called the worker until its next heartbeat was heard and the old session's calls to the control were over, up to two seconds. A list or the fencing call itself that went unanswered cost another half second to second.

Change: a guard beside each session of a worker that may be reached by calls for the start before. It asks who stands at the address, 40 times a second, while calls fail or are overdue, while the worker leaves, and from the session's end until the next incarnation is fenced; several calls at a time, since each may be lost. Each verdict "elsewhere" (paces, too) goes on to the token in reserve and asks again at once. The platform's adapter says which workers have an id of their own with each start; those need no guard and cost nothing.

--- a/runner/announce.go
+++ b/runner/announce.go
@@ -17,6 +17,9 @@
 	Rack       string // one of the labels, "" if it is not known
 	Capacity   resource.Vector
 	Draining   bool
+	// OwnID says that no other start of the worker bears its id, so that no call for another
+	// start reaches this one.
+	OwnID bool
 	// Sequence rises with each heartbeat of an incarnation.
 	Sequence uint64
 }
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -37,6 +37,7 @@
 	away       error         // what connecting to it ends with, nil if it takes connections
 	failing    error         // what all calls end with, nil for nothing
 	lostHolds  []HoldCall    // that ended so
+	muteHolds  int           // lists to leave unanswered, each until its call is given up
 	starts     []StartCall
 	figures    map[string]float64 // told of the runs of a job
 	paces      []toldPace
@@ -59,6 +60,13 @@
 	w.loseStart, w.rejectNext = loseStart, reject
 }
 
+// mute leaves the next lists unanswered.
+func (w *fakeWorker) mute(holds int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.muteHolds = holds
+}
+
 func (w *fakeWorker) clock() int64 { return 1000 + time.Since(w.begun).Milliseconds() }
 
 func (w *fakeWorker) check(t Target) (Reply, bool) {
@@ -176,6 +184,12 @@
 		w.mu.Unlock()
 		return HoldReply{}, err
 	}
+	if w.muteHolds > 0 {
+		w.muteHolds--
+		w.mu.Unlock()
+		time.Sleep(c.Wait + CallTimeout)
+		return HoldReply{}, errLost
+	}
 	r, ok := w.check(c.Target)
 	if !ok {
 		w.mu.Unlock()
--- a/runner/fence.go
+++ b/runner/fence.go
@@ -27,6 +27,7 @@
 			s.sleep(callPause)
 		case reply.Verdict == VerdictDone:
 			s.reached, s.stock, s.stocked = true, reply, time.Now()
+			s.r.relieve(s)
 			return s.before == s.worker || s.clear()
 		case reply.Verdict == VerdictFenced && !fresh:
 			fresh = true
@@ -62,12 +63,15 @@
 // stepUp goes on with the token in reserve when the worker has closed its connections or has
 // been silent for long: whoever answers next refuses what was sent before. If that is another
 // incarnation it is fenced at its first answer, long before its first heartbeat is heard and
-// the next session begins.
-func (s *session) stepUp() {
-	if token := s.r.tokens.next(); token > s.token.Load() {
-		s.steppedUp.Store(true)
-		s.setToken(token)
+// the next session begins. It reports whether there was a higher token.
+func (s *session) stepUp() bool {
+	token := s.r.tokens.next()
+	if token <= s.token.Load() {
+		return false
 	}
+	s.steppedUp.Store(true)
+	s.setToken(token)
+	return true
 }
 
 // fenceEarly makes an incarnation refuse the calls for the one before while that one's session
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -51,6 +51,9 @@
 		l := logrus.WithFields(logrus.Fields{"task": c.Task.String(), "run": c.Run, "percent": c.Percent, "tail_of_target": s.pacer.worstTail()})
 		if err != nil || reply.Verdict != VerdictDone {
 			s.pacer.failed(c)
+			if err == nil {
+				s.refused(reply.Verdict, c.Target)
+			}
 			l.Warnf("runner: Could not set a run's pace: %v %v.", reply.Verdict, err)
 			continue
 		}
--- a/runner/run.go
+++ b/runner/run.go
@@ -215,6 +215,7 @@
 	}
 	o := r.noteSent(time.Now())
 	s.r.tokens.spend(to.Token)
+	s.r.noteStarted(to.Token)
 	reply, err := s.r.worker.Start(StartCall{Target: to, Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, LeaseEndMS: end})
 	if errors.Is(err, ErrNotSent) {
 		r.rest()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,12 +48,14 @@
 	// disowned says that the control didn't know the last session any more.
 	disowned bool
 
-	tokens tokens
+	tokens  tokens
+	started atomic.Uint64 // highest token that a start was sent with
 
 	mu      sync.Mutex
 	newest  *Announcement // of the incarnation that is served or to be served
 	doubted *Announcement // the last one that contradicted newest
 	session *session
+	guards  []*session    // whose guards may still be at work
 	changed chan struct{} // signalled when newest changes
 }
 
@@ -108,6 +111,7 @@
 		r.mu.Lock()
 		r.session = s
 		r.mu.Unlock()
+		r.setGuard(ctx, s)
 		again := s.run()
 		r.keep(s)
 		r.mu.Lock()
--- a/runner/session.go
+++ b/runner/session.go
@@ -88,6 +88,16 @@
 	// reserve: a call that the next incarnation must not carry out would spend it.
 	steppedUp atomic.Bool
 
+	// listDue is when the list that holdLoop waits for counts as unanswered, 0 while it waits for
+	// none, and heardAt when it was last known who stands there, both in ns since 1970. nextKnown
+	// says that another incarnation has answered, relieved that it is fenced, and doubt asks who
+	// is there at once.
+	listDue   atomic.Int64
+	heardAt   atomic.Int64
+	nextKnown atomic.Bool
+	relieved  atomic.Bool
+	doubt     chan struct{}
+
 	unreached  int       // connections refused since the last answer; only holdLoop uses these three
 	toldSilent time.Time // when the control was last told that the worker is silent
 	clockMS    int64     // the worker's clock in its last list
@@ -102,7 +112,7 @@
 
 func newSession(ctx context.Context, r *Runner, a Announcement) *session {
 	s := &session{r: r, life: newLife(), worker: a.Worker, began: time.Now(), ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(r.without), paces: newPaceQueue(), progress: newProgress(),
-		acked: make(chan struct{}, 1), ends: make(chan report, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
+		doubt: make(chan struct{}, 1), acked: make(chan struct{}, 1), ends: make(chan report, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	return s
 }
@@ -198,8 +208,7 @@
 	case v == VerdictFenced:
 		s.end("the worker has seen a higher fencing token")
 	case v == VerdictElsewhere:
-		s.gone.Store(true)
-		s.end("another incarnation stands at the worker's address")
+		s.sawNext(to, false)
 	default:
 		return false
 	}
@@ -216,7 +225,9 @@
 		if s.steppedUp.Load() {
 			wait = 0 // starts wait for the answer
 		}
+		s.listDue.Store(time.Now().Add(wait + listSlack).UnixNano())
 		reply, err := s.r.worker.Hold(HoldCall{Target: to, LeaseEndMS: end, Cursor: cursor, Wait: wait})
+		s.listDue.Store(0)
 		if err != nil || reply.Verdict != VerdictDone {
 			if err == nil && s.refused(reply.Verdict, to) {
 				return
