runner: Nothing is started without a higher token in reserve

What callers would see: a task at work again on a worker's next start, where workers keep their ids, while the control is away.

Cause: an agent that had gone on to its token in reserve went on starting tasks with that token, and got the next one within 0.7 s, or when the control was back. Until then it had nothing by which to fence the worker's next start against those very starts.

Change: where the next start may be reached by calls for this one, a start is sent only with a higher token in hand, and a token that was taken is replaced at once. It costs a start the commit of a token after a reset or a silence, and nothing else.

Tests: TestNothingIsStartedWithoutATokenInReserve (red before), TestStartsGoOnWithTheNextTokenInReserve.

--- a/runner/fence.go
+++ b/runner/fence.go
@@ -71,6 +71,10 @@
 	}
 	s.steppedUp.Store(true)
 	s.setToken(token)
+	select {
+	case s.spent <- struct{}{}:
+	default:
+	}
 	return true
 }
 
@@ -110,18 +114,31 @@
 	return answer, err
 }
 
+// canFence reports whether the worker's next start, if a call that is sent with a token may reach
+// it, can be made to refuse that call: a higher token is in reserve. Without one the next start
+// could be fenced by nobody while the control is away.
+func (s *session) canFence(token uint64) bool {
+	return s.announced().OwnID || s.r.tokens.next() > token
+}
+
 // keepToken keeps a token in reserve.
 func (s *session) keepToken() {
 	for s.ctx.Err() == nil {
-		if s.r.tokens.next() == 0 {
+		if s.r.tokens.next() == 0 || !s.canFence(s.token.Load()) {
 			a, err := s.r.newToken(s.announced())
-			if err == nil {
-				s.r.tokens.keep(a.Token)
-			} else {
+			if err != nil {
 				refusal.CountRetry(part, codeOf(err))
+				s.sleep(callPause)
+				continue
 			}
+			s.r.tokens.keep(a.Token)
+			s.wakeRuns() // starts may wait for it
+		}
+		select {
+		case <-s.ctx.Done():
+		case <-s.spent:
+		case <-time.After(leaseEvery):
 		}
-		s.sleep(leaseEvery)
 	}
 }
 
--- a/runner/guard_test.go
+++ b/runner/guard_test.go
@@ -122,3 +122,41 @@
 		b.ctl.setDown(false)
 	})
 }
+
+// Guards against late starts that nobody can fence while the control is away: they were sent with
+// the highest token that the agent had.
+func TestNothingIsStartedWithoutATokenInReserve(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.ctl.setNoTokens(true)
+		b.worker.fall(ErrClosed) // the token in reserve is taken
+		time.Sleep(callPause)
+		b.worker.fall(nil)
+		time.Sleep(holdWait)
+		b.leaveAStartUnanswered()
+		b.worker.fall(ErrClosed)
+		b.worker.fail(0, VerdictDone)
+		time.Sleep(time.Second)
+		b.worker.startAgain("w2")
+		time.Sleep(2 * guardEvery)
+		b.wantFenced()
+		b.ctl.setNoTokens(false)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// Guards against starts that wait for longer than the commit of a token after a reset.
+func TestStartsGoOnWithTheNextTokenInReserve(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.worker.fall(ErrClosed)
+		time.Sleep(callPause)
+		b.worker.fall(nil)
+		time.Sleep(2 * callPause)
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Millisecond)
+		if !b.worker.isRunning(runA1) {
+			t.Error("the run was not started")
+		}
+	})
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -203,7 +203,7 @@
 		r.rest()
 		return
 	}
-	if s.hasStrays() {
+	if s.hasStrays() || !s.canFence(to.Token) {
 		r.await(extended)
 		return
 	}
--- a/runner/session.go
+++ b/runner/session.go
@@ -97,6 +97,7 @@
 	nextKnown atomic.Bool
 	relieved  atomic.Bool
 	doubt     chan struct{}
+	spent     chan struct{} // the token in reserve was taken
 
 	unreached  int       // connections refused since the last answer; only holdLoop uses these three
 	toldSilent time.Time // when the control was last told that the worker is silent
@@ -112,7 +113,7 @@
 
 func newSession(ctx context.Context, r *Runner, a Announcement) *session {
 	s := &session{r: r, life: newLife(), worker: a.Worker, began: time.Now(), ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(r.without), paces: newPaceQueue(), progress: newProgress(),
-		doubt: make(chan struct{}, 1), acked: make(chan struct{}, 1), ends: make(chan report, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
+		doubt: make(chan struct{}, 1), spent: make(chan struct{}, 1), acked: make(chan struct{}, 1), ends: make(chan report, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	return s
 }
