control: A worker that late calls may have lent a longer lease is lost only once that is over

Cause: a late start for the start of a worker before, carried out by the next one, lends that one the platform's longest lease, 10 s, where the control lends 5 s and counts on 5.25 s. Nothing tells how long the worker's lease is. If its agent is then away for longer than the control's lease, the leader makes void what runs on, and starts it elsewhere.

Change: the agent fences a start of the worker before it registers it, so late calls can lend it no more than the longest lease from then on. A registration says that they may have (not where ids are new with each start, nor an agent's first worker); the leader's book holds it for control.longest_lease and the margin from when it first saw it, a new leader's from when it leads; and the agent takes it back by a second registration once that time has passed on its steady clock. So it costs one more commit for each restart of such a worker, and a wait only where one is lost within ten seconds of its start.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/transport"
@@ -204,7 +205,11 @@
 	done := v.(registered)
 	r.dispatcher.registered(&done.Worker)
 	r.logRegistration(&w, &done)
-	return Registered{done.Worker.Registered}, nil
+	answer := Registered{Index: done.Worker.Registered}
+	if done.Worker.LentLate {
+		answer.LentMS = lease.WithMargin(r.set.Control.LongestLease.Duration).Milliseconds()
+	}
+	return answer, nil
 }
 
 func (r *Replica) logRegistration(w *Registration, done *registered) {
--- a/control/leases.go
+++ b/control/leases.go
@@ -37,15 +37,26 @@
 			err = refused
 			return
 		}
-		err = d.extend(holderOf(w))
+		err = d.extend(w)
 	})
 	return err
 }
 
-func (d *dispatcher) extend(h holder) error {
+// note enters a registration that the book doesn't know; the caller holds the lock.
+func (d *dispatcher) note(w *jobs.Worker, now time.Time) {
+	term := time.Duration(0)
+	if w.LentLate {
+		term = d.r.set.Control.LongestLease.Duration
+	}
+	d.keeper.NoteFor(holderOf(w), now, term)
+}
+
+func (d *dispatcher) extend(w *jobs.Worker) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.keeper.Grant(h, time.Now()) {
+	h, now := holderOf(w), time.Now()
+	d.note(w, now)
+	if d.keeper.Grant(h, now) {
 		return nil
 	}
 	e := refusal.New(refusal.Unreachable, "ask again in a moment", "the lease of worker %s is just being ended", h.Worker)
@@ -59,7 +70,7 @@
 		if !s.Jobs.IsRegistered(holderOf(w)) {
 			return // it was lost, or has registered again
 		}
-		if err := d.extend(holderOf(w)); err != nil {
+		if err := d.extend(w); err != nil {
 			logrus.WithFields(logrus.Fields{"worker": w.ID, "registered": w.Registered}).Warn("control: A registration was just being ended when its lease was to begin.")
 		}
 	})
@@ -73,7 +84,7 @@
 		defer d.mu.Unlock()
 		now := time.Now()
 		for _, w := range s.Jobs.Workers {
-			d.keeper.Note(holderOf(w), now)
+			d.note(w, now)
 		}
 	})
 }
@@ -96,7 +107,7 @@
 		l.term, l.led, l.applied = d.term, d.keeper.Age(now), s.Index
 		d.keeper.Retain(s.Jobs.IsRegistered)
 		for _, w := range s.Jobs.Workers {
-			d.keeper.Note(holderOf(w), now)
+			d.note(w, now)
 			if d.keeper.Close(holderOf(w), now) {
 				l.workers = append(l.workers, holderOf(w))
 			}
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -102,6 +102,10 @@
 	// Index is the log index of the registration. A replica that has not come so far does not
 	// know of it.
 	Index uint64 `msgpack:"i"`
+	// LentMS is for how long the worker's lease may outlast what the control lends, since a
+	// late call lent it that much before it was fenced, 0 for not at all. The agent registers
+	// the worker without LentLate once that has passed.
+	LentMS int64 `msgpack:"l,omitempty"`
 }
 
 // WorkerRef names one life of an agent beside one incarnation of a worker.
--- a/jobs/register.go
+++ b/jobs/register.go
@@ -41,6 +41,11 @@
 		done.Replaced, done.Void = old.ID, s.loseWorker(old.ID)
 	}
 	old := s.Workers[w.ID]
+	if old != nil {
+		w.LentLate = w.LentLate && old.LentLate
+	} else if s.Tokens[w.Agent] == 0 {
+		w.LentLate = false // nothing was sent to any start of it before
+	}
 	w.Registered = index
 	if w.Token == 0 {
 		w.Token = index
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -261,6 +261,10 @@
 	// Registered is the log index of the newest registration.
 	Registered uint64 `msgpack:"r"`
 	Draining   bool   `msgpack:"d,omitempty"`
+	// LentLate says that calls for the worker's start before may have reached this one before
+	// its agent fenced it, a moment before its first registration: its lease may be as long as
+	// workers take. The agent takes it back once that time has passed.
+	LentLate bool `msgpack:"n,omitempty"`
 }
 
 // Loss names a worker whose lease has ended, as it was when that was decided.
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -22,6 +22,7 @@
 
 type held struct {
 	expires time.Time
+	granted time.Time // zero before the first grant under this leader
 	// closing is set from the decision that the lease has ended until that
 	// is committed. A renewal granted in between would let the agent believe
 	// in a lease which the log then ends.
@@ -33,13 +34,19 @@
 	return &Keeper[Holder]{term: term, since: now, leases: make(map[Holder]*held)}
 }
 
-func (k *Keeper[Holder]) full() time.Duration { return k.term + k.term/clockMargin }
+func (k *Keeper[Holder]) full() time.Duration { return WithMargin(k.term) }
+
+// WithMargin is a term as its lender counts it, whose holder's clock may run slower.
+func WithMargin(term time.Duration) time.Duration { return term + term/clockMargin }
 
 // Note takes a holder into the book that is new to it, and may be given a lease from now on:
 // it has a whole term. Without it a holder is taken for one from before the leadership.
-func (k *Keeper[Holder]) Note(holder Holder, now time.Time) {
+func (k *Keeper[Holder]) Note(holder Holder, now time.Time) { k.NoteFor(holder, now, k.term) }
+
+// NoteFor does the same for a holder that somebody else may have lent a term of its own until now.
+func (k *Keeper[Holder]) NoteFor(holder Holder, now time.Time, term time.Duration) {
 	if k.leases[holder] == nil {
-		k.leases[holder] = &held{expires: now.Add(k.full())}
+		k.leases[holder] = &held{expires: now.Add(WithMargin(max(term, k.term))), granted: now}
 	}
 }
 
@@ -54,7 +61,10 @@
 	if h.closing {
 		return false
 	}
-	if end := now.Add(k.full()); end.After(h.expires) { // goroutines come late
+	if now.After(h.granted) { // goroutines come late
+		h.granted = now
+	}
+	if end := now.Add(k.full()); end.After(h.expires) {
 		h.expires = end
 	}
 	return true
@@ -87,10 +97,10 @@
 // did, for how long it has led.
 func (k *Keeper[Holder]) Ungranted(holder Holder, now time.Time) time.Duration {
 	h := k.leases[holder]
-	if h == nil || h.expires.IsZero() {
+	if h == nil || h.granted.IsZero() {
 		return k.Age(now)
 	}
-	return now.Sub(h.expires) + k.full()
+	return now.Sub(h.granted)
 }
 
 // Reopen lets a holder renew again, and forgets what the book knew of it. It may be called only
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -379,6 +379,8 @@
 	changed       chan struct{}
 	onRegister    func() // called at each registration
 	noTokens      bool   // gives no fencing tokens
+	lentMS        int64  // told with registrations that say so
+	lentLate      []bool // what registrations said of that
 }
 
 type order struct {
@@ -524,7 +526,10 @@
 			c.orders = make(map[runKey]*order)
 		}
 		c.worker, c.life = q.ID, q.Life
-		resp.(*control.Registered).Index = c.index
+		c.lentLate = append(c.lentLate, q.LentLate)
+		if resp.(*control.Registered).Index = c.index; q.LentLate {
+			resp.(*control.Registered).LentMS = c.lentMS
+		}
 	case *control.LeaseRequest:
 		if q.Life != c.life {
 			return refusal.New(refusal.NotRegistered, "", "")
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -45,6 +45,7 @@
 	left       remains
 	crash      *jobs.Crash
 	registered string
+	lent       lent // guarded by mu
 	// disowned says that the control didn't know the last session any more.
 	disowned bool
 
--- a/runner/session.go
+++ b/runner/session.go
@@ -81,6 +81,7 @@
 	registered atomic.Uint64 // index of the registration
 	leader     atomic.Uint64 // leadership that granted the last lease
 	leaderMS   atomic.Int64  // what the leader's clock showed when the session began, 0 if it isn't known
+	outlasting bool          // the control will be told, see outlast; only registrations use it
 	pairs      atomic.Uint64 // revision of pairs that it told last
 	tellNext   atomic.Bool   // it was new: tell it what the pacer knows
 
@@ -152,6 +153,11 @@
 	s.mu.Lock()
 	s.ann = a
 	s.mu.Unlock()
+	s.changed()
+}
+
+// changed has the worker registered again.
+func (s *session) changed() {
 	select {
 	case s.update <- struct{}{}:
 	default:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,11 +92,15 @@
 
 // Control makes the process a control replica.
 type Control struct {
-	Port            int      `toml:"port"`
-	OperatorPort    int      `toml:"operator_port"`
-	DataFolder      string   `toml:"data_folder"`
-	Tick            Duration `toml:"tick"`
-	Lease           Duration `toml:"lease"`
+	Port         int      `toml:"port"`
+	OperatorPort int      `toml:"operator_port"`
+	DataFolder   string   `toml:"data_folder"`
+	Tick         Duration `toml:"tick"`
+	Lease        Duration `toml:"lease"`
+	// LongestLease is the longest lease that workers take, whoever asks for it; by default
+	// twice what the control lends. Where a worker starts again under its id, a late call for
+	// the start before may lend it that much.
+	LongestLease    Duration `toml:"longest_lease"`
 	SnapshotEntries uint64   `toml:"snapshot_entries"`
 	Schedule        Duration `toml:"schedule"`
 	// BearLosses is how many control replicas may be lost at once while nothing
@@ -194,9 +198,11 @@
 
 // Defaults.
 const (
-	DefaultDrain           = 15 * time.Second
-	DefaultTick            = 50 * time.Millisecond
-	DefaultLease           = 8 * time.Second
+	DefaultDrain = 15 * time.Second
+	DefaultTick  = 50 * time.Millisecond
+	DefaultLease = 8 * time.Second
+	// DefaultLongestLeases is the longest lease that workers take, in leases of the control.
+	DefaultLongestLeases   = 2
 	DefaultSnapshotEntries = 20_000
 	// DefaultBearLosses is for replicas that are told first contacts only: what the
 	// smallest set that outlives a loss bears, one of three.
@@ -233,6 +239,7 @@
 	if c := s.Control; c != nil {
 		c.Tick.orDefault(DefaultTick)
 		c.Lease.orDefault(DefaultLease)
+		c.LongestLease.orDefault(DefaultLongestLeases * c.Lease.Duration)
 		c.Schedule.orDefault(DefaultSchedule)
 		if c.OwnAgents == nil {
 			own := DefaultOwnAgents
@@ -541,6 +548,7 @@
 		bounds = append(bounds,
 			bound{"control.tick", c.Tick.Duration, 5 * time.Millisecond, time.Second},
 			bound{"control.lease", c.Lease.Duration, time.Second, 5 * time.Minute},
+			bound{"control.longest_lease", c.LongestLease.Duration, time.Second, 10 * time.Minute},
 			bound{"control.schedule", c.Schedule.Duration, 10 * time.Millisecond, time.Second})
 	}
 	if e := s.Entry; e != nil {
