runner: The end of a late start whose task was started again waits for the lease to lapse

Cause: while a worker's agent is away nobody can fence its next start. A late start ends there as done; meanwhile the lease of the start before ends at the leader, and the task is started elsewhere. The agent comes back, tells the control of the end, and acknowledges it at once. An end that isn't acknowledged, or whose worker's lease lapsed first, counts for nothing; this one counted.

Change: the control answers ends with whether a task that ended as done has been ordered again. If so and the worker was never registered, the agent neither registers it nor extends its lease until the longest lease has passed, and then acknowledges. A worker that was registered before and lost has lapsed by the leader's book; the control tells the worker that an agent registered last. A gang's late end, which isn't taken for done, counts as overtaken, too: it was acknowledged while the gang began again.

--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -39,7 +39,7 @@
 	case c.Register != nil:
 		return s.register(c.Register, index)
 	case c.Fence != nil:
-		a := FenceAnswer{Token: index}
+		a := FenceAnswer{Token: index, Last: s.Jobs.Beside[c.Fence.Agent]}
 		if w := s.Jobs.WorkerOf(c.Fence.Agent); w != nil {
 			a.Worker = w.ID
 		}
@@ -58,14 +58,24 @@
 	return nil, nil
 }
 
-// applyEnds takes in ends, and returns those of runs that held no room any more.
-func (s *State) applyEnds(c *RunEnds, index uint64) (late []jobs.End) {
+// endsResult is what ends did.
+type endsResult struct {
+	late      []jobs.End // of runs that held no room any more
+	overtaken int        // of late ones, see jobs.Ended
+}
+
+// applyEnds takes in ends.
+func (s *State) applyEnds(c *RunEnds, index uint64) (res endsResult) {
 	for _, e := range c.Ends {
-		if s.Jobs.ApplyEnd(c.Worker, e, s.jobRules(), index) {
-			late = append(late, e)
+		ended := s.Jobs.ApplyEnd(c.Worker, e, s.jobRules(), index)
+		if ended.Late {
+			res.late = append(res.late, e)
+		}
+		if ended.Overtaken {
+			res.overtaken++
 		}
 	}
-	return late
+	return res
 }
 
 // registered is what a registration did.
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -207,7 +207,7 @@
 	r.logRegistration(&w, &done)
 	answer := Registered{Index: done.Worker.Registered}
 	if done.Worker.LentLate {
-		answer.LentMS = lease.WithMargin(r.set.Control.LongestLease.Duration).Milliseconds()
+		answer.LentMS = r.longestLease().Milliseconds()
 	}
 	return answer, nil
 }
@@ -274,15 +274,24 @@
 }
 
 // onEnds commits ends. Only then may the agent let the worker forget them.
-func (r *Replica) onEnds(req RunEnds) (Empty, error) {
+func (r *Replica) onEnds(req RunEnds) (a EndsAnswer, err error) {
 	arrived := time.Now()
 	v, err := r.proposeJob(JobCommand{Ends: &req})
 	if err != nil {
-		return Empty{}, err
+		return a, err
 	}
-	logLateEnds(req.Worker, v.([]jobs.End))
+	res := v.(endsResult)
+	logLateEnds(req.Worker, res.late)
 	r.dispatcher.ended(req, arrived)
-	return Empty{}, nil
+	if res.overtaken > 0 {
+		a.OvertakenMS = r.longestLease().Milliseconds()
+	}
+	return a, nil
+}
+
+// longestLease is the longest that a worker's lease goes on if nobody extends it.
+func (r *Replica) longestLease() time.Duration {
+	return lease.WithMargin(r.set.Control.LongestLease.Duration)
 }
 
 // logLateEnds tells of runs that held no room any more and ended by themselves, not with their
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -84,6 +84,8 @@
 type FenceAnswer struct {
 	Token  uint64 `msgpack:"t"`
 	Worker string `msgpack:"w,omitempty"`
+	// Last is the worker that the agent has registered last, also if it was lost since.
+	Last string `msgpack:"l,omitempty"`
 }
 
 // Registration announces a worker. Its token is one that the agent was given and that the
@@ -182,6 +184,14 @@
 	Ends   []jobs.End `msgpack:"e"`
 }
 
+// EndsAnswer says that ends are committed.
+type EndsAnswer struct {
+	// OvertakenMS is there if some runs are done whose tasks have been ordered again. It is how
+	// long the longest lease of a worker takes: where the lease hasn't lapsed since such an end,
+	// it is acknowledged only then, as nobody knows of it who counts on a task to run once.
+	OvertakenMS int64 `msgpack:"o,omitempty"`
+}
+
 // StartWave brings a wave of upkeep; AtMS is when the leader took it.
 type StartWave struct {
 	Wave upkeep.Wave `msgpack:"w"`
--- a/jobs/register.go
+++ b/jobs/register.go
@@ -64,8 +64,11 @@
 	return done
 }
 
-// noteToken keeps the highest token with which an agent has registered.
-func (s *State) noteToken(w *Worker) { s.Tokens[w.Agent] = max(s.Tokens[w.Agent], w.Token) }
+// noteToken keeps the highest token with which an agent has registered, and the worker.
+func (s *State) noteToken(w *Worker) {
+	s.Tokens[w.Agent] = max(s.Tokens[w.Agent], w.Token)
+	s.Beside[w.Agent] = w.ID
+}
 
 const (
 	// sparedTokens are the agents without a worker whose tokens are kept whatever their age.
@@ -84,6 +87,7 @@
 	maps.DeleteFunc(s.Tokens, func(agent string, token uint64) bool {
 		return s.byAgent[agent] == nil && token+tokenAge < index
 	})
+	maps.DeleteFunc(s.Beside, func(agent, _ string) bool { return s.Tokens[agent] == 0 })
 }
 
 // IsRegistered reports whether a worker is registered as it was then.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -229,17 +229,26 @@
 	s.review(g)
 }
 
-// ApplyEnd takes in the end of a run, and reports whether the run held no room any more: it had
-// been made void, or the end is told again. Such ends change nothing, but for doneAfterAll.
-func (s *State) ApplyEnd(worker string, e End, rules Rules, index uint64) (late bool) {
+// Ended is what the end of a run did.
+type Ended struct {
+	// Late says that the run held no room any more: it had been made void, or the end is told
+	// again. Such ends change nothing, but for doneAfterAll.
+	Late bool
+	// Overtaken says that the run is done, and that a later one of its task has been ordered or
+	// will be.
+	Overtaken bool
+}
+
+// ApplyEnd takes in the end of a run.
+func (s *State) ApplyEnd(worker string, e End, rules Rules, index uint64) Ended {
 	g := s.group(e.Task)
 	if g == nil {
-		return false
+		return Ended{}
 	}
 	t := &g.Tasks[e.Task.Index]
 	if r := t.On(worker); r == nil || r.Run != e.Run {
 		s.doneAfterAll(g, e, index)
-		return true
+		return Ended{Late: true, Overtaken: g.overtook(e)}
 	}
 	if e.Checkpoint != "" && g.Step().Checkpointing {
 		s.keepCheckpoint(g, t, e.Checkpoint)
@@ -249,7 +258,7 @@
 	}
 	s.vacate(e.Task, t, worker)
 	if g.job.Phase.Over() {
-		return false
+		return Ended{}
 	}
 	if t.Done {
 		s.stopRuns(t, index) // a copy has nothing left to do
@@ -260,7 +269,17 @@
 	case e.Outcome == OutcomeFailed && !g.Step().Standing && !t.Done:
 		s.failed(g, t, rules, index)
 	}
-	return false
+	return Ended{}
+}
+
+// overtook reports whether a task whose run has ended as done has a later run all the same. A gang
+// whose late end isn't taken for done begins anew.
+func (g *Group) overtook(e End) bool {
+	st, t := g.Step(), &g.Tasks[e.Task.Index]
+	if e.Outcome != OutcomeDone || st.Standing || st.Speculative {
+		return false
+	}
+	return t.Run > e.Run || (st.Gang && !t.Done)
 }
 
 // doneAfterAll takes in that a run has ended as done which had been given up for lost, or was
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -19,6 +19,8 @@
 	// Tokens are the highest fencing tokens with which agents have registered, by agent. They
 	// outlive the registrations: what comes late must not be taken for new.
 	Tokens map[string]uint64 `msgpack:"t,omitempty"`
+	// Beside are the workers that agents have registered last, by agent, lost ones too.
+	Beside map[string]string `msgpack:"b,omitempty"`
 
 	byAgent map[string]*Worker
 	use     map[string]*Use // by worker id
@@ -50,7 +52,7 @@
 
 // NewState returns the empty state.
 func NewState() *State {
-	s := &State{Jobs: make(map[string]*Job), Workers: make(map[string]*Worker), Stood: make(map[string][]string), Tokens: make(map[string]uint64)}
+	s := &State{Jobs: make(map[string]*Job), Workers: make(map[string]*Worker), Stood: make(map[string][]string), Tokens: make(map[string]uint64), Beside: make(map[string]string)}
 	s.Rebuild()
 	return s
 }
@@ -69,6 +71,9 @@
 	if s.Tokens == nil {
 		s.Tokens = make(map[string]uint64)
 	}
+	if s.Beside == nil {
+		s.Beside = make(map[string]string)
+	}
 	s.byAgent = make(map[string]*Worker)
 	s.use = make(map[string]*Use)
 	s.ready = make(map[*Group]struct{})
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -626,3 +626,37 @@
 	placed, _ := w.ApplyPlan(Plan{Placements: []Placement{p}}, rules, w.next())
 	return placed
 }
+
+// Guards against ends that are acknowledged although their tasks have been ordered again: the rest
+// of what is told of a run must not pass for one.
+func TestEndsWhoseTasksWereOrderedAgainAreOvertaken(t *testing.T) {
+	w, ref := lostAndPlacedAgain(t) // run 2 was w1's, run 3 is w2's
+	end := func(worker string, run uint32, o Outcome) bool {
+		return w.ApplyEnd(worker, End{Task: ref, Run: run, Outcome: o}, rules, w.next()).Overtaken
+	}
+	for _, o := range []Outcome{OutcomeStopped, OutcomeFailed, OutcomeLost} {
+		if end("w1", 2, o) {
+			t.Errorf("%v passes for done", o)
+		}
+	}
+	if !end("w1", 2, OutcomeDone) || !end("w1", 2, OutcomeDone) {
+		t.Error("the end of run 2 isn't overtaken by run 3")
+	}
+	if end("w2", 3, OutcomeDone) || end("w2", 3, OutcomeDone) {
+		t.Error("the last run's end is overtaken")
+	}
+}
+
+// Guards against a gang's task that is acknowledged as done and started again with its gang: a late
+// end of one member isn't taken for the gang's.
+func TestLateDoneEndOfAGangIsOvertaken(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	gang := step(2, 1000)
+	gang.Gang = true
+	w.submit(idA, gang)
+	w.ApplyPlan(Plan{Placements: []Placement{{Job: idA, Indexes: []int{0, 1}, Workers: []string{"w1", "w2"}}}}, rules, w.next())
+	w.lose("w1")
+	if !w.ApplyEnd("w1", End{Task: Ref{idA, 0, 0, 0}, Run: 1, Outcome: OutcomeDone}, rules, w.next()).Overtaken {
+		t.Error("the gang is to begin again, and the end may be acknowledged at once")
+	}
+}
--- a/runner/ends.go
+++ b/runner/ends.go
@@ -102,7 +102,7 @@
 		for len(s.ends) > 0 && len(batch) < maxEnds {
 			batch = append(batch, <-s.ends)
 		}
-		if !s.commit(s.worker, batch) {
+		if _, ok := s.commit(s.worker, batch); !ok {
 			return
 		}
 	}
@@ -112,7 +112,7 @@
 const maxEnds = 256
 
 // commit commits ends as a worker's, and lets the next call to this one acknowledge them.
-func (s *session) commit(worker string, batch []report) bool {
+func (s *session) commit(worker string, batch []report) (a control.EndsAnswer, ok bool) {
 	req := control.RunEnds{Worker: worker}
 	highest := uint64(0)
 	for _, b := range batch {
@@ -120,7 +120,7 @@
 		highest = max(highest, b.number)
 	}
 	for s.ctx.Err() == nil {
-		err := s.r.ctl.Call(control.PathEnds, controlTimeout, &req, nil)
+		err := s.r.ctl.Call(control.PathEnds, controlTimeout, &req, &a)
 		if err != nil {
 			s.controlRefused("ends", err)
 			s.sleep(callPause)
@@ -136,7 +136,7 @@
 			default:
 			}
 		}
-		return true
+		return a, true
 	}
-	return false
+	return a, false
 }
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -379,6 +379,7 @@
 	changed       chan struct{}
 	onRegister    func() // called at each registration
 	noTokens      bool   // gives no fencing tokens
+	overtakenMS   int64  // told with each end
 	lentMS        int64  // told with registrations that say so
 	lentLate      []bool // what registrations said of that
 }
@@ -545,6 +546,7 @@
 		}
 		c.gone = append(c.gone, q.Worker)
 	case *control.RunEnds:
+		resp.(*control.EndsAnswer).OvertakenMS = c.overtakenMS
 		for _, e := range q.Ends {
 			c.ends = append(c.ends, e)
 			if key := (runKey{e.Task, e.Run}); c.endsOf[key] == "" {
--- a/runner/fence.go
+++ b/runner/fence.go
@@ -49,7 +49,7 @@
 func (s *session) takeToken() bool {
 	if token := s.r.tokens.next(); token != 0 && !s.r.disowned {
 		s.setToken(token)
-		s.before = s.r.registered
+		s.before, s.last = s.r.registered, s.r.registered
 		return true
 	}
 	return s.askToken()
@@ -96,7 +96,7 @@
 		a, err := s.r.newToken(s.announced())
 		if err == nil {
 			s.setToken(a.Token)
-			s.before = a.Worker
+			s.before, s.last = a.Worker, a.Last
 			return true
 		}
 		if s.unknownService(err) {
@@ -186,7 +186,27 @@
 		s.mu.Unlock()
 	}
 	s.stock.Finished = nil
-	return s.commit(s.before, batch)
+	a, ok := s.commit(s.before, batch)
+	if ok && a.OvertakenMS > 0 && s.last != s.worker && !s.announced().OwnID {
+		ok = s.awaitLapse(time.Duration(a.OvertakenMS) * time.Millisecond)
+	}
+	return ok
+}
+
+// awaitLapse waits until the worker's lease has lapsed, which nobody extends before it is
+// registered. It runs nothing. Ends that were late starts' and whose tasks are started again may be
+// acknowledged only then.
+func (s *session) awaitLapse(term time.Duration) bool {
+	logrus.WithFields(logrus.Fields{"worker": s.worker, "before": s.before, "term_ms": term.Milliseconds()}).
+		Warn("runner: Tasks that ended late here have been started again; the worker's lease is let lapse first.")
+	for end := time.Now().Add(term); time.Now().Before(end); s.sleep(holdWait) {
+		to := s.target()
+		reply, err := s.r.worker.Hold(HoldCall{Target: to})
+		if s.ctx.Err() != nil || (err == nil && s.refused(reply.Verdict, to)) {
+			return false
+		}
+	}
+	return true
 }
 
 // takeStock takes in what the incarnation ran when it was fenced. No start of an earlier
--- a/runner/session.go
+++ b/runner/session.go
@@ -60,6 +60,8 @@
 	stocked time.Time
 	// before is the incarnation that was registered when this session began, "" for none.
 	before string
+	// last is the one that the agent had registered last, also if it was lost since.
+	last string
 
 	mu       sync.Mutex
 	ann      Announcement
