runner: Only a list with news to acknowledge carries a cursor

What callers would see: a task started again after its end, where workers keep their ids. A list for the start of a worker before, carried out late by the next one, forgets the ends up to its cursor there; a late start's end that is forgotten so is never told. Every list carried the cursor, most for the tenth time.

Change: the cursor is left out once the worker has answered a list with it. What is left is a list that goes unanswered between an end and its acknowledgement.

--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -186,6 +186,7 @@
 	}
 	if w.muteHolds > 0 {
 		w.muteHolds--
+		w.lostHolds = append(w.lostHolds, c)
 		w.mu.Unlock()
 		time.Sleep(c.Wait + CallTimeout)
 		return HoldReply{}, errLost
--- a/runner/session.go
+++ b/runner/session.go
@@ -105,6 +105,7 @@
 	unreached  int       // connections refused since the last answer; only holdLoop uses these three
 	toldSilent time.Time // when the control was last told that the worker is silent
 	clockMS    int64     // the worker's clock in its last list
+	noted      uint64    // the cursor that the worker has answered
 
 	seen   uint64        // highest end listed by the worker
 	cursor atomic.Uint64 // highest end whose commit is known
@@ -252,6 +253,7 @@
 			continue
 		}
 		s.unreached = 0
+		s.noted = max(s.noted, cursor)
 		s.steppedUp.Store(false)
 		s.noteClock(reply.ClockMS)
 		if time.Since(renewed) >= leaseEvery {
@@ -287,16 +289,15 @@
 	return end
 }
 
-// safeCursor returns the cursor for the next call. A worker that is silent gets none: the call
-// may be carried out by the next incarnation, whose ends have the same numbers.
+// safeCursor returns the cursor for the next call, 0 for one that acknowledges nothing new. A worker
+// that is silent gets none: the call may be carried out by the next incarnation, whose ends have the
+// same numbers.
 func (s *session) safeCursor() uint64 {
-	if _, silent := s.r.contact.silence(s.worker); silent || s.steppedUp.Load() {
-		return 0
-	}
 	cursor := s.cursor.Load()
-	if cursor > 0 {
-		s.r.tokens.spend(s.token.Load())
+	if _, silent := s.r.contact.silence(s.worker); silent || s.steppedUp.Load() || cursor <= s.noted {
+		return 0
 	}
+	s.r.tokens.spend(s.token.Load())
 	return cursor
 }
 
