quorum, control: A new leader decides nothing before it has applied what was committed before it

What callers would see: after a loss of all power a leader places, stops and hands out orders by a state of long ago, and knows nothing of what earlier leaders had learned.

Cause: a leader counted as current from its election on, and the dispatcher led from then on. The next leader's state lacks its backlog until its own first entry is committed, since only that tells it how far the one before had come. What it looks at once, when the leadership is new, it looked at too early: the lessons it never looked at again. An agent's first answer with orders, by which it stops what no order names, could come from that state, too.

Change: a leader is current, and its dispatchers lead, once it has applied an entry of its own term. Leases are the safer for it: a new leader's first term begins later.

Test: TestNewLeaderIsCurrentOnlyOnceItHasAppliedWhatWasCommittedBefore, red before ("current with 0 of 10 entries applied").

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -95,10 +95,11 @@
 }
 
 // leads notices a new leadership. What an older one knew of leases is void: the
-// new book gives every worker a whole term.
+// new book gives every worker a whole term. Before this replica has applied what was committed
+// before it led, it decides nothing: its state may be of long ago.
 func (d *dispatcher) leads() bool {
 	v := d.r.node.View()
-	if v.Role != quorum.Leader {
+	if v.Role != quorum.Leader || !v.Current {
 		return false
 	}
 	d.mu.Lock()
--- a/control/leader.go
+++ b/control/leader.go
@@ -85,7 +85,7 @@
 // leads notices a new leadership and forgets the sessions of an older one.
 func (l *leader) leads() bool {
 	v := l.r.node.View()
-	if v.Role != quorum.Leader {
+	if v.Role != quorum.Leader || !v.Current {
 		return false
 	}
 	l.mu.Lock()
--- a/quorum/calls.go
+++ b/quorum/calls.go
@@ -13,7 +13,7 @@
 	Leader    Replica // zero when unknown
 	InContact bool    // see Status
 	// Current says that the replica has applied all that was committed an election timeout
-	// ago.
+	// ago, and as a leader all that was committed before it led.
 	Current bool
 	Config  Config // the replica set; never changed in place
 }
--- a/quorum/current_test.go
+++ b/quorum/current_test.go
@@ -68,3 +68,38 @@
 		t.Errorf("tells %d", n)
 	}
 }
+
+// Guards against decisions and answers on a state of long ago: a replica that has just been elected,
+// after all power was lost, has applied none of what was committed before.
+func TestNewLeaderIsCurrentOnlyOnceItHasAppliedWhatWasCommittedBefore(t *testing.T) {
+	var log []Entry
+	for i := range uint64(10) {
+		log = append(log, Entry{Index: i + 1, Term: 1, Kind: EntryCommand})
+	}
+	set := Config{Voters: voterSet(1, 2, 3)}
+	c := NewCore(1, HardState{Term: 1}, Snapshot{Config: set}, log, rand.New(rand.NewSource(1)))
+	for c.role != Leader {
+		c.Tick()
+		for _, m := range c.Ready().Messages {
+			switch m.Kind {
+			case MsgPreVote:
+				c.Step(Message{Kind: MsgPreVoteResp, From: m.To, To: 1, Term: m.Term})
+			case MsgVote:
+				c.Step(Message{Kind: MsgVoteResp, From: m.To, To: 1, Term: m.Term})
+			}
+		}
+		if c.now > 100*ElectionTicks {
+			t.Fatal("it is never elected")
+		}
+	}
+	if c.current() {
+		t.Fatalf("current with %d of %d entries applied", c.log.applied, len(log))
+	}
+	c.Ready()
+	c.Persisted(c.log.last(), c.term)
+	c.Step(Message{Kind: MsgAppendResp, From: 2, To: 1, Term: c.term, Index: c.log.last()})
+	c.Ready()
+	if !c.current() || c.log.applied < uint64(len(log)) {
+		t.Errorf("current %v with %d entries applied", c.current(), c.log.applied)
+	}
+}
--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -102,9 +102,14 @@
 }
 
 // current reports whether this replica has applied all that was committed an election
-// timeout ago. One that hears the leader may still be catching up.
+// timeout ago. One that hears the leader may still be catching up, and a new leader knows what
+// was committed before it only with its own first entry.
 func (c *Core) current() bool {
-	return c.role == Leader || (c.leaderFresh() && c.currentAt > 0 && c.currentAt+ElectionTicks >= c.now)
+	if c.role == Leader {
+		term, known := c.log.term(c.log.applied)
+		return known && term == c.term
+	}
+	return c.leaderFresh() && c.currentAt > 0 && c.currentAt+ElectionTicks >= c.now
 }
 
 func (c *Core) handleAppend(m Message) Message {
