--- a/proof/everything_check_test.go
+++ b/proof/everything_check_test.go
@@ -73,7 +73,7 @@
 		return fmt.Errorf("it is completed, and a task of it ends no worker alive")
 	}
 	if n, unseen := e.startsAfterThirdCrash(j.crashes), e.unseenCrashes(j.crashes); n > maxStartsAfterThird+unseen {
-		return fmt.Errorf("%s was started %d times after three workers had crashed under it, %d crashes were seen by no agent", j.crashes, n, unseen)
+		return fmt.Errorf("%s was started %d times after three workers had crashed under it, %d crashes were seen by no agent: %+v; %s", j.crashes, n, unseen, e.runsOf(id)[j.crashes], e.lateStarts(j.crashes))
 	}
 	return e.checkRuns(id, j, err == nil && a.Phase == jobs.Completed)
 }
