--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -186,9 +186,9 @@
 
 // EndsAnswer says that ends are committed.
 type EndsAnswer struct {
-	// OvertakenMS is there if some runs are done whose tasks have been ordered again. It is how
-	// long the longest lease of a worker takes: where the lease hasn't lapsed since such an end,
-	// it is acknowledged only then, as nobody knows of it who counts on a task to run once.
+	// OvertakenMS is set if a run is done whose task has been ordered again. It is how long the
+	// longest lease of a worker goes on. Unless the worker's lease has lapsed since the end, the
+	// agent lets it lapse before it acknowledges: else a task was started after its end.
 	OvertakenMS int64 `msgpack:"o,omitempty"`
 }
 
--- a/runner/fence.go
+++ b/runner/fence.go
@@ -124,20 +124,23 @@
 // keepToken keeps a token in reserve.
 func (s *session) keepToken() {
 	for s.ctx.Err() == nil {
-		if s.r.tokens.next() == 0 || !s.canFence(s.token.Load()) {
+		pause := leaseEvery
+		if waited := !s.canFence(s.token.Load()); waited || s.r.tokens.next() == 0 {
 			a, err := s.r.newToken(s.announced())
-			if err != nil {
+			if err == nil {
+				s.r.tokens.keep(a.Token)
+				s.wakeRuns()
+			} else {
 				refusal.CountRetry(part, codeOf(err))
-				s.sleep(callPause)
-				continue
+				if waited { // by starts
+					pause = callPause
+				}
 			}
-			s.r.tokens.keep(a.Token)
-			s.wakeRuns() // starts may wait for it
 		}
 		select {
 		case <-s.ctx.Done():
 		case <-s.spent:
-		case <-time.After(leaseEvery):
+		case <-time.After(pause):
 		}
 	}
 }
