--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -37,6 +37,7 @@
 	away       error         // what connecting to it ends with, nil if it takes connections
 	failing    error         // what all calls end with, nil for nothing
 	lostHolds  []HoldCall    // that ended so
+	unseen     int           // calls for another incarnation whose tokens it doesn't see
 	muteHolds  int           // lists to leave unanswered, each until its call is given up
 	starts     []StartCall
 	figures    map[string]float64 // told of the runs of a job
@@ -73,7 +74,9 @@
 	r := Reply{ClockMS: w.clock()}
 	switch {
 	case t.Worker != w.id:
-		if w.sameID { // it is asked who it is, with the call's token
+		if w.unseen > 0 { // the call was under way to the incarnation before
+			w.unseen--
+		} else if w.sameID { // it is asked who it is, with the call's token
 			w.token = max(w.token, t.Token)
 		}
 		r.Verdict = VerdictElsewhere
--- a/runner/guard_test.go
+++ b/runner/guard_test.go
@@ -105,6 +105,25 @@
 	})
 }
 
+// Guards against late starts on a worker's next start that was taken for fenced by a call to the one
+// before: it answered that one without a look at its token.
+func TestOnlyACallToTheNextIncarnationFencesIt(t *testing.T) {
+	play(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.settleAStart()
+		b.session().stepUp() // the next list carries a token that no start had
+		b.worker.startAgain("w2")
+		b.worker.mu.Lock()
+		b.worker.unseen = 1
+		b.worker.mu.Unlock()
+		time.Sleep(holdWait + time.Millisecond)
+		if s := b.session(); s != nil && s.worker == "w1" && s.ctx.Err() == nil {
+			t.Fatal("the session goes on: nothing is shown")
+		}
+		b.wantFenced()
+	})
+}
+
 // Guards against late starts while a session that has ended still waits for the control, and
 // nobody calls the worker.
 func TestNextIncarnationIsFencedBetweenSessions(t *testing.T) {
