dispatch: The wait for a look alone counts only while there is a worker to choose

Change: the leader keeps since when each service has had a worker that takes tasks, and the two seconds count from then. All other waits are as they were.

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -59,6 +59,7 @@
 	clock    *duetime
 	over     map[string]time.Time        // when a job was first seen to be over
 	waiting  map[jobs.GroupKey]time.Time // since when
+	open     map[string]time.Time        // since when a service has had a worker that takes tasks
 	stalled  map[jobs.Stop]time.Time     // when last reported
 	stuck    map[jobs.Stop]time.Time     // when last reported
 	costs    *costs
@@ -89,6 +90,7 @@
 	d.clock = newDuetime(time.Now())
 	d.over = make(map[string]time.Time)
 	d.waiting = make(map[jobs.GroupKey]time.Time)
+	d.open = nil
 	d.stalled = make(map[jobs.Stop]time.Time)
 	d.stuck = make(map[jobs.Stop]time.Time)
 	d.consult.book = advice.NewBook()
@@ -171,6 +173,13 @@
 		in.Regroup = d.regroupDue(begun)
 		in.Slowness = d.slowness
 		in.Waited = func(g *jobs.Group) time.Duration { return begun.Sub(waiting[g.Key()]) }
+		open := d.noteOpen(&in, len(waiting) > 0, begun)
+		in.Open = func(service string) time.Duration {
+			if since, is := open[service]; is {
+				return begun.Sub(since)
+			}
+			return 0
+		}
 		plan = dispatch.Next(in)
 		d.starts.fill(s.Jobs, &plan, begun)
 	})
@@ -251,6 +260,27 @@
 	return kept // never changed: the next pass makes another
 }
 
+// noteOpen keeps since when each service has had a worker that takes tasks, while anything waits.
+func (d *dispatcher) noteOpen(in *dispatch.Input, waiting bool, now time.Time) map[string]time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	kept := make(map[string]time.Time)
+	if waiting {
+		for _, w := range in.Jobs.Workers {
+			if _, seen := kept[w.Service]; seen || !in.Takes(w) {
+				continue
+			}
+			since, open := d.open[w.Service]
+			if !open {
+				since = now
+			}
+			kept[w.Service] = since
+		}
+	}
+	d.open = kept
+	return kept // never changed: the next pass makes another
+}
+
 // nowMS is the time that occurrences are due by, in milliseconds since 1970.
 func (d *dispatcher) nowMS() int64 {
 	d.mu.Lock()
--- a/dispatch/crashing_test.go
+++ b/dispatch/crashing_test.go
@@ -20,6 +20,7 @@
 	back     map[string]int64      // when a crashed worker's next incarnation comes
 	remains  map[string]jobs.Crash // what will be told of it then
 	waiting  map[*jobs.Group]int64 // since when
+	open     int64                 // since when a worker has been up
 	crashes  map[jobs.Ref]int
 	late     map[jobs.Ref]int // starts after the third crash
 	fifth    []jobs.GivenUp   // bystanders that were given up by their fifth crash or a later one
@@ -45,6 +46,7 @@
 		waiting: make(map[*jobs.Group]int64), crashes: make(map[jobs.Ref]int), late: make(map[jobs.Ref]int)}
 	p.in.Shunned = make(map[string]bool)
 	p.in.Waited = func(g *jobs.Group) time.Duration { return time.Duration(p.in.NowMS-p.waiting[g]) * time.Millisecond }
+	p.in.Open = func(string) time.Duration { return time.Duration(p.in.NowMS-p.open) * time.Millisecond }
 	for n := range backlog {
 		st := task(1+p.rng.Intn(4), 300+p.rng.Int63n(1200), 300)
 		id := p.submit(n, "/titles/", 0, st)
@@ -94,6 +96,9 @@
 		}
 	}
 	p.waiting = now
+	if len(p.back) == len(p.Workers) {
+		p.open = p.in.NowMS
+	}
 	p.pass()
 	for _, worker := range slices.Sorted(maps.Keys(p.Workers)) {
 		for _, ref := range p.RunsOn(worker) {
@@ -160,9 +165,8 @@
 
 const (
 	crashPlays = 100
-	// mostWronged bounds the bystanders, of some thousand in all plays, that chance puts
-	// under two or three crashes in small company with others that had just begun.
-	mostWronged = 2
+	// mostWronged bounds the bystanders, of some thousand in all plays.
+	mostWronged = 0
 )
 
 // Guards against jobs that are given up for the crashes of others' tasks, when much begins at
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -15,6 +15,9 @@
 	return w.Draining || in.Leaving[w.ID] || in.DataCentres.Cordoned(w.DataCentre)
 }
 
+// Takes reports whether something new may begin on a worker.
+func (in *Input) Takes(w *jobs.Worker) bool { return !in.closed(w) && !in.Shunned[w.ID] }
+
 // emptied reports whether standing tasks are to leave a worker: it is about to end, by
 // itself or for an upkeep, or an operator drains its data centre.
 func (in *Input) emptied(w *jobs.Worker) bool {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -13,6 +13,8 @@
 	group  *jobs.Group
 	queue  *queues.Queue
 	waited time.Duration
+	// choosing is how much of that there was a worker that takes tasks, without a break.
+	choosing time.Duration
 	// outlook and due order the requests of one priority. due is when the job
 	// should be done, in milliseconds since 1970.
 	outlook Outlook
@@ -31,6 +33,9 @@
 		if p.in.Waited != nil {
 			r.waited = p.in.Waited(g)
 		}
+		if r.choosing = r.waited; p.in.Open != nil {
+			r.choosing = min(r.waited, p.in.Open(q.Service))
+		}
 		p.look(&r)
 		out = append(out, r)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -67,6 +67,9 @@
 	// Waited returns how long a group has had tasks that could begin, nil for
 	// no time at all.
 	Waited func(*jobs.Group) time.Duration
+	// Open returns for how long a service has had a worker that takes tasks, without a break, nil
+	// for always.
+	Open func(service string) time.Duration
 	// Costs tells whom filling tasks disturb, nil for nobody.
 	Costs Costs
 	// Stalled are filling runs that were slowed to a stand.
@@ -181,7 +184,7 @@
 	slices.Sort(ids)
 	for i, id := range ids {
 		w := p.in.Jobs.Workers[id]
-		if p.in.closed(w) || p.in.Shunned[id] {
+		if !p.in.Takes(w) {
 			continue
 		}
 		u := p.in.Jobs.Use(id)
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -18,7 +18,8 @@
 	// and what began before has to have grown too old to be suspected of a crash.
 	lookTime = 600 * time.Millisecond
 	// lookWait is how long a task waits for a worker of its own. Callers may not be left
-	// without any task at work for three seconds while there is room.
+	// without any task at work for three seconds while there is room. While all workers are
+	// down there is none, and when they are back all that waits would begin in company.
 	lookWait = 2 * time.Second
 	// witnessWait is how long a task waits for the word of whether a worker that was lost
 	// crashed under it: workers are back some seconds after a crash, some only when the
@@ -90,7 +91,7 @@
 	if g.Tasks[k].Done || g.Tasks[k].Placed != nil || g.Step().Gang || g.Doubt(k) != jobs.LookAlone {
 		return false
 	}
-	return r.waited <= lookWait || g.OnlyAlone(k)
+	return r.choosing <= lookWait || g.OnlyAlone(k)
 }
 
 // lookAlone places the tasks that are to be looked at alone, each where nothing began for a
