standin: Whether an end was acknowledged in time is told by the steady clock

The stand-in worker told by the time of day when a run had ended, and from its steady clock when its lease had lapsed; so runs that ended before their lease lapsed passed for ended after it, and their ends, told later, for acknowledged in time.

Change: both are compared by the steady clock. The check is the same. No test can step the time of day of the process it runs in; the rule is one line.

--- a/standin/runs.go
+++ b/standin/runs.go
@@ -78,6 +78,8 @@
 	// Noted says that its end was acknowledged before the lease ended.
 	Noted  bool   `json:"noted,omitempty"`
 	Ticket string `json:"ticket,omitempty"`
+
+	ended time.Time // as EndMS, by the steady clock
 }
 
 // NewRuns returns a worker with a name that none had before.
@@ -335,19 +337,20 @@
 	w.finished = append(w.finished, f)
 	for i := range w.record {
 		if r := &w.record[i]; r.Task == id.task.String() && r.Run == id.run {
-			r.EndMS, r.How = at.UnixMilli(), how
+			r.EndMS, r.How, r.ended = at.UnixMilli(), how, at
 		}
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
-// noted keeps in the record that an end was acknowledged, unless the lease has ended since:
-// then the agent may have been late to tell of it.
+// noted keeps in the record that an end was acknowledged, unless the lease has ended since: then the
+// agent may have been late to tell of it. Both are told by the steady clock, as the lease is: the
+// time of day may have jumped between them.
 func (w *Runs) noted(f runner.FinishedRun) {
 	for i := range w.record {
 		if r := &w.record[i]; r.Task == f.Task.String() && r.Run == f.Run {
-			r.Noted = r.EndMS > w.lapsed.UnixMilli()
+			r.Noted = r.ended.After(w.lapsed)
 		}
 	}
 }
