runner: The guard goes by the steady clock; stepUp answers nobody

The guard kept by the time of day when a list is due and when it was last known who stands at the worker's address. A jump back would have hidden an unanswered list for as long, one ahead of fifteen seconds ended the guard. Both count by the session's age now, on the steady clock. What stepUp returned was used by nobody any more.

--- a/runner/fence.go
+++ b/runner/fence.go
@@ -63,11 +63,11 @@
 // stepUp goes on with the token in reserve when the worker has closed its connections or has
 // been silent for long: whoever answers next refuses what was sent before. If that is another
 // incarnation it is fenced at its first answer, long before its first heartbeat is heard and
-// the next session begins. It reports whether there was a higher token.
-func (s *session) stepUp() bool {
+// the next session begins.
+func (s *session) stepUp() {
 	token := s.r.tokens.next()
 	if token <= s.token.Load() {
-		return false
+		return
 	}
 	s.steppedUp.Store(true)
 	s.setToken(token)
@@ -75,7 +75,6 @@
 	case s.spent <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // fenceEarly makes an incarnation refuse the calls for the one before while that one's session
--- a/runner/guard.go
+++ b/runner/guard.go
@@ -35,7 +35,7 @@
 		return
 	}
 	calls := make(chan struct{}, guardCalls)
-	s.heardAt.Store(time.Now().UnixNano())
+	s.heardAt.Store(s.age())
 	pause := listSlack
 	for !s.relieved.Load() {
 		select {
@@ -48,13 +48,12 @@
 		if ctx.Err() != nil {
 			return // what is left is the next life's
 		}
-		now := time.Now()
-		if pause = guardEvery; !s.inDoubt(now) {
+		if pause = guardEvery; !s.inDoubt() {
 			pause = listSlack
-			s.heardAt.Store(now.UnixNano())
+			s.heardAt.Store(s.age())
 			continue
 		}
-		if now.UnixNano()-s.heardAt.Load() > int64(guardFor) {
+		if s.age()-s.heardAt.Load() > int64(guardFor) {
 			return
 		}
 		select {
@@ -70,17 +69,20 @@
 
 // inDoubt reports whether another incarnation may stand at the worker's address. A worker that
 // leaves may be followed at any moment.
-func (s *session) inDoubt(now time.Time) bool {
+func (s *session) inDoubt() bool {
 	if s.ctx.Err() != nil || !s.fenced.Load() || s.draining() {
 		return true
 	}
-	if due := s.listDue.Load(); due != 0 && now.UnixNano() > due {
+	if due := s.listDue.Load(); due != 0 && s.age() > due {
 		return true
 	}
 	_, silent := s.r.contact.silence(s.worker)
 	return silent
 }
 
+// age is for how long the session has gone on, in ns by the steady clock: the time of day jumps.
+func (s *session) age() int64 { return int64(time.Since(s.began)) }
+
 // askWho asks whoever stands at the worker's address for a list, which fences what was sent with
 // lower tokens.
 func (s *session) askWho() {
@@ -94,7 +96,7 @@
 	known := s.nextKnown.Load()
 	reply, err := s.r.worker.Hold(HoldCall{Target: to})
 	if err == nil {
-		s.heardAt.Store(time.Now().UnixNano())
+		s.heardAt.Store(s.age())
 	}
 	switch {
 	case errors.Is(err, ErrClosed):
--- a/runner/session.go
+++ b/runner/session.go
@@ -92,7 +92,7 @@
 	steppedUp atomic.Bool
 
 	// listDue is when the list that holdLoop waits for counts as unanswered, 0 while it waits for
-	// none, and heardAt when it was last known who stands there, both in ns since 1970. fenced
+	// none, and heardAt when it was last known who stands there, both by the session's age. fenced
 	// says that the incarnation has seen the session's token, nextKnown that another one has
 	// answered, relieved that this is fenced, too. doubt asks who is there at once.
 	listDue   atomic.Int64
@@ -237,7 +237,7 @@
 		if s.steppedUp.Load() {
 			wait = 0 // starts wait for the answer
 		}
-		s.listDue.Store(time.Now().Add(wait + listSlack).UnixNano())
+		s.listDue.Store(s.age() + int64(wait+listSlack))
 		reply, err := s.r.worker.Hold(HoldCall{Target: to, LeaseEndMS: end, Cursor: cursor, Wait: wait})
 		s.listDue.Store(0)
 		if err != nil || reply.Verdict != VerdictDone {
