runner: The longest-lease test prepares its stand-in before the agent starts

Cause: the bench announced the worker and only then did the test tell the fake control which late lease to grant, so an agent that registered sooner was never told of one. The product isn't concerned.

Change: withPreparedBench sets up the fake control before the agent starts.

--- a/runner/late_lease_test.go
+++ b/runner/late_lease_test.go
@@ -8,10 +8,7 @@
 
 // Guards against a leader that waits for the longest lease long after it has expired.
 func TestLongestLeaseIsClearedOnceItHasPassed(t *testing.T) {
-	withBench(t, func(t *testing.T, b *bench) {
-		b.ctl.mu.Lock()
-		b.ctl.lateLeaseMS = 10_000
-		b.ctl.mu.Unlock()
+	withPreparedBench(t, func(c *fakeControl) { c.lateLeaseMS = 10_000 }, func(t *testing.T, b *bench) {
 		b.announce("w1", false)
 		time.Sleep(9 * time.Second)
 		lateLeases := func() []bool {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -24,8 +24,15 @@
 }
 
 func withBench(t *testing.T, f func(*testing.T, *bench)) {
+	withPreparedBench(t, func(*fakeControl) {}, f)
+}
+
+// withPreparedBench calls prepare before the agent starts, for behaviour of the fake control that
+// must be in place when the worker registers for the first time.
+func withPreparedBench(t *testing.T, prepare func(*fakeControl), f func(*testing.T, *bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &bench{t: t, ctl: newFakeControl(), worker: newFakeWorker("w1")}
+		prepare(b.ctl)
 		b.begin()
 		b.announce("w1", false)
 		defer b.stop() // also when f ends the test
