settings: Switches for contention and concurrent log syncs

Each part built for overloaded services gets a switch of its own, off by default, so that a deployment whose settings don't name it is served as before. Nothing reads the switches yet.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,6 +115,24 @@
 	// FormFromSeeds makes the seeds the initial replica set. Set it only for the first
 	// start of the whole system.
 	FormFromSeeds bool `toml:"form_from_seeds"`
+	// ConcurrentSync lets the replica handle messages and proposals while its log is being
+	// synced, so that a commit does not wait for the sync of the one before.
+	ConcurrentSync bool `toml:"concurrent_sync"`
+	// Contention selects what the leader does when a service has more work than capacity.
+	// Without the table all of it is off.
+	Contention Contention `toml:"contention"`
+}
+
+// Contention switches on the decisions that apply when a service has more work than capacity.
+type Contention struct {
+	// FeasibleFirst serves the jobs of an overloaded queue so that as many as possible meet
+	// their objective, instead of strictly by due time.
+	FeasibleFirst bool `toml:"feasible_first"`
+	// Waitlist keeps the place of refused jobs, so that they are admitted before jobs that were
+	// submitted later.
+	Waitlist bool `toml:"waitlist"`
+	// LeaveSlowWorkers moves standing tasks away from workers that are slower than their peers.
+	LeaveSlowWorkers bool `toml:"leave_slow_workers"`
 }
 
 // LossTolerance returns the number of control replicas that may fail simultaneously: as given,
