dispatch: Admission with the refused jobs that are ahead

Cause: a new job takes the room for which a refused one is about to return.

Change: Input.Listed, Rate and Place. Listed work counts as ahead of a job if it is expected back before the job would be done, and while accepted work is ahead; for standing jobs listed processors count as held. Work that was accepted after a job's first refusal is not ahead of it. With a list, RetryAfter is the time until the work ahead, at the rate of completed work, or its leaving the in-time class makes room. With nil for all three, verdicts are as before.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +25,40 @@
 	// Expected is when the job is expected to end, Objective when it should, both counted from
 	// its acceptance.
 	Expected, Objective time.Duration
+	// Work is the job's own work, Ahead that of the accepted jobs ahead of it, and Listed that of
+	// the refused jobs with an earlier place: in processor-milliseconds, or for standing jobs the
+	// processors that they hold. They are not set for every verdict.
+	Work, Ahead, Listed float64
+	// Excess is how much of what is ahead has to end before there is room for a refused job,
+	// Available the processors that jobs of its kind can use, and Rate the rate that RetryAfter
+	// is based on: in processors, or for standing jobs in processors per second.
+	Excess, Available, Rate float64
+	// TooLarge says that the job would be refused with nothing ahead of it.
+	TooLarge bool
+}
+
+// Kind tells which jobs of a service compete with each other.
+type Kind uint8
+
+// The kinds of jobs.
+const (
+	Finite Kind = iota
+	Filling
+	Standing
+)
+
+// String returns the kind's name.
+func (k Kind) String() string { return [...]string{"finite", "filling", "standing"}[k] }
+
+// KindOf returns the kind of a job.
+func KindOf(spec *jobs.Spec) Kind {
+	switch {
+	case standing(spec):
+		return Standing
+	case fills(spec):
+		return Filling
+	}
+	return Finite
 }
 
 // Reason returns why the job is refused.
@@ -33,6 +69,9 @@
 	if v.OutOfService {
 		return "every data centre with a worker for the queue is out of service"
 	}
+	if v.Objective == 0 && v.Listed > 0 {
+		return "standing tasks, and refused jobs with an earlier place, need the full share of the service's processors"
+	}
 	if v.Objective == 0 {
 		return "standing tasks already hold their full share of the service's processors"
 	}
@@ -68,6 +107,7 @@
 		return Verdict{}
 	}
 	ahead := 0.0
+	var leaves []leave
 	filling := fills(spec)
 	for _, j := range in.Jobs.Jobs {
 		if j.Phase.Over() || j.Spec.Repeat > 0 || standing(&j.Spec) || fills(&j.Spec) != filling {
@@ -77,9 +117,15 @@
 		if other == nil || other.Service != q.Service || other.Priority > q.Priority {
 			continue
 		}
+		if in.Place > 0 && other.Priority == q.Priority && j.AcceptedAt > in.Place {
+			continue
+		}
 		f := in.Estimates.forecast(j, other, 0)
-		if f.class(age(j, 0, in.NowMS)) <= NotStarted {
+		if since := age(j, 0, in.NowMS); f.class(since) <= NotStarted {
 			ahead += f.work
+			if in.Listed != nil {
+				leaves = append(leaves, leave{f.deadline - f.remaining - since, f.work})
+			}
 		}
 	}
 	available := float64(availableCPU(in, q.Service, filling)) / 1000
@@ -89,14 +135,66 @@
 	fresh := &jobs.Job{Host: q.Host, Prefix: q.Prefix, Spec: *spec}
 	f := in.Estimates.forecast(fresh, q, 0)
 	wait := ms(ahead / available)
-	v := Verdict{Expected: wait + max(f.remaining, ms(f.work/available)), Objective: f.deadline}
-	if v.Expected > ms(admitFactor*float64(f.deadline)/float64(time.Millisecond)) {
+	own := max(f.remaining, ms(f.work/available))
+	v := Verdict{Expected: wait + own, Objective: f.deadline, Work: f.work, Ahead: ahead, Available: available}
+	limit := ms(admitFactor * float64(f.deadline) / float64(time.Millisecond))
+	in.addListed(&v, limit)
+	if v.Expected > limit {
 		v.Refuse = true
 		v.RetryAfter = min(v.Expected-v.Objective, maxRetryAfter)
+		v.TooLarge = own > limit
+		v.Excess = max(0, ahead+v.Listed-float64(limit-own)/float64(time.Millisecond)*available)
+		if in.Listed != nil && !v.TooLarge {
+			v.Rate = in.Rate(available)
+			v.RetryAfter = roomAfter(v.Excess, v.Rate, leaves)
+		}
 	}
 	return v
 }
 
+// leave is when work that is ahead can no longer be in time. It is then served after work that
+// can, and doesn't count as ahead any more.
+type leave struct {
+	after time.Duration
+	work  float64
+}
+
+// roomAfter returns the time until the excess of the work ahead is done or has left, whichever is
+// earlier. Work is done in about the order in which it would leave, so the two don't add up.
+func roomAfter(excess, rate float64, leaves []leave) time.Duration {
+	slices.SortFunc(leaves, func(a, b leave) int { return cmp.Compare(a.after, b.after) })
+	first := ms(excess / rate)
+	for _, l := range leaves {
+		excess = max(0, excess-l.work)
+		first = min(first, l.after+ms(excess/rate))
+	}
+	return first
+}
+
+// addListed adds the refused jobs with an earlier place to the work ahead of a job. Only those
+// count that are expected back before the job would be done: the others lose nothing by it, and
+// the processors would be idle until they return. While no accepted work is ahead, none counts, so
+// that a job is never refused for the sake of callers that may not return. Either way a returning
+// job keeps its place, since work that was accepted after its first refusal isn't ahead of it.
+func (in *Input) addListed(v *Verdict, limit time.Duration) {
+	if in.Listed == nil {
+		return
+	}
+	v.Listed = in.Listed(math.MaxInt64)
+	if v.Ahead == 0 {
+		return
+	}
+	// Each round adds at least one listed job, or is the last.
+	without := v.Expected
+	for v.Expected <= limit {
+		expected := without + ms(in.Listed(v.Expected)/v.Available)
+		if expected <= v.Expected {
+			return
+		}
+		v.Expected = expected
+	}
+}
+
 const (
 	// standingShare is the part of a service's processors that standing tasks may hold. They hold
 	// it for good. The rest is for tasks that end, which are worth several times as much to their
@@ -105,6 +203,11 @@
 	// standingRetryAfter is when a refused standing job may be submitted again. Standing tasks
 	// usually run for about a minute.
 	standingRetryAfter = 5 * time.Second
+	// standingTime is how long standing tasks usually run.
+	standingTime = time.Minute
+	// maxStandingRetry limits the time that the caller of a standing job is told when its place is
+	// kept. When standing tasks end is not known, and processors kept for a listed job are idle.
+	maxStandingRetry = 10 * time.Second
 )
 
 // outOfServiceRetryAfter is when a job that no data centre in service can run may be submitted
@@ -137,10 +240,20 @@
 			}
 		}
 	}
-	if total == 0 || float64(held+StandingCPU(spec)) <= standingShare*float64(total) {
+	need, share := StandingCPU(spec), standingShare*float64(total)
+	listed := 0.0
+	if in.Listed != nil {
+		listed = 1000 * in.Listed(math.MaxInt64)
+	}
+	if total == 0 || float64(held+need)+listed <= share {
 		return Verdict{}
 	}
-	return Verdict{Refuse: true, RetryAfter: standingRetryAfter}
+	v := Verdict{Refuse: true, RetryAfter: standingRetryAfter, Work: float64(need) / 1000, Ahead: float64(held) / 1000, Listed: listed / 1000,
+		Excess: (float64(held+need) + listed - share) / 1000, Available: share / 1000, TooLarge: float64(need) > share}
+	if v.Rate = v.Ahead / standingTime.Seconds(); in.Listed != nil && !v.TooLarge && v.Rate > 0 {
+		v.RetryAfter = time.Duration(min(v.Excess/v.Rate, maxStandingRetry.Seconds()) * float64(time.Second))
+	}
+	return v
 }
 
 // StandingCPU returns the processors that a job's standing tasks hold once all are placed, in
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -88,6 +88,16 @@
 	// Slowness returns how much longer than expected a worker's runs take, as a natural
 	// logarithm. Nil means zero.
 	Slowness func(worker string) float64
+	// Listed returns the work of the refused jobs that are ahead of the job being admitted and are
+	// expected to return within the given time: in processor-milliseconds, or in processors if the
+	// job is a standing one. Nil means zero.
+	Listed func(within time.Duration) float64
+	// Rate returns the recent rate of completed work of the kind of the job being admitted, in
+	// processors, at most the available ones. It is set if Listed is.
+	Rate func(available float64) float64
+	// Place is when the job being admitted was first refused, in milliseconds since 1970, 0 if it
+	// was not. Jobs of its priority that were accepted later are not ahead of it.
+	Place int64
 	// Disabled lists the mechanisms that are switched off.
 	Disabled ablation.Set
 }
