control: Refused jobs keep their place (control.contention.waitlist)

Change: with the switch on, the leader keeps a waitlist.List by queue and kind of job, and rates of completed work from the ends of runs. Refused jobs are listed after a majority has confirmed the leadership. A job that is admitted on return is committed with the time of its first refusal, from which its objective counts. A new leader starts with an empty list; a removed queue drops its entries.

--- a/control/admission.go
+++ b/control/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/dispatch"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
 
@@ -14,6 +15,14 @@
 // Only a refusal needs the confirmation of a majority. An accepted job is committed, which
 // confirms the leadership too and saves the other callers a round trip.
 func (d *dispatcher) admit(c *SubmitJob) error {
+	if d.refused != nil {
+		d.leads() // the places of an earlier leadership are void
+	}
+	return d.admitConfirmed(c, d.r.confirmedLeader)
+}
+
+// admitConfirmed is admit with the function that confirms the leadership.
+func (d *dispatcher) admitConfirmed(c *SubmitJob, confirm func() error) error {
 	key := c.Host + c.Path
 	d.mu.Lock()
 	running := d.inFlight[key] > 0
@@ -23,7 +32,7 @@
 	if running || !d.judgeAndReserve(c).Refuse {
 		return nil
 	}
-	if err := d.r.confirmedLeader(); err != nil {
+	if err := confirm(); err != nil {
 		d.submitted(c)
 		return err
 	}
@@ -33,10 +42,40 @@
 	}
 	d.submitted(c)
 	e := refusal.New(refusal.Overloaded, "hand it in again later", "%s", v.Reason())
-	e.RetryAfter = refusal.Jitter(v.RetryAfter)
+	e.RetryAfter = d.retryAfter(c, &v)
 	return e
 }
 
+// retryAfter returns when the caller of a refused job is to return, and lists the job. Jobs for
+// which no capacity would be enough are not listed.
+func (d *dispatcher) retryAfter(c *SubmitJob, v *dispatch.Verdict) time.Duration {
+	if d.refused == nil || v.NoAdvisor || v.OutOfService {
+		return refusal.Jitter(v.RetryAfter)
+	}
+	retry := time.Duration(0)
+	d.r.machine.Read(func(s *State) {
+		if q, id := s.Queues.Config.Match(c.Host, c.Path); q != nil && jobs.ValidID(id) {
+			retry = d.refused.refuse(c, q, id, v, time.Now())
+		}
+	})
+	if retry == 0 {
+		return refusal.Jitter(v.RetryAfter)
+	}
+	return retry
+}
+
+// admitted removes the listed entry of a job whose submission is committed.
+func (d *dispatcher) admitted(c *SubmitJob) {
+	if d.refused == nil {
+		return
+	}
+	d.r.machine.Read(func(s *State) {
+		if q, id := s.Queues.Config.Match(c.Host, c.Path); q != nil {
+			d.refused.admit(c, q, id, time.Now())
+		}
+	})
+}
+
 // noAdvisorRetry is the retry delay for a queue that needs an advisor while none is set: an
 // operator has to change the settings first.
 const noAdvisorRetry = 5 * time.Second
@@ -62,6 +101,8 @@
 	d.r.machine.Read(func(s *State) {
 		if q, id := s.Queues.Config.Match(c.Host, c.Path); q != nil && s.Jobs.Jobs[id] == nil {
 			c.service, c.reserved = q.Service, need
+			// What is reserved must not count as listed, too.
+			d.refused.admit(c, q, id, time.Now())
 		}
 	})
 	d.mu.Lock()
@@ -80,7 +121,14 @@
 			v = dispatch.Verdict{Refuse: true, NoAdvisor: true, RetryAfter: noAdvisorRetry}
 			return
 		}
-		v = dispatch.Admit(d.input(s), q, &c.Spec)
+		in := d.input(s)
+		if d.refused != nil {
+			d.refused.addInput(&in, q, id, dispatch.KindOf(&c.Spec), time.Now())
+			if in.Place > 0 {
+				c.AtMS = in.Place // a job's objective counts from its first submission
+			}
+		}
+		v = dispatch.Admit(in, q, &c.Spec)
 	})
 	return v
 }
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -73,11 +73,16 @@
 	// will hold, by service. reserveMu serialises the calls that reserve from it.
 	reserved  map[string]int64
 	reserveMu sync.Mutex
+	// refused has the places of refused jobs, nil if they are not kept.
+	refused *refusedJobs
 }
 
 func newDispatcher(r *Replica) *dispatcher {
 	d := &dispatcher{r: r, wakeup: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), costs: newCosts(r.without), durationModel: newDurationModel(), lessonWriter: newLessonWriter(), health: dispatch.NewHealth(), waits: newWaitStarts(), inFlight: make(map[string]int), reserved: make(map[string]int64)}
 	d.advice = newAdviceRequester(d)
+	if r.set.Control.Contention.Waitlist {
+		d.refused = newRefusedJobs()
+	}
 	d.reset(0)
 	return d
 }
@@ -92,6 +97,7 @@
 	d.stalledAt = make(map[jobs.Stop]time.Time)
 	d.stuckAt = make(map[jobs.Stop]time.Time)
 	d.advice.table = advice.NewTable()
+	d.refused.reset()
 }
 
 // leads reports whether this replica leads, and resets the dispatcher for a new leadership: the
@@ -294,6 +300,7 @@
 func (d *dispatcher) forget() {
 	ids := d.forgettable(time.Now())
 	d.r.machine.Read(func(s *State) {
+		d.refused.expire(s, time.Now())
 		d.waits.forget(func(job string) bool { return s.Jobs.Jobs[job] != nil })
 		d.mu.Lock()
 		defer d.mu.Unlock()
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -67,6 +67,7 @@
 	r.dispatcher.submitted(&c)
 	r.logCall("submit", JobCall{c.Host, c.Path}, err)
 	if err == nil {
+		r.dispatcher.admitted(&c)
 		// An accepted path ends with the job's id.
 		r.dispatcher.waits.submitted(c.Path[len(c.Path)-jobs.IDLength:], arrived)
 		logrus.WithFields(logrus.Fields{"job": c.Path, "steps": c.Spec.String(), "took_ms": time.Since(arrived).Milliseconds()}).Info("control: Took a job in.")
--- a/control/workers.go
+++ b/control/workers.go
@@ -119,6 +119,9 @@
 			expected = d.durationModel.measured(e.Task.Group())
 			d.durationModel.record(s.Jobs, e)
 		}
+		if d.refused != nil {
+			d.refused.ended(s, e, d.durationModel.measured(e.Task.Group()), time.Now())
+		}
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
