claim: Released claims leave the order

A caller that is refused and retries claims and releases its key each time, so Order grew although few keys were held.

Change: once more than half of Order stands for released claims it is compacted; MaxRecords bounds it now.

Measured: TestReleasedClaimsLeaveTheOrder fails without the call (mutation "released claims stay in the order" is red). Beside it, runner.resolveUncertainStart returns nothing: it always returned true.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -158,6 +158,7 @@
 	switch {
 	case c.Release:
 		delete(s.Records, c.Key)
+		s.compactOrder()
 	case c.Answer == nil:
 		r.Phase = Lost
 	default:
@@ -167,6 +168,29 @@
 	return true
 }
 
+// minOrder is the length of Order below which it isn't worth compacting.
+const minOrder = 1024
+
+// compactOrder drops the items of Order whose claims were released, once they are more than half
+// of it. Released keys leave Records at once but would stay in Order for TombstoneMS, so that
+// callers that are refused and retry all day would fill the memory although MaxRecords holds.
+func (s *State) compactOrder() {
+	if len(s.Order) < max(minOrder, 2*len(s.Records)) {
+		return
+	}
+	kept, expired := make([]claimTime, 0, len(s.Records)), 0
+	for i, o := range s.Order {
+		if r := s.Records[o.Key]; r == nil || r.At != o.At {
+			continue
+		}
+		kept = append(kept, o)
+		if i < s.Expired {
+			expired++
+		}
+	}
+	s.Order, s.Expired = kept, expired
+}
+
 // storeAnswer stores an answer in its record unless the answer or the store would be too large.
 func (s *State) storeAnswer(r *Record, a *Answer) {
 	if len(a.Body) > MaxAnswerBytes || s.Bytes+len(a.Body) > MaxAnswerTotal {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -86,3 +86,25 @@
 		t.Fatalf("after an answer too large to keep: %v", err)
 	}
 }
+
+// Guards against memory that grows with every claim that is released, although few keys are held:
+// a caller that is refused and retries claims and releases its key again and again.
+func TestReleasedClaimsLeaveTheOrder(t *testing.T) {
+	s := NewState()
+	applyClaim(t, s, "held", 1, "e1", 0)
+	s.ApplySettle(Settle{Key: MakeKey("m", "s", "held"), Token: "e1", Answer: &Answer{Status: 200, Body: []byte("a")}})
+	for i := range 20 * minOrder {
+		applyClaim(t, s, "retried", 1, "e1", int64(AnswerMS+i))
+		s.ApplySettle(Settle{Key: MakeKey("m", "s", "retried"), Token: "e1", Release: true})
+		if len(s.Order) > minOrder {
+			t.Fatalf("%d claims in the order after %d releases, %d keys held", len(s.Order), i+1, len(s.Records))
+		}
+	}
+	if s.Expired > len(s.Order) || s.Bytes != 0 {
+		t.Errorf("%d expired of %d, %d bytes of answers", s.Expired, len(s.Order), s.Bytes)
+	}
+	applyClaim(t, s, "later", 1, "e1", TombstoneMS+1)
+	if r := s.Records[MakeKey("m", "s", "held")]; r != nil {
+		t.Error("a key outlived its tombstone after the order was compacted")
+	}
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -337,19 +337,20 @@
 	if started {
 		return true // the worker will list its end
 	}
-	return r.resolveUncertainStart()
+	r.resolveUncertainStart()
+	return true
 }
 
 // resolveUncertainStart determines, after an answered stop, whether an unanswered start had
-// taken effect. It always returns true: nothing is left to do.
-func (r *run) resolveUncertainStart() bool {
+// taken effect.
+func (r *run) resolveUncertainStart() {
 	s := r.s
 	for s.ctx.Err() == nil {
 		to := s.target()
 		reply, err := s.r.worker.Hold(HoldCall{Target: to})
 		if err != nil || reply.Verdict != VerdictDone {
 			if err == nil && s.handleRefusal(reply.Verdict, to) {
-				return true
+				return
 			}
 			s.sleep(callPause)
 			continue
@@ -357,9 +358,8 @@
 		if !r.listed(reply) {
 			r.reportNeverStarted("stopped after an unanswered start")
 		}
-		return true
+		return
 	}
-	return true
 }
 
 // listsRun reports whether a worker's list contains a run, running or ended.
