--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -25,6 +25,19 @@
 	Expected, Objective time.Duration
 }
 
+// Code returns a short code for why the job is refused.
+func (v *Verdict) Code() string {
+	switch {
+	case v.NoAdvisor:
+		return "no-advisor"
+	case v.OutOfService:
+		return "out-of-service"
+	case v.Objective == 0:
+		return "standing-share"
+	}
+	return "overloaded"
+}
+
 // Reason returns why the job is refused.
 func (v *Verdict) Reason() string {
 	if v.NoAdvisor {
@@ -70,7 +83,7 @@
 	ahead := 0.0
 	filling := fills(spec)
 	for _, j := range in.Jobs.Jobs {
-		if j.Phase.Over() || j.Spec.Repeat > 0 || standing(&j.Spec) || fills(&j.Spec) != filling {
+		if !competes(j, filling) {
 			continue
 		}
 		other := in.Config.At(j.Host, j.Prefix)
