control: Record the demand and explain jobs to operators

Cause: operators can't ask the leader why a job was refused or is late.

Change: the leader counts submissions when they arrive and when they are answered, and ends by what applying a command returns, so that each counts once. Nothing of it is in the log, and no decision depends on it.

--- a/control/admission.go
+++ b/control/admission.go
@@ -20,6 +20,7 @@
 	d.inFlight[key]++
 	d.mu.Unlock()
 	c.AtMS = d.nowMS()
+	d.demand.arrived(c, running)
 	if running || !d.judgeAndReserve(c).Refuse {
 		return nil
 	}
@@ -32,6 +33,7 @@
 		return nil
 	}
 	d.submitted(c)
+	c.refusalCode = v.Code()
 	e := refusal.New(refusal.Overloaded, "hand it in again later", "%s", v.Reason())
 	e.RetryAfter = refusal.Jitter(v.RetryAfter)
 	return e
--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -32,7 +32,7 @@
 	case c.Submit != nil:
 		return nil, s.submitJob(c.Submit, index)
 	case c.Cancel != nil:
-		return nil, s.cancelJob(c.Cancel, index)
+		return s.cancelJob(c.Cancel, index)
 	case c.Plan != nil:
 		placed, stale := s.Jobs.ApplyPlan(*c.Plan, s.jobRules(), index)
 		return planResult{placed, stale}, nil
@@ -62,10 +62,12 @@
 type endsResult struct {
 	late      []jobs.End // of runs that no longer held capacity
 	overtaken int        // late ends whose task has been ordered again, see jobs.Ended
+	over      []string   // jobs that ended with them
 }
 
 func (s *State) applyEnds(c *RunEnds, index uint64) (res endsResult) {
 	for _, e := range c.Ends {
+		live := s.jobIsLive(e.Task.Job)
 		ended := s.Jobs.ApplyEnd(c.Worker, e, s.jobRules(), index)
 		if ended.Late {
 			res.late = append(res.late, e)
@@ -73,10 +75,19 @@
 		if ended.Overtaken {
 			res.overtaken++
 		}
+		if live && !s.jobIsLive(e.Task.Job) {
+			res.over = append(res.over, e.Task.Job)
+		}
 	}
 	return res
 }
 
+// jobIsLive reports whether a job is known and not over.
+func (s *State) jobIsLive(id string) bool {
+	j := s.Jobs.Jobs[id]
+	return j != nil && !j.Phase.Over()
+}
+
 // registerResult is the effect of a registration.
 type registerResult struct {
 	jobs.Registered
@@ -152,14 +163,18 @@
 	return s.Jobs.ApplySubmit(jobs.Submit{ID: id, Host: host, Prefix: prefix, Spec: c.Spec}, index, c.AtMS)
 }
 
-func (s *State) cancelJob(c *JobCall, index uint64) error {
+// cancelJob cancels a job and returns its id, or "" if it had ended before.
+func (s *State) cancelJob(c *JobCall, index uint64) (ended string, err error) {
 	host, prefix, id, err := s.findQueue(*c)
 	if err != nil {
-		return err
+		return "", err
 	}
 	if _, err := s.Jobs.Lookup(host, prefix, id); err != nil {
-		return err
+		return "", err
+	}
+	if s.jobIsLive(id) {
+		ended = id
 	}
 	s.Jobs.ApplyCancel(id, index)
-	return nil
+	return ended, nil
 }
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -66,6 +66,7 @@
 	health        *dispatch.Health
 	waits         *waitStarts
 	advice        *adviceRequester
+	demand        *demandFeed
 	lastCopies    time.Time      // last check for runs that need a copy
 	lastRegroup   time.Time      // last regrouping of served tasks
 	inFlight      map[string]int // submissions being committed, by host and path
@@ -78,6 +79,7 @@
 func newDispatcher(r *Replica) *dispatcher {
 	d := &dispatcher{r: r, wakeup: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), costs: newCosts(r.without), durationModel: newDurationModel(), lessonWriter: newLessonWriter(), health: dispatch.NewHealth(), waits: newWaitStarts(), inFlight: make(map[string]int), reserved: make(map[string]int64)}
 	d.advice = newAdviceRequester(d)
+	d.demand = newDemandFeed(r)
 	d.reset(0)
 	return d
 }
@@ -112,6 +114,7 @@
 	if fresh {
 		d.trackHolders()
 		d.restoreLessons()
+		d.demand.begin()
 	}
 	return true
 }
@@ -148,6 +151,7 @@
 			if d.leads() {
 				d.forget()
 			}
+			d.demand.update()
 		case <-due.C:
 			d.dispatch()
 		case <-d.wakeup:
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -60,11 +60,13 @@
 		return Empty{}, err
 	}
 	if err := r.dispatcher.admit(&c); err != nil {
+		r.dispatcher.demand.submitted(&c, err)
 		r.logCall("submit", JobCall{c.Host, c.Path}, err)
 		return Empty{}, err
 	}
 	_, err := r.proposeJob(JobCommand{Submit: &c})
 	r.dispatcher.submitted(&c)
+	r.dispatcher.demand.submitted(&c, err)
 	r.logCall("submit", JobCall{c.Host, c.Path}, err)
 	if err == nil {
 		// An accepted path ends with the job's id.
@@ -76,9 +78,12 @@
 }
 
 func (r *Replica) onCancelJob(c JobCall) (Empty, error) {
-	_, err := r.proposeJob(JobCommand{Cancel: &c})
+	v, err := r.proposeJob(JobCommand{Cancel: &c})
 	r.logCall("cancel", c, err)
 	if err == nil {
+		if id := v.(string); id != "" {
+			r.dispatcher.demand.ended(id)
+		}
 		r.dispatcher.wake()
 	}
 	return Empty{}, err
@@ -205,6 +210,9 @@
 	done := v.(registerResult)
 	r.dispatcher.registered(&done.Worker)
 	r.logRegistration(&w, &done)
+	for _, g := range done.GivenUp {
+		r.dispatcher.demand.ended(g.Task.Job)
+	}
 	answer := Registered{Index: done.Worker.Registered}
 	if done.Worker.LateLease {
 		answer.LateLeaseMS = r.longestLease().Milliseconds()
@@ -283,6 +291,7 @@
 	res := v.(endsResult)
 	logLateEnds(req.Worker, res.late)
 	r.dispatcher.handleEnds(req, arrived)
+	r.dispatcher.demand.handleEnds(req.Ends, &res)
 	if res.overtaken > 0 {
 		a.MaxLeaseMS = r.longestLease().Milliseconds()
 	}
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -43,6 +43,13 @@
 	// reserves while the call is being committed. It is not sent.
 	reserved int64
 	service  string
+
+	// queue, jobID and refusalCode are what demandFeed records the call by: the queue and job,
+	// unset if the call isn't counted, and dispatch.Verdict's code if it is refused. They are not
+	// sent.
+	queue       *queueMetrics
+	jobID       string
+	refusalCode string
 }
 
 // JobCall names a job, or a queue if nothing follows the prefix.
--- a/control/operator_jobs.go
+++ b/control/operator_jobs.go
@@ -56,6 +56,7 @@
 	routes["GET /v1/workers"] = r.getWorkers
 	routes["GET /v1/machines"] = r.getMachines
 	routes["POST /v1/machine-moves"] = r.postMachineMove
+	r.demandRoutes(routes)
 	routes["GET /v1/waves"] = r.getWaves
 	routes["POST /v1/waves"] = r.postWave
 }
