waxwinghaven: Commands queue demand and job explain

Cause: the new routes need a client, and the settings table refers to a section "Under contention" that isn't there yet.

--- a/cmd/waxwinghaven/main.go
+++ b/cmd/waxwinghaven/main.go
@@ -57,6 +57,7 @@
 	c.marketCommands()
 	c.taskCommands()
 	c.graphCommands()
+	c.demandCommand()
 	c.waveCommands()
 	c.dataCentreCommands()
 	c.lossesCommand()
--- a/cmd/waxwinghaven/market.go
+++ b/cmd/waxwinghaven/market.go
@@ -162,7 +162,8 @@
 }
 
 func (c *cli) jobCommands() {
-	top := c.app.Command("job", "Makes and retires jobs.")
+	top := c.app.Command("job", "Makes and retires jobs of markets, and explains callers' jobs.")
+	c.explainCommand(top)
 	put := top.Command("put", "Makes or changes a job.\n\nExample: waxwinghaven job put vault render --team night --milli-cpu 2000 --run-time 5m --deadline 8h")
 	j, in := &market.Job{}, put.Arg("market", "The market.").Required().String()
 	put.Arg("job", "Its name.").Required().StringVar(&j.Name)
--- a/operator/client.go
+++ b/operator/client.go
@@ -231,6 +231,19 @@
 	return out, err
 }
 
+// Demand returns what happens to the jobs of each queue.
+func (c *Client) Demand() (out control.DemandAnswer, err error) {
+	err = c.call("GET", "/v1/queues/demand", nil, &out)
+	return out, err
+}
+
+// ExplainJob returns how a job is served, or why it was refused.
+func (c *Client) ExplainJob(host, path string) (out control.JobExplanation, err error) {
+	v := url.Values{"host": {host}, "path": {path}}
+	err = c.call("GET", "/v1/jobs/explain?"+v.Encode(), nil, &out)
+	return out, err
+}
+
 // Workers lists the workers of callers' jobs.
 func (c *Client) Workers() (out []control.WorkerView, err error) {
 	err = c.call("GET", "/v1/workers", nil, &out)
