demand: Count 150 queues besides the others

Cause: the entry for all further queues counted against the bound of 150. If it existed first, as it may after a change of leader or of the configuration, the 150th queue was counted as "other" although it has metrics of its own, and queries showed no arrivals for it.

Change: the bound applies to the queues that are counted separately.

Result: TestOtherTakesNoQueuesPlace failed before ("q149, the 150th queue, has 0 arrivals, want 1") and passes; the mutation that restores the old bound is red.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -148,7 +148,7 @@
 func (s *Stats) bucket(queue string, now time.Time) *bucket {
 	q := s.queues[queue]
 	if q == nil {
-		if len(s.queues) >= maxQueues && queue != Other {
+		if s.named() >= maxQueues && queue != Other {
 			return s.bucket(Other, now)
 		}
 		q = &queueBuckets{}
@@ -162,6 +162,14 @@
 	return b
 }
 
+// named returns the number of queues that are counted separately.
+func (s *Stats) named() int {
+	if s.queues[Other] != nil {
+		return len(s.queues) - 1
+	}
+	return len(s.queues)
+}
+
 // reason returns the number of a reason.
 func (s *Stats) reason(name string) int {
 	for i, r := range s.reasons {
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -129,6 +129,20 @@
 	}
 }
 
+// Guards against a queue that is counted as Other although fewer than the bound have counts of
+// their own: Other is not one of them.
+func TestOtherTakesNoQueuesPlace(t *testing.T) {
+	s := New(start)
+	s.Arrived(Other, at(0))
+	for i := range maxQueues {
+		queue := fmt.Sprint("q", i)
+		s.Arrived(queue, at(0))
+		if n := s.Summary(queue, at(0)).Last10s.Arrived; n != 1 {
+			t.Fatalf("%s, the %dth queue, has %d arrivals, want 1", queue, i+1, n)
+		}
+	}
+}
+
 // Guards against a verdict that is outdated, of another queue, or lost when an older one of the
 // same job expires.
 func TestVerdictIsOfTheLastRefusal(t *testing.T) {
