control: Keep the worker's lease in the tests of the demand

Cause: TestDemandCountsWhatBecomesOfJobs failed once in 15 runs on a busy machine ("timed out: /renders/ runs"). The cluster's leases last one second and no agent renews them, so the worker was lost before the last job was placed; the log of a further failed run shows this.

Change: the clusters of these tests have leases of a minute. The cancelled job now runs when it is cancelled, and its run ends after it, so that an end which follows a cancellation is covered as well. Nothing else is checked less.

--- a/control/operator_demand_test.go
+++ b/control/operator_demand_test.go
@@ -16,6 +16,7 @@
 	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/resource"
+	"github.com/waxwinghaven/waxwinghaven/settings"
 )
 
 var renderQueues = queues.Config{Version: 2, Services: []queues.Service{{Name: "vault"}}, Queues: []queues.Queue{
@@ -28,6 +29,13 @@
 		Steps: []jobs.Step{{Count: 1, Need: resource.Vector{MilliCPU: processors * 1000}, EstimateMS: estimateMS, Fills: true, Image: "x"}}}}
 }
 
+// newDemandCluster returns a cluster whose workers keep their leases for the whole test. No agent
+// renews them, and on a busy machine a test outlasts the usual second.
+func newDemandCluster(t testing.TB) *cluster {
+	t.Helper()
+	return newClusterWith(t, "20ms", func(r *Replica) { r.set.Control.Lease = settings.Duration{Duration: time.Minute} })
+}
+
 // get sends an operator call to a replica's handler and decodes the answer into out, or returns
 // the status and the refusal.
 func (c *cluster) get(replica int, path string, out any) (int, *refusal.Error) {
@@ -49,6 +57,21 @@
 	return fasthttp.StatusOK, nil
 }
 
+// waitForRun waits until the only task of a job is placed, and returns the end of that run.
+func (c *cluster) waitForRun(r *Replica, j SubmitJob) (e jobs.End) {
+	c.t.Helper()
+	e.Task.Job = j.Path[len(j.Path)-jobs.IDLength:]
+	c.wait(j.Path+" runs", func() (placed bool) {
+		r.machine.Read(func(s *State) {
+			if g := s.Jobs.Group(e.Task); g != nil && g.Tasks[0].Placed != nil {
+				placed, e.Run = true, g.Tasks[0].Placed.Run
+			}
+		})
+		return placed
+	})
+	return e
+}
+
 func explainPath(jobPath string) string {
 	return "/v1/jobs/explain?" + url.Values{"host": {"a.example"}, "path": {jobPath}}.Encode()
 }
@@ -57,7 +80,7 @@
 // against answers that don't agree with what the caller was told, that tell of a job nothing is
 // known about, and that come from a replica which doesn't lead.
 func TestOperatorsLearnWhyAJobIsRefusedOrLate(t *testing.T) {
-	c := newCluster(t)
+	c := newDemandCluster(t)
 	c.prepareJobs(4)
 	leader := c.leader()
 	r := c.replicas[leader]
@@ -143,7 +166,7 @@
 
 // Guards against counts that miss what callers and workers report, or count it twice.
 func TestDemandCountsWhatBecomesOfJobs(t *testing.T) {
-	c := newCluster(t)
+	c := newDemandCluster(t)
 	c.prepareJobs(4)
 	r := c.replicas[c.leader()]
 	begun := time.Now().UnixMilli()
@@ -154,15 +177,8 @@
 	list := []SubmitJob{render(1, 4, 20_000), render(2, 4, 20_000), render(3, 4, 20_000), render(4, 4, 1)}
 	end := func(j SubmitJob, outcome jobs.Outcome, workMS int64) {
 		t.Helper()
-		ends := RunEnds{Worker: "w", Ends: []jobs.End{{Task: jobs.Ref{Job: j.Path[len("/renders/"):]}, Outcome: outcome, WorkMS: workMS}}}
-		c.wait(j.Path+" runs", func() (placed bool) {
-			r.machine.Read(func(s *State) {
-				if g := s.Jobs.Group(ends.Ends[0].Task); g != nil && g.Tasks[0].Placed != nil {
-					placed, ends.Ends[0].Run = true, g.Tasks[0].Placed.Run
-				}
-			})
-			return placed
-		})
+		ends := RunEnds{Worker: "w", Ends: []jobs.End{c.waitForRun(r, j)}}
+		ends.Ends[0].Outcome, ends.Ends[0].WorkMS = outcome, workMS
 		for range 2 { // the answer to the first report is lost
 			if _, err := r.onEnds(ends); err != nil {
 				t.Fatal(err)
@@ -181,11 +197,13 @@
 		case 1:
 			end(j, jobs.OutcomeFailed, 0)
 		case 2:
+			c.waitForRun(r, j)
 			for range 2 {
 				if _, err := r.onCancelJob(JobCall{j.Host, j.Path}); err != nil {
 					t.Fatal(err)
 				}
 			}
+			end(j, jobs.OutcomeStopped, 0) // after its job, which is not counted again
 		case 3:
 			c.wait("its objective of 201 ms has passed", func() bool {
 				var x JobExplanation
