control: Count no work for queues that were removed

Cause: the end of a run that was placed before its queue was removed from the configuration registered the queue's metrics again, all from zero, until the next update dropped them 5 s later. With many runs left, 21 series came and went every few seconds.

Change: such work is not counted, as the end of such a job already isn't.

Result: TestEndsOfARemovedQueueLeaveNoMetrics failed before ("the metrics of the removed queue are back") and passes; the mutation without the check is red.

--- a/control/demandfeed.go
+++ b/control/demandfeed.go
@@ -219,6 +219,9 @@
 			if g == nil || e.Outcome != jobs.OutcomeDone || slices.Contains(res.late, e) {
 				continue
 			}
+			if s.Queues.Config.At(g.Job().Host, g.Job().Prefix) == nil {
+				continue // update would only drop the metrics again
+			}
 			m := f.metricsOf(g.Job().Host, g.Job().Prefix)
 			work := float64(e.WorkMS) * float64(g.Step().Need.MilliCPU) / 1000
 			m.work.Add(work / 1000)
--- a/control/operator_demand_test.go
+++ b/control/operator_demand_test.go
@@ -314,3 +314,34 @@
 		n++
 	}
 }
+
+// Guards against metrics of a removed queue that come back, with counts from zero, when a run ends
+// that was placed before the removal.
+func TestEndsOfARemovedQueueLeaveNoMetrics(t *testing.T) {
+	c := newDemandCluster(t)
+	c.prepareJobs(4)
+	r := c.replicas[c.leader()]
+	if _, err := r.PutConfig(PutConfig{Config: renderQueues}); err != nil {
+		t.Fatal(err)
+	}
+	j := render(1, 4, 20_000)
+	if _, err := r.onSubmitJob(j); err != nil {
+		t.Fatal(err)
+	}
+	e := c.waitForRun(r, j)
+	e.Outcome, e.WorkMS = jobs.OutcomeDone, 1000
+	without := renderQueues
+	without.Version, without.Queues = 3, without.Queues[1:]
+	if _, err := r.PutConfig(PutConfig{Config: without}); err != nil {
+		t.Fatal(err)
+	}
+	r.dispatcher.demand.update()
+	if _, err := r.onEnds(RunEnds{Worker: "w", Ends: []jobs.End{e}}); err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	metrics.WritePrometheus(&b, false)
+	if strings.Contains(b.String(), "a.example/renders/") {
+		t.Error("the metrics of the removed queue are back")
+	}
+}
