control: Show the backlog of queues without metrics of their own

Cause: queues beyond 150 share the metrics named "other", but their backlog was never set there: the gauges read 0 however much waited.

Change: the backlogs of the other queues are added up, and the longest waits are shown; at a replica that doesn't lead they are zero like the others. The backlogs are computed before the lock is taken.

Result: TestBacklogsOfOtherQueuesAreAddedUp failed before ("0 jobs and 0 processor seconds, want 2 and up to 2") and passes; two mutations are red. The shorter time under the lock was not measured.

--- a/control/demandfeed.go
+++ b/control/demandfeed.go
@@ -281,16 +281,24 @@
 func (f *demandFeed) update() {
 	now := time.Now()
 	f.r.machine.Read(func(s *State) {
+		list := s.Queues.Config.Queues
+		var backlogs []dispatch.Backlog
+		if f.r.node.View().Role == quorum.Leader {
+			// Computed before the lock is taken, since that takes milliseconds with thousands of jobs.
+			backlogs = dispatch.Backlogs(f.r.dispatcher.forecastInput(s))
+		}
 		if !f.lock(now) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			for _, m := range f.queues {
 				m.setBacklog(dispatch.Backlog{})
 			}
+			if f.other != nil {
+				f.other.setBacklog(dispatch.Backlog{})
+			}
 			return
 		}
 		defer f.mu.Unlock()
-		list := s.Queues.Config.Queues
 		configured := make(map[string]bool, len(list))
 		for i := range list {
 			configured[list[i].Host+list[i].Prefix] = true
@@ -303,10 +311,19 @@
 		}
 		f.stats.Retain(func(queue string) bool { return configured[queue] })
 		f.stats.Expire(now)
-		for i, b := range dispatch.Backlogs(f.r.dispatcher.forecastInput(s)) {
+		var others dispatch.Backlog
+		for i, b := range backlogs {
 			if m := f.metricsOf(list[i].Host, list[i].Prefix); m != f.other {
 				m.setBacklog(b)
+				continue
 			}
+			others.Jobs += b.Jobs
+			others.Work += b.Work
+			others.LongestWait = max(others.LongestWait, b.LongestWait)
+			others.NewWait = max(others.NewWait, b.NewWait)
+		}
+		if f.other != nil {
+			f.other.setBacklog(others)
 		}
 	})
 }
--- a/control/operator_demand_test.go
+++ b/control/operator_demand_test.go
@@ -345,3 +345,42 @@
 		t.Error("the metrics of the removed queue are back")
 	}
 }
+
+// Guards against a backlog that is missing from the metrics because its queues have none of their
+// own, and against one that is left there once another replica leads.
+func TestBacklogsOfOtherQueuesAreAddedUp(t *testing.T) {
+	c := newDemandCluster(t)
+	c.prepareJobs(4)
+	leader := c.leader()
+	r := c.replicas[leader]
+	cfg := queues.Config{Version: 2, Services: renderQueues.Services}
+	for i := range maxDemandQueues + 2 {
+		cfg.Queues = append(cfg.Queues, queues.Queue{Name: fmt.Sprint(i), Host: fmt.Sprintf("b%d.example", i), Prefix: "/renders/", Service: "vault", TimeoutMS: 1000, TargetMS: 60_000, Slack: 2})
+	}
+	if _, err := r.PutConfig(PutConfig{Config: cfg}); err != nil {
+		t.Fatal(err)
+	}
+	feed := r.dispatcher.demand
+	feed.update()
+	for i := range 2 {
+		j := render(i, 1, 1000)
+		j.Host = cfg.Queues[maxDemandQueues+i].Host
+		if _, err := r.onSubmitJob(j); err != nil {
+			t.Fatal(err)
+		}
+	}
+	feed.update()
+	if n, work := feed.other.jobs.Get(), feed.other.processorSeconds.Get(); n != 2 || work <= 0 || work > 2 {
+		t.Errorf("the backlog of the other queues is %v jobs and %v processor seconds, want 2 and up to 2", n, work)
+	}
+	c.wait("another replica leads", func() bool {
+		if c.leader() == leader {
+			_ = r.node.Transfer(context.Background(), c.replicas[(leader+1)%3].self.ID) // repeated if it fails
+		}
+		return c.leader() >= 0 && c.leader() != leader
+	})
+	feed.update()
+	if n := feed.other.jobs.Get(); n != 0 {
+		t.Errorf("a replica that no longer leads shows a backlog of %v jobs", n)
+	}
+}
