control: Report the other queues while nothing arrives in them

Result: TestBacklogsOfOtherQueuesAreAddedUp, extended by a cancellation without arrivals, failed before ("status 200, <nil>, <nil>") and passes; the mutation with the old condition is red.

--- a/control/operator_demand.go
+++ b/control/operator_demand.go
@@ -89,7 +89,7 @@
 		now, list := time.Now(), s.Queues.Config.Queues
 		since, sums, others := r.dispatcher.demand.summaries(list, now)
 		a.SinceMS, a.LedMS = since.UnixMilli(), now.Sub(since).Milliseconds()
-		if others.Last60s.Arrived > 0 {
+		if !others.Last60s.Empty() {
 			a.Others = &others
 		}
 		for i, b := range dispatch.Backlogs(r.dispatcher.forecastInput(s)) {
--- a/control/operator_demand_test.go
+++ b/control/operator_demand_test.go
@@ -383,4 +383,16 @@
 	if n := feed.other.jobs.Get(); n != 0 {
 		t.Errorf("a replica that no longer leads shows a backlog of %v jobs", n)
 	}
+
+	// Their ends are reported also while nothing arrives in them.
+	next := c.replicas[c.leader()]
+	next.dispatcher.demand.update()
+	c.wait("the cancellation", func() bool {
+		_, err := next.onCancelJob(JobCall{cfg.Queues[maxDemandQueues].Host, render(0, 1, 1000).Path})
+		return err == nil
+	})
+	var a DemandAnswer
+	if status, e := c.get(c.leader(), "/v1/queues/demand", &a); e != nil || a.Others == nil || a.Others.Last60s.Cancelled != 1 {
+		t.Errorf("after a cancellation in one of the other queues: status %d, %v, %+v", status, e, a.Others)
+	}
 }
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -76,6 +76,11 @@
 	return n
 }
 
+// Empty reports whether nothing happened.
+func (w *Window) Empty() bool {
+	return w.Arrived+w.Accepted+w.Refusals()+w.InTime+w.Late+w.Failed+w.Cancelled == 0 && w.Processors == 0
+}
+
 // Summary is what happened to one queue's jobs lately.
 type Summary struct {
 	Last10s Window `json:"last_10s"`
