--- a/control/admission.go
+++ b/control/admission.go
@@ -29,6 +29,7 @@
 	d.inFlight[key]++
 	d.mu.Unlock()
 	c.AtMS = d.nowMS()
+	d.demand.arrived(c, running)
 	if running || !d.judgeAndReserve(c).Refuse {
 		return nil
 	}
@@ -41,6 +42,7 @@
 		return nil
 	}
 	d.submitted(c)
+	c.refusalCode = v.Code()
 	e := refusal.New(refusal.Overloaded, "hand it in again later", "%s", v.Reason())
 	e.RetryAfter = d.retryAfter(c, &v)
 	return e
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -66,6 +66,7 @@
 	health        *dispatch.Health
 	waits         *waitStarts
 	advice        *adviceRequester
+	demand        *demandFeed
 	lastCopies    time.Time      // last check for runs that need a copy
 	lastRegroup   time.Time      // last regrouping of served tasks
 	inFlight      map[string]int // submissions being committed, by host and path
@@ -83,6 +84,7 @@
 	if r.set.Control.Contention.Waitlist {
 		d.refused = newRefusedJobs()
 	}
+	d.demand = newDemandFeed(r)
 	d.reset(0)
 	return d
 }
@@ -118,6 +120,7 @@
 	if fresh {
 		d.trackHolders()
 		d.restoreLessons()
+		d.demand.begin()
 	}
 	return true
 }
@@ -154,6 +157,7 @@
 			if d.leads() {
 				d.forget()
 			}
+			d.demand.update()
 		case <-due.C:
 			d.dispatch()
 		case <-d.wakeup:
--- a/control/waitlist_test.go
+++ b/control/waitlist_test.go
@@ -78,7 +78,7 @@
 	return v
 }
 
-func render(id, tasks int) SubmitJob {
+func renderJob(id, tasks int) SubmitJob {
 	return SubmitJob{Host: "a.example", Path: fmt.Sprintf("/renders/%016x", id), Spec: jobs.Spec{Steps: []jobs.Step{
 		{Count: tasks, Need: resource.Vector{MilliCPU: 1000}, EstimateMS: renderMS, Fills: true, Image: "x"}}}}
 }
@@ -143,7 +143,7 @@
 
 // refusedNow returns what the dispatcher would decide, without an effect.
 func (x *site) refusedNow(id, tasks int) dispatch.Verdict {
-	c := render(id, tasks)
+	c := renderJob(id, tasks)
 	return x.d.judge(&c)
 }
 
@@ -196,7 +196,7 @@
 		}
 	}
 	v := x.refusedNow(id, c.tasks)
-	wait := x.submit(render(id, c.tasks))
+	wait := x.submit(renderJob(id, c.tasks))
 	if wait == 0 {
 		c.done, c.taken = true, now
 		if len(overtaken) > 0 {
@@ -390,7 +390,7 @@
 func TestRemovedQueueDropsItsEntries(t *testing.T) {
 	inSite(t, func(t *testing.T, x *site) {
 		for i := range 12 {
-			x.submit(render(i+1, 20))
+			x.submit(renderJob(i+1, 20))
 		}
 		before := x.d.refused.list.Len()
 		next := listQueues
