control: Give the simulated site of the waitlist tests a node

Admission now also records the queue's demand, which asks the node whether it leads. They get one that is not running; its replica does not lead, so nothing is recorded.

go test -race of the tests in control/waitlist_test.go passes.

--- a/control/waitlist_test.go
+++ b/control/waitlist_test.go
@@ -11,6 +11,7 @@
 	"github.com/waxwinghaven/waxwinghaven/dispatch"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/queues"
+	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/resource"
 )
@@ -56,7 +57,9 @@
 }
 
 func newSite(t *testing.T) *site {
-	x := &site{t: t, d: newDispatcher(newBareReplica(t))}
+	r := newBareReplica(t)
+	r.node = newIdleNode(t, r.machine)
+	x := &site{t: t, d: newDispatcher(r)}
 	x.d.refused = newRefusedJobs()
 	x.apply(JobCommand{Put: &PutConfig{Config: listQueues}})
 	for _, id := range []string{"w1", "w2"} {
@@ -65,6 +68,22 @@
 	return x
 }
 
+// newIdleNode returns a node that can be bootstrapped as the only voter and run. Until then it
+// does not lead.
+func newIdleNode(t *testing.T, m *Machine) *quorum.Node {
+	t.Helper()
+	disk, err := quorum.OpenDisk(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { disk.Close() })
+	n, err := quorum.NewNode(quorum.Options{Disk: disk, Machine: m, TickEvery: siteTick, SnapshotEntries: 1 << 30})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 func (x *site) apply(c JobCommand) any {
 	x.t.Helper()
 	x.index++
