control: Void the list of an earlier term before each decision

admit looked for a new leadership only when the call arrived. A replica that was elected again while it asked a majority to confirm it made the second decision, the one that refuses, with the list of its earlier term. It could refuse a job for callers that the earlier term had refused. judge now looks each time, also with the switch on only.

--- a/control/admission.go
+++ b/control/admission.go
@@ -15,9 +15,6 @@
 // Only a refusal needs the confirmation of a majority. An accepted job is committed, which
 // confirms the leadership too and saves the other callers a round trip.
 func (d *dispatcher) admit(c *SubmitJob) error {
-	if d.refused != nil {
-		d.leads() // the places of an earlier leadership are void
-	}
 	return d.admitConfirmed(c, d.r.confirmedLeader)
 }
 
@@ -114,6 +111,9 @@
 
 // judge decides from this replica's state, without a majority read.
 func (d *dispatcher) judge(c *SubmitJob) (v dispatch.Verdict) {
+	if d.refused != nil {
+		d.leads() // the places of an earlier leadership are void
+	}
 	d.r.machine.Read(func(s *State) {
 		q, id := s.Queues.Config.Match(c.Host, c.Path)
 		if q == nil || s.Jobs.Jobs[id] != nil {
--- a/control/waitlist_test.go
+++ b/control/waitlist_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -72,7 +73,7 @@
 // does not lead.
 func newIdleNode(t *testing.T, m *Machine) *quorum.Node {
 	t.Helper()
-	disk, err := quorum.OpenDisk(t.TempDir())
+	disk, err := quorum.OpenDiskAs(t.TempDir(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,6 +85,28 @@
 	return n
 }
 
+// lead makes the site's node the leader.
+func (x *site) lead() {
+	x.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- x.d.r.node.Run(ctx) }()
+	x.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	if err := x.d.r.node.Bootstrap(ctx, quorum.Replica{ID: 1, Name: "r"}); err != nil {
+		x.t.Fatal(err)
+	}
+	for range 200 {
+		if x.d.leads() {
+			return
+		}
+		time.Sleep(siteTick)
+	}
+	x.t.Fatal("the node does not lead")
+}
+
 func (x *site) apply(c JobCommand) any {
 	x.t.Helper()
 	x.index++
@@ -533,6 +556,32 @@
 	})
 }
 
+// Guards against a refusal for the sake of callers that an earlier leadership of the same replica
+// refused: a new leader starts with no list, also if the leadership changes while a majority is
+// asked to confirm it.
+func TestListIsVoidOnceTheTermHasChanged(t *testing.T) {
+	inSite(t, func(t *testing.T, x *site) {
+		x.lead()
+		x.submit(standingJob("00000000000000aa", 12))
+		first, later := standingJob("0000000000000001", 10), standingJob("0000000000000002", 10)
+		if x.submit(first) == 0 {
+			t.Fatal("a job that has no room was accepted")
+		}
+		x.cancel("00000000000000aa")
+		asked := false
+		err := x.d.admitConfirmed(&later, func() error {
+			asked = true
+			x.d.mu.Lock()
+			defer x.d.mu.Unlock()
+			x.d.term = 0 // the list is of an earlier term than the node's
+			return nil
+		})
+		if !asked || err != nil {
+			t.Errorf("asked for a confirmation: %v; refused for an earlier leadership's list: %v", asked, err)
+		}
+	})
+}
+
 // Guards against a list that exists although its switch is off.
 func TestWaitlistIsOffByDefault(t *testing.T) {
 	r := newBareReplica(t)
