control: Least time for refused jobs that are not listed

With the waitlist on, the time until there is room may be zero: when the work ahead leaves the class of jobs in time at this moment. For a listed job it is rounded up to a second. For a call without a valid id, or whose queue was removed meanwhile, it went to refusal.Jitter, which panics for zero. It is now at least a second.

The new test panics without the change ("invalid argument to N") and passes with it.

--- a/control/admission.go
+++ b/control/admission.go
@@ -58,7 +58,8 @@
 		}
 	})
 	if retry == 0 {
-		return refusal.Jitter(v.RetryAfter)
+		// The time until there is room may be zero, and Jitter panics then.
+		return refusal.Jitter(max(v.RetryAfter, time.Second))
 	}
 	return retry
 }
--- a/control/waitlist_test.go
+++ b/control/waitlist_test.go
@@ -582,6 +582,25 @@
 	})
 }
 
+// Guards against a panic of the leader on a refusal with no time until there is room, when the
+// call names no queue or no valid id, and against a time below one second.
+func TestRefusedJobThatIsNotListedIsToldATime(t *testing.T) {
+	inSite(t, func(t *testing.T, x *site) {
+		for _, path := range []string{"/renders/no-id", "/none/0000000000000001"} {
+			c := renderJob(1, 20)
+			c.Path = path
+			for _, expected := range []time.Duration{-time.Second, 0, time.Millisecond} {
+				if wait := x.d.retryAfter(&c, &dispatch.Verdict{Refuse: true, RetryAfter: expected}); wait < time.Second || wait > 2*time.Second {
+					t.Errorf("%s: told %v for %v", path, wait, expected)
+				}
+			}
+		}
+		if n := x.d.refused.list.Len(); n != 0 {
+			t.Errorf("%d entries", n)
+		}
+	})
+}
+
 // Guards against a list that exists although its switch is off.
 func TestWaitlistIsOffByDefault(t *testing.T) {
 	r := newBareReplica(t)
