control: Don't list a job that another call has submitted

A refusal is listed after the call has been released from the calls in flight. If another call for the same id is accepted and committed in between, the entry was added after admitted had looked for it. It stayed until its time had passed, up to 62 s, and the job's work counted twice, as accepted and as listed. A known job is no longer listed. The doc comment of retryAfter said that jobs which are too large are not listed; they are, with no work.

The new test fails without the change (1 entry) and passes with it.

--- a/control/admission.go
+++ b/control/admission.go
@@ -45,15 +45,15 @@
 	return e
 }
 
-// retryAfter returns when the caller of a refused job is to return, and lists the job. Jobs for
-// which no capacity would be enough are not listed.
+// retryAfter returns when the caller of a refused job is to return, and lists the job. Jobs that
+// wait for an operator are not listed, nor those that another call has submitted meanwhile.
 func (d *dispatcher) retryAfter(c *SubmitJob, v *dispatch.Verdict) time.Duration {
 	if d.refused == nil || v.NoAdvisor || v.OutOfService {
 		return refusal.Jitter(v.RetryAfter)
 	}
 	retry := time.Duration(0)
 	d.r.machine.Read(func(s *State) {
-		if q, id := s.Queues.Config.Match(c.Host, c.Path); q != nil && jobs.ValidID(id) {
+		if q, id := s.Queues.Config.Match(c.Host, c.Path); q != nil && jobs.ValidID(id) && s.Jobs.Jobs[id] == nil {
 			retry = d.refused.refuse(c, q, id, v, time.Now())
 		}
 	})
--- a/control/waitlist_test.go
+++ b/control/waitlist_test.go
@@ -601,6 +601,21 @@
 	})
 }
 
+// Guards against a place for a job that another call submitted after it was refused: its work
+// would count twice until the place lapses.
+func TestKnownJobIsNotListed(t *testing.T) {
+	inSite(t, func(t *testing.T, x *site) {
+		c := renderJob(1, 20)
+		if x.submit(c) != 0 {
+			t.Fatal("a job that fits was refused")
+		}
+		x.d.retryAfter(&c, &dispatch.Verdict{Refuse: true, RetryAfter: time.Second})
+		if n := x.d.refused.list.Len(); n != 0 {
+			t.Errorf("%d entries", n)
+		}
+	})
+}
+
 // Guards against a list that exists although its switch is off.
 func TestWaitlistIsOffByDefault(t *testing.T) {
 	r := newBareReplica(t)
