--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -36,7 +36,8 @@
 	Host string    `msgpack:"h"`
 	Path string    `msgpack:"p"`
 	Spec jobs.Spec `msgpack:"s"`
-	// AtMS is when the leader received the call, in milliseconds since 1970, set by the leader.
+	// AtMS is when the leader received the call, or first refused the job if it kept its place since
+	// then, in milliseconds since 1970, set by the leader.
 	AtMS int64 `msgpack:"a,omitempty"`
 
 	// reserved is the capacity of the service, in thousandths of a processor, that the leader
--- a/control/operator_jobs.go
+++ b/control/operator_jobs.go
@@ -25,7 +25,7 @@
 	ID       string `json:"id"`
 	Queue    string `json:"queue"` // host and prefix
 	Phase    string `json:"phase"`
-	Accepted int64  `json:"accepted_ms"` // since 1970
+	Accepted int64  `json:"accepted_ms"` // since 1970; see jobs.Job.AcceptedAt
 	Tasks    int    `json:"tasks"`
 	Done     int    `json:"done"`
 	Placed   int    `json:"placed"`
--- a/control/waitlist.go
+++ b/control/waitlist.go
@@ -73,14 +73,14 @@
 	defer x.mu.Unlock()
 	x.retain(in.Config)
 	x.list.Expire(now)
-	key, rivals := listKey(q, kind), rivalKeys(in.Config, q, kind)
+	key, competing := listKey(q, kind), competingKeys(in.Config, q, kind)
 	if since, listed := x.list.Since(key, id); listed {
 		in.Place = in.NowMS - now.Sub(since).Milliseconds()
 	}
 	in.Listed = func(within time.Duration) float64 {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		return x.list.AheadWithin(rivals, key, id, now, within)
+		return x.list.AheadWithin(competing, key, id, now, within)
 	}
 	in.Rate = func(available float64) float64 {
 		x.mu.Lock()
@@ -89,9 +89,9 @@
 	}
 }
 
-// rivalKeys returns the list's keys of the queues whose jobs are served before those of a queue,
+// competingKeys returns the list's keys of the queues whose jobs are served before those of a queue,
 // or in turn with them.
-func rivalKeys(c *queues.Config, q *queues.Queue, kind dispatch.Kind) (keys []string) {
+func competingKeys(c *queues.Config, q *queues.Queue, kind dispatch.Kind) (keys []string) {
 	for i := range c.Queues {
 		if other := &c.Queues[i]; other.Service == q.Service && other.Priority <= q.Priority {
 			keys = append(keys, listKey(other, kind))
