control: Test the limit of the list where it is reached

TestFloodOfFreshIDs checked the limit of 512 entries once all callers were done and the list was empty; at most 239 entries were listed at a time, so the check could not fail. TestListIsBounded refuses more jobs than the limit and checks the number of entries at that time, which is stricter.

With the limit removed from waitlist/list.go the new test fails and the old check passes.

--- a/control/waitlist_test.go
+++ b/control/waitlist_test.go
@@ -365,7 +365,7 @@
 	})
 }
 
-// Guards against a flood of fresh ids that keeps processors idle, fills the table, or takes the
+// Guards against a flood of fresh ids that keeps processors idle, or takes the
 // place of callers that return.
 func TestFloodOfFreshIDs(t *testing.T) {
 	inSite(t, func(t *testing.T, x *site) {
@@ -384,8 +384,20 @@
 		if took-x.busy > 6*time.Second {
 			t.Errorf("of %v, %v were busy", took, x.busy)
 		}
-		if n := x.d.refused.list.Len(); n > maxListed {
-			t.Errorf("%d entries", n)
+	})
+}
+
+// Guards against a table that grows with the refusals, and against one without room for a burst.
+func TestListIsBounded(t *testing.T) {
+	inSite(t, func(t *testing.T, x *site) {
+		refused := 0
+		for i := range maxListed + 100 {
+			if x.submit(renderJob(i+1, 20)) != 0 {
+				refused++
+			}
+		}
+		if n := x.d.refused.list.Len(); refused <= maxListed || n != maxListed {
+			t.Errorf("%d entries for %d refused jobs", n, refused)
 		}
 	})
 }
