control: A job isn't refused while another submission of it is in flight

Cause: a submission of a job that has one in flight passes unjudged. If the first one was waiting for the confirmation of a majority, it was refused all the same: a 429, which says that the job never runs, went out for a job that was being committed. It needs a caller that submits again within a round trip, and is there with every switch off.

Change: a refusal first withdraws the only submission in flight; if there is another one, the call is committed too, which is idempotent.

--- a/control/admission.go
+++ b/control/admission.go
@@ -35,16 +35,28 @@
 		return err
 	}
 	v := d.judgeAndReserve(c)
-	if !v.Refuse {
+	if !v.Refuse || !d.withdraw(key) {
 		return nil
 	}
-	d.submitted(c)
 	c.refusalCode = v.Code()
 	e := refusal.New(refusal.Overloaded, "hand it in again later", "%s", v.Reason())
 	e.RetryAfter = d.retryAfter(c, &v)
 	return e
 }
 
+// withdraw ends the only submission of a job, so that it can be refused. It returns false if
+// another submission is in flight: that one was not judged because of this one, so it is committed,
+// and a refusal of this one would say that the job never runs.
+func (d *dispatcher) withdraw(key string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.inFlight[key] > 1 {
+		return false
+	}
+	delete(d.inFlight, key)
+	return true
+}
+
 // retryAfter returns when the caller of a refused job is to return, and lists the job. Jobs that
 // wait for an operator are not listed, nor those that another call has submitted meanwhile.
 func (d *dispatcher) retryAfter(c *SubmitJob, v *dispatch.Verdict) time.Duration {
--- a/control/admission_test.go
+++ b/control/admission_test.go
@@ -146,3 +146,29 @@
 		t.Fatalf("after the job was forgotten: %+v", plan)
 	}
 }
+
+// Guards against a refusal of a job that runs. A caller submits a job again while its first
+// submission waits for the confirmation of a majority; the second passes, since the first is in
+// flight, and is committed. The first must not be refused then, nor may the second if the first
+// was refused before it arrived.
+func TestSubmissionIsNotRefusedBesideOneThatPassed(t *testing.T) {
+	inSite(t, func(t *testing.T, x *site) {
+		x.submit(standingJob("00000000000000aa", 12))
+		first := standingJob("0000000000000001", 10)
+		second := first
+		err := x.d.admitConfirmed(&first, func() error {
+			if err := x.d.admitConfirmed(&second, func() error { return nil }); err != nil {
+				t.Errorf("a submission beside one in flight is refused: %v", err)
+			}
+			return nil
+		})
+		if err != nil {
+			t.Errorf("refused although another submission of the job is being committed: %v", err)
+		}
+		x.d.submitted(&second)
+		x.d.submitted(&first)
+		if n := len(x.d.inFlight); n != 0 {
+			t.Errorf("%d submissions are still in flight", n)
+		}
+	})
+}
