--- a/settings/settings.go
+++ b/settings/settings.go
@@ -125,14 +125,9 @@
 
 // Contention switches on the decisions that apply when a service has more work than capacity.
 type Contention struct {
-	// FeasibleFirst serves the jobs of an overloaded queue so that as many as possible meet
-	// their objective, instead of strictly by due time.
-	FeasibleFirst bool `toml:"feasible_first"`
 	// Waitlist keeps the place of refused jobs, so that they are admitted before jobs that were
 	// submitted later.
 	Waitlist bool `toml:"waitlist"`
-	// LeaveSlowWorkers moves standing tasks away from workers that are slower than their peers.
-	LeaveSlowWorkers bool `toml:"leave_slow_workers"`
 }
 
 // LossTolerance returns the number of control replicas that may fail simultaneously: as given,
