quorum: A failed write before a compaction ends the replica

If that write failed, or the replica was stopped while the disk was full, it returned with applyPaused still set. On its way out Run then waited in discardEncoding for a second result that never comes: the replica neither ended nor answered its callers. Only with control.concurrent_sync.

Change: applyPaused is cleared as soon as the result has arrived.

Measured: TestFailedWriteBeforeACompactionEndsTheReplica ended in a deadlock before the change and passes in all modes after it; its mutation is red.

--- a/quorum/concurrent_test.go
+++ b/quorum/concurrent_test.go
@@ -475,3 +475,63 @@
 		})
 	}
 }
+
+// slowEncoder is a machine whose encoding of the state takes a time and calls begun first.
+type slowEncoder struct {
+	counter
+	begun func()
+}
+
+func (m *slowEncoder) Snapshot() ([]byte, error) {
+	m.begun()
+	time.Sleep(10 * time.Millisecond)
+	return m.counter.Snapshot()
+}
+
+// A write fails while the loop waits for it in order to save an encoded snapshot. Run must then
+// return; it would otherwise wait forever for a second result of the encoding, and a replica
+// with a broken disk would neither end nor answer its callers.
+func TestFailedWriteBeforeACompactionEndsTheReplica(t *testing.T) {
+	for _, failure := range []error{unix.EIO, unix.ENOSPC} {
+		synctest.Test(t, func(t *testing.T) { failBeforeACompaction(t, failure) })
+	}
+}
+
+func failBeforeACompaction(t *testing.T, failure error) {
+	disk := slowDisk(t, t.TempDir(), 1, 0)
+	defer disk.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var failing atomic.Bool
+	write := disk.write
+	disk.write = func(f *os.File, b []byte) (int, error) {
+		if failing.Load() {
+			time.Sleep(50 * time.Millisecond)
+			return 0, failure
+		}
+		return write(f, b)
+	}
+	machine := &slowEncoder{}
+	n, err := NewNode(Options{Disk: disk, Machine: machine, Sender: busSender{&bus{}, 0}, TickEvery: 30 * time.Millisecond,
+		SnapshotEntries: 3, ConcurrentSync: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	machine.begun = func() {
+		failing.Store(true)
+		go n.Propose(ctx, []byte("under way"))
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	if err := n.Bootstrap(ctx, Replica{ID: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := n.Propose(ctx, []byte("first")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	cancel()
+	if err := <-ended; (err != nil) != errors.Is(failure, unix.EIO) {
+		t.Errorf("disk error %v: Run returned %v", failure, err)
+	}
+}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -540,10 +540,10 @@
 // finishSnapshot replaces the applied part of the log with an encoded snapshot. It starts a new log
 // file, so the write under way must have ended.
 func (n *Node) finishSnapshot(s encodedSnapshot) error {
+	n.core.applyPaused = false // the result is here; discardEncoding must not wait for another one
 	if err := n.awaitWrite(); err != nil {
 		return err
 	}
-	n.core.applyPaused = false
 	if s.err != nil {
 		return Error.Wrap(s.err)
 	}
