--- a/quorum/replicate.go
+++ b/quorum/replicate.go
@@ -167,9 +167,9 @@
 		c.partial.Data = append(c.partial.Data, ch.Data...)
 	}
 	if len(c.partial.Data) == ch.Size {
-		if t, ok := c.log.term(ch.Index); c.concurrent && ok && t == ch.Term {
+		if t, ok := c.log.term(ch.Index); ok && t == ch.Term {
 			// The log already holds what the snapshot covers. Replacing it would drop later entries
-			// that are being written or whose acknowledgement is still on its way to the leader.
+			// that this replica has acknowledged or, when it saves concurrently, is still writing.
 			c.partial = nil
 			c.log.commitTo(ch.Index)
 		} else {
--- a/quorum/safety_test.go
+++ b/quorum/safety_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"testing"
 )
 
@@ -345,3 +346,37 @@
 		t.Fatal("a replica that is no seed formed a set")
 	}
 }
+
+// The leader sends a snapshot because acknowledgements are late, and the follower's log holds the
+// snapshot's last entry and more. If the snapshot replaced the log, entries that the follower has
+// acknowledged would be lost, and an entry that the leader committed with its copy could be replaced.
+func TestLateSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	cfg := Config{Voters: voterSet(1, 2, 3)}
+	entries := []Entry{{Index: 1, Term: 1, Kind: EntryConfig, Data: encodeConfig(cfg)}, {Index: 2, Term: 2, Kind: EntryNoop}}
+	c := NewCore(1, HardState{Term: 2, Vote: 2, Commit: 2}, Snapshot{}, entries, rand.New(rand.NewSource(1)))
+	c.Step(appendFrom(2, 2, 2, 2, 2, 2))
+	if rd := c.Ready(); len(rd.Entries) != 2 || !slices.Equal(acks(rd.Messages), []uint64{4}) {
+		t.Fatalf("the append: %+v", rd)
+	}
+	c.Persisted(4, 2)
+	c.Step(Message{Kind: MsgChunk, From: 2, To: 1, Term: 2, Chunk: &Chunk{Index: 3, Term: 2, Config: cfg, Size: 1, Data: []byte{1}}})
+	rd := c.Ready()
+	if rd.Snapshot != nil || c.log.last() != 4 || c.persisted != 4 {
+		t.Fatalf("the snapshot replaces the log: last index %d, synced up to %d, %+v", c.log.last(), c.persisted, rd)
+	}
+	if got := acks(rd.Messages); !slices.Equal(got, []uint64{3}) || c.log.committed != 3 || c.log.applied != 3 {
+		t.Fatalf("acknowledged %v, committed %d, applied %d", got, c.log.committed, c.log.applied)
+	}
+}
+
+// A snapshot replaces a log whose entry at the snapshot's index is of another term: the entries
+// behind it conflict with the leader's, too.
+func TestSnapshotReplacesAConflictingLog(t *testing.T) {
+	cfg := Config{Voters: voterSet(1, 2, 3)}
+	entries := []Entry{{Index: 1, Term: 1, Kind: EntryConfig, Data: encodeConfig(cfg)}, {Index: 2, Term: 2}, {Index: 3, Term: 2}}
+	c := NewCore(1, HardState{Term: 3, Commit: 1}, Snapshot{}, entries, rand.New(rand.NewSource(1)))
+	c.Step(Message{Kind: MsgChunk, From: 2, To: 1, Term: 3, Chunk: &Chunk{Index: 2, Term: 3, Config: cfg, Size: 1, Data: []byte{1}}})
+	if rd := c.Ready(); rd.Snapshot == nil || c.log.last() != 2 || c.log.lastTerm() != 3 {
+		t.Fatalf("last index %d of term %d, %+v", c.log.last(), c.log.lastTerm(), rd)
+	}
+}
