quorum: A stalled disk ends the leadership with concurrent syncs; a log after a full disk

(2) A log that was opened at a restart was not in append mode. When a write failed on a full disk, the part that had been written was cut off, and the next record left a gap: the following start refused the log as damaged. That one is there without the switch.

Change: (1) Once a write lasts longer than an election timeout the core waits for it, so the replica is silent and is replaced. (2) The log is opened in append mode.

--- a/quorum/concurrent_test.go
+++ b/quorum/concurrent_test.go
@@ -535,3 +535,34 @@
 		t.Errorf("disk error %v: Run returned %v", failure, err)
 	}
 }
+
+// A disk stalls without an error. The replica must stop sending heartbeats or answering them, as it
+// does when it saves in the loop: a leader with such a disk applies nothing and a follower
+// acknowledges nothing, and they are replaced only if the others lose contact with them.
+func TestStalledDiskStopsAReplica(t *testing.T) {
+	_, l := settledNetwork(t, 3)
+	leader, follower := l.core, concurrentFollower()
+	leader.SaveConcurrently()
+	leader.Propose([]byte("a"))
+	follower.Step(appendFrom(2, 2, 2, 2, 2))
+	for _, c := range []*Core{leader, follower} {
+		if rd := c.Ready(); !rd.Concurrent {
+			t.Fatalf("replica %d: no concurrent write: %+v", c.id, rd)
+		}
+		for range maxConcurrentTicks {
+			c.Tick()
+			if rd := c.Ready(); rd.Wait {
+				t.Fatalf("replica %d waits after %d ticks", c.id, c.now-c.writeStart)
+			}
+		}
+		c.Tick()
+		if rd := c.Ready(); !rd.Wait || len(rd.Early)+len(rd.Messages) > 0 {
+			t.Fatalf("replica %d goes on during a stalled write: %+v", c.id, rd)
+		}
+		last := c.log.last()
+		c.Persisted(last, c.log.lastTerm())
+		if rd := c.Ready(); rd.Wait || c.persisted != last {
+			t.Fatalf("replica %d does not go on after the write: %+v", c.id, rd)
+		}
+	}
+}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -23,6 +23,10 @@
 	// removed. It is longer than a restart or a short network cut, so that a learner is not
 	// removed and added again repeatedly.
 	learnerExpiryTicks = 10 * UnresponsiveTicks
+	// maxConcurrentTicks is how long a write may overlap with messages; then the core waits for it.
+	// A disk that neither completes nor fails a write makes a leader apply nothing and a follower
+	// acknowledge nothing. If they went on exchanging heartbeats, neither would be replaced.
+	maxConcurrentTicks = ElectionTicks
 
 	// maxAppendBytes limits one append and chunkBytes one part of a snapshot. 256 KiB takes 10 ms
 	// on a link of 200 Mbit/s and less than half a second on one of 5 Mbit/s.
@@ -68,6 +72,7 @@
 	saved          HardState
 	concurrent     bool      // see SaveConcurrently
 	writing        bool      // a Ready with Concurrent was returned and Persisted not called yet
+	writeStart     uint64    // tick at which that Ready was returned
 	unsynced       []Message // acknowledgements of entries that are not on disk yet
 	snapshot       *Snapshot
 	early          []Message
@@ -334,7 +339,7 @@
 
 // Ready returns the driver's next work. Each item is returned once.
 func (c *Core) Ready() Ready {
-	if c.writing && c.needsOrderedSave() {
+	if c.writing && (c.needsOrderedSave() || c.now-c.writeStart > maxConcurrentTicks) {
 		return Ready{Wait: true}
 	}
 	if c.role == Leader {
@@ -355,7 +360,7 @@
 		rd.Entries = c.log.slice(c.log.handedOut+1, int(^uint(0)>>1))
 		c.log.handedOut = c.log.last()
 		rd.Concurrent = c.concurrent && rd.Snapshot == nil && !c.needsOrderedSave()
-		c.writing = rd.Concurrent
+		c.writing, c.writeStart = rd.Concurrent, c.now
 	}
 	if to := c.applicable(); c.log.applied < to && !c.applyPaused {
 		lo := c.log.applied - c.log.base
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -192,7 +192,9 @@
 	if _, err := fmt.Sscanf(strings.TrimPrefix(filepath.Base(path), walPrefix), "%016x", &d.gen); err != nil {
 		return damaged(path, 0)
 	}
-	f, err := os.OpenFile(path, os.O_RDWR, 0o600)
+	// In append mode the next record follows the last one also after Save has truncated a part of
+	// a record; otherwise the file offset would stay behind the new end and leave a gap.
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_APPEND, 0o600)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -214,9 +216,6 @@
 	if err := f.Truncate(good); err != nil {
 		return Error.Wrap(err)
 	}
-	if _, err := f.Seek(good, io.SeekStart); err != nil {
-		return Error.Wrap(err)
-	}
 	if err := f.Sync(); err != nil {
 		return Error.Wrap(err)
 	}
--- a/quorum/disk_test.go
+++ b/quorum/disk_test.go
@@ -1,10 +1,13 @@
 package quorum
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 func openDisk(t *testing.T, dir string) *Disk {
@@ -182,3 +185,28 @@
 		}
 	})
 }
+
+// Guards against a log that can't be read after the disk was full: a part of a record is written
+// after a restart and cut off again, and the next record must follow the one before it. If it
+// follows the part that was cut off, the gap is taken for damage at the next start.
+func TestLogIsReadableAfterAFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	d := openDisk(t, dir)
+	save(t, d, 2, 1, 3)
+	d.Close()
+	d = openDisk(t, dir)
+	write := d.write
+	d.write = func(f *os.File, b []byte) (int, error) {
+		n, _ := f.Write(b[:len(b)/2])
+		return n, unix.ENOSPC
+	}
+	if err := d.Save(nil, []Entry{{Index: 4, Term: 2, Kind: EntryCommand, Data: []byte("lost")}}); !errors.Is(err, ErrDiskFull) {
+		t.Fatalf("a write on a full disk: %v", err)
+	}
+	d.write = write
+	save(t, d, 2, 4, 5)
+	d.Close()
+	if st := openDisk(t, dir).Stored(); len(st.Entries) != 5 || string(st.Entries[3].Data) != "data" {
+		t.Errorf("read back: %+v", st)
+	}
+}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -375,7 +375,7 @@
 }
 
 // stopWriter waits for the write under way, so that the disk may be closed, and returns its error.
-// A full disk is none: nothing was saved and nothing acknowledged.
+// A full disk is not reported as an error: nothing was saved and nothing acknowledged.
 func (n *Node) stopWriter() error {
 	close(n.writes)
 	if !n.core.writing {
