proof: The soak and the simulation run with the optional parts for half of the seeds

Concurrent syncs of the log and the waitlist are on for two of four seeds, crossed with the orders that the leader hands out itself.

--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -45,8 +45,9 @@
 	dir    string
 	ctx    context.Context
 
-	noDelays  bool // workers carry out all calls without delay
-	ownAgents int  // number of agents that ask the leader for orders; the others ask followers
+	noDelays  bool   // workers carry out all calls without delay
+	ownAgents int    // number of agents that ask the leader for orders; the others ask followers
+	optional  string // settings of the replicas, see optionalParts
 	started   time.Time
 	formed    bool // the replica set has formed: an empty disk is a lost one
 	log       []string
@@ -127,9 +128,18 @@
 	return set
 }
 
+// optionalParts returns the keys of the control's settings that switch on the parts that are off by
+// default, for two of four seeds: for one that leaves all orders to the leader and one that doesn't.
+func optionalParts(seed int64) string {
+	if seed%4 >= 2 {
+		return ""
+	}
+	return "concurrent_sync = true\n[control.contention]\nwaitlist = true\n"
+}
+
 func (s *simulation) startReplica(i int) {
-	set := s.settingsOf(replicaIP(i), fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"50ms\"\nlease = \"5s\"\nsnapshot_entries = 200\nform_from_seeds = %v\nown_agents = %d",
-		s.dataFolder(i), !s.formed, s.ownAgents))
+	set := s.settingsOf(replicaIP(i), fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"50ms\"\nlease = \"5s\"\nsnapshot_entries = 200\nform_from_seeds = %v\nown_agents = %d\n%s",
+		s.dataFolder(i), !s.formed, s.ownAgents, s.optional))
 	r, err := control.New(set)
 	if err != nil {
 		s.t.Errorf("replica %d does not start: %v", i, err)
@@ -220,7 +230,7 @@
 const fullCapacity = 12_000
 
 func newSimulation(t *testing.T, ctx context.Context, seed int64, workers int, noDelays bool) *simulation {
-	s := &simulation{t: t, noDelays: noDelays, ownAgents: int(seed % 2 * fuzzWorkers), rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), synced: newSyncedFiles(t), dir: t.TempDir(), ctx: ctx, started: time.Now(), jobs: make(map[string]*submitted), dataCentres: make(map[string]*fuzzDataCentre)}
+	s := &simulation{t: t, noDelays: noDelays, ownAgents: int(seed % 2 * fuzzWorkers), optional: optionalParts(seed), rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), synced: newSyncedFiles(t), dir: t.TempDir(), ctx: ctx, started: time.Now(), jobs: make(map[string]*submitted), dataCentres: make(map[string]*fuzzDataCentre)}
 	transport.SetNetwork(s.net)
 	quorum.ObserveSyncs(s.synced)
 	for i := range s.replicas {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -169,8 +169,8 @@
 
 func (s *soak) addControl(bin string, i int) {
 	name := fmt.Sprint("control-", i)
-	roles := fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"30ms\"\nlease = %q\nform_from_seeds = true\nbear_losses = %d\nown_agents = %d\n",
-		filepath.Join(s.dir, "data-"+name), soakLease.String(), (*soakControls-1)/2, s.seed%2*int64(*soakAgents))
+	roles := fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"30ms\"\nlease = %q\nform_from_seeds = true\nbear_losses = %d\nown_agents = %d\n%s",
+		filepath.Join(s.dir, "data-"+name), soakLease.String(), (*soakControls-1)/2, s.seed%2*int64(*soakAgents), optionalParts(s.seed))
 	p, err := newSoakProcess(bin, s.dir, name, soakSettings(name, s.address(10+i), s.seeds(), roles))
 	s.must(err)
 	if *soakSlowDisks {
