learned: The leader's models of costs, headrooms and durations

Cause: package control has some 60 files in one folder. The models of interference costs, headrooms and task durations depend on nothing of it but the lease request that carries readings.

Change: control/costs.go, headroom.go, pairs.go and durationmodel.go move to package learned with their tests. The part of control/lessons.go that selects changed lessons reads the models' private state and moves too; committing and restoring lessons stays in control. Reading and PairCost keep their fields and msgpack tags; control's messages and runner import them. Costs.Observe takes a Report in place of control's LeaseRequest. TestLessonsOutliveALossOfAllPower uses the exported functions in place of private fields, with the same values and bounds.

Measured: go test ./learned ./control ./dispatch ./proof ./runner pass; vet, staticcheck and gofmt report nothing; the moved mutation is red.

--- a/control/demandfeed.go
+++ b/control/demandfeed.go
@@ -355,5 +355,5 @@
 // forecastInput returns the input for an explanation. Unlike that of a decision it has no costs,
 // tickets and reservations.
 func (d *dispatcher) forecastInput(s *State) dispatch.Input {
-	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, DataCentres: s.DataCentres, NowMS: d.nowMS(), Estimates: d.durationModel.estimates(), Leaving: s.Waves.Leaving(), Disabled: d.r.without}
+	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, DataCentres: s.DataCentres, NowMS: d.nowMS(), Estimates: d.durationModel.Estimates(), Leaving: s.Waves.Leaving(), Disabled: d.r.without}
 }
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/waxwinghaven/waxwinghaven/advice"
 	"github.com/waxwinghaven/waxwinghaven/dispatch"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/learned"
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 )
@@ -60,9 +61,9 @@
 	openSince     map[string]time.Time        // since when a service has had a worker that accepts tasks
 	stalledAt     map[jobs.Stop]time.Time     // when last reported
 	stuckAt       map[jobs.Stop]time.Time     // when last reported
-	costs         *costs
-	durationModel *durationModel
-	lessonWriter  *lessonWriter
+	costs         *learned.Costs
+	durationModel *learned.DurationModel
+	lessonWriter  *learned.LessonWriter
 	health        *dispatch.Health
 	waits         *waitStarts
 	advice        *adviceRequester
@@ -79,7 +80,7 @@
 }
 
 func newDispatcher(r *Replica) *dispatcher {
-	d := &dispatcher{r: r, wakeup: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), costs: newCosts(r.without), durationModel: newDurationModel(), lessonWriter: newLessonWriter(), health: dispatch.NewHealth(), waits: newWaitStarts(), inFlight: make(map[string]int), reserved: make(map[string]int64)}
+	d := &dispatcher{r: r, wakeup: make(chan struct{}, 1), watchers: make(map[string]chan struct{}), costs: learned.NewCosts(r.without), durationModel: learned.NewDurationModel(), lessonWriter: learned.NewLessonWriter(), health: dispatch.NewHealth(), waits: newWaitStarts(), inFlight: make(map[string]int), reserved: make(map[string]int64)}
 	d.advice = newAdviceRequester(d)
 	if r.set.Control.Contention.Waitlist {
 		d.refused = newRefusedJobs()
@@ -242,7 +243,7 @@
 
 // input returns the input of a dispatch decision.
 func (d *dispatcher) input(s *State) dispatch.Input {
-	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, DataCentres: s.DataCentres, NowMS: d.nowMS(), Costs: d.costs.at(time.Now()), Estimates: d.durationModel.estimates(),
+	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, DataCentres: s.DataCentres, NowMS: d.nowMS(), Costs: d.costs.At(time.Now()), Estimates: d.durationModel.Estimates(),
 		Ticket: d.advice.ticket, Leaving: s.Waves.Leaving(), Reserved: d.reservedCPU(), Disabled: d.r.without}
 }
 
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/learned"
 	"github.com/waxwinghaven/waxwinghaven/lease"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
@@ -264,7 +265,7 @@
 		return LeaseAnswer{}, err
 	}
 	r.dispatcher.recordGrant(&req)
-	costs, pairs := r.dispatcher.costs.observe(&req, time.Now())
+	costs, pairs := r.dispatcher.costs.Observe(learned.Report{Worker: req.Worker, Readings: req.Readings, KnownPairs: req.KnownPairs, PairsSeen: req.PairsSeen}, time.Now())
 	view := r.node.View()
 	a := LeaseAnswer{TermMS: r.set.Control.Lease.Milliseconds(), Replicas: r.replicaAddresses(),
 		Costs: costs, Pairs: pairs, Leader: view.Term, NowMS: r.dispatcher.nowMS()}
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/learned"
 	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/upkeep"
 )
@@ -129,11 +130,11 @@
 	WorkerRef
 	// WallMS is the agent's wall clock, in milliseconds since 1970. The leader takes the median
 	// of many, so that a single clock that jumps does not move due times.
-	WallMS   int64     `msgpack:"c"`
-	Readings []Reading `msgpack:"r,omitempty"`
+	WallMS   int64             `msgpack:"c"`
+	Readings []learned.Reading `msgpack:"r,omitempty"`
 	// KnownPairs holds the pair costs from earlier answers. It is sent to a leader that is new to the
 	// agent and has lost what the previous one learned.
-	KnownPairs []PairCost `msgpack:"o,omitempty"`
+	KnownPairs []learned.PairCost `msgpack:"o,omitempty"`
 	// PairsSeen is the last revision of pairs received from this leader, 0 if none.
 	PairsSeen uint64 `msgpack:"p,omitempty"`
 	// Stalled holds filling runs that have been kept at a low pace for so long that they should
@@ -156,8 +157,8 @@
 	// Leader identifies the leadership.
 	Leader uint64 `msgpack:"l"`
 	// Costs holds the pairs that changed after the requested revision, up to revision Pairs.
-	Costs []PairCost `msgpack:"c,omitempty"`
-	Pairs uint64     `msgpack:"p,omitempty"`
+	Costs []learned.PairCost `msgpack:"c,omitempty"`
+	Pairs uint64             `msgpack:"p,omitempty"`
 	// Orders holds the replicas to ask for the worker's orders, in order of preference; empty for
 	// the leader itself.
 	Orders []string `msgpack:"w,omitempty"`
--- a/control/utilisation.go
+++ b/control/utilisation.go
@@ -39,6 +39,6 @@
 	logrus.WithFields(logrus.Fields{"workers": workers, "draining": draining, "serving_workers": serving, "milli_cpu": capacity,
 		"held": held, "serving": servingCPU, "filling": filling, "live_jobs": live, "waiting_steps": groups, "waiting_tasks": waitingTasks}).
 		Info("control: How full the workers are.")
-	d.costs.expire(time.Now())
-	d.costs.logPairs()
+	d.costs.Expire(time.Now())
+	d.costs.LogPairs()
 }
--- a/control/workers.go
+++ b/control/workers.go
@@ -116,11 +116,11 @@
 	expected := 0.0
 	d.r.machine.Read(func(s *State) {
 		if e.WorkMS > 0 && e.Outcome == jobs.OutcomeDone {
-			expected = d.durationModel.measured(e.Task.Group())
-			d.durationModel.record(s.Jobs, e)
+			expected = d.durationModel.Measured(e.Task.Group())
+			d.durationModel.Record(s.Jobs, e)
 		}
 		if d.refused != nil {
-			d.refused.ended(s, e, d.durationModel.measured(e.Task.Group()), time.Now())
+			d.refused.ended(s, e, d.durationModel.Measured(e.Task.Group()), time.Now())
 		}
 	})
 	d.mu.Lock()
--- a/control/costs.go
+++ b/learned/costs.go
@@ -1,4 +1,7 @@
-package control
+// Package learned holds what the leader learns while it runs: how much headroom filling work takes
+// from served images, how much headroom these have without it, and how long tasks take. Control
+// passes in readings and ends, commits the lessons, and plans with the resulting estimates.
+package learned
 
 import (
 	"fmt"
@@ -8,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/ablation"
+	"github.com/waxwinghaven/waxwinghaven/dispatch"
 	"github.com/waxwinghaven/waxwinghaven/interference"
 	"github.com/waxwinghaven/waxwinghaven/lessons"
 )
@@ -58,10 +62,22 @@
 	Seen int     `msgpack:"n"`
 }
 
-// costs is what the leader has learned about which filling image slows down which served image.
-// Estimates of pairs and images are committed periodically; the serving groups are lost when the
+// Report is the part of an agent's lease request that Costs learns from.
+type Report struct {
+	Worker   string
+	Readings []Reading
+	// KnownPairs holds the pair costs that the agent got from earlier answers, if the leader is new
+	// to it.
+	KnownPairs []PairCost
+	// PairsSeen is the last revision of pairs that the agent has received from this leader, 0 if
+	// none.
+	PairsSeen uint64
+}
+
+// Costs is what the leader has learned about which filling image slows down which served image.
+// It is safe for concurrent use. Estimates of pairs and images are committed periodically; the serving groups are lost when the
 // leadership changes.
-type costs struct {
+type Costs struct {
 	mu        sync.Mutex
 	pressures *interference.Pressures
 	log       pairLog
@@ -69,21 +85,22 @@
 	headrooms
 }
 
-func newCosts(without ablation.Set) *costs {
-	return &costs{without: without, pressures: interference.NewPressures(), log: newPairLog(), headrooms: newHeadrooms(without)}
+// NewCosts returns a model that knows no pairs or images yet.
+func NewCosts(without ablation.Set) *Costs {
+	return &Costs{without: without, pressures: interference.NewPressures(), log: newPairLog(), headrooms: newHeadrooms(without)}
 }
 
-// observe learns from the readings in a lease request. It returns the pairs that have changed
+// Observe learns from the readings in a report. It returns the pairs that have changed
 // since the agent's last revision, and the revision to ask from next.
-func (c *costs) observe(req *LeaseRequest, now time.Time) ([]PairCost, uint64) {
+func (c *Costs) Observe(report Report, now time.Time) ([]PairCost, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, k := range req.KnownPairs {
+	for _, k := range report.KnownPairs {
 		c.pressures.Hint(k.Serving, k.Filling, interference.Estimate{Mean: k.Cost, Var: k.Var, Seen: k.Seen})
 		c.logPair(k.Serving, k.Filling)
 	}
-	for _, r := range req.Readings {
-		c.learn(req.Worker, r, now)
+	for _, r := range report.Readings {
+		c.learn(report.Worker, r, now)
 	}
 	if c.pressures.SimilarityUpdated() {
 		c.pressures.EachPredicted(func(serving, filling string, e interference.Estimate) { c.logEstimate(serving, filling, e) })
@@ -91,7 +108,7 @@
 	if c.without.Sharing {
 		return nil, 0
 	}
-	names, next := c.log.since(req.PairsSeen)
+	names, next := c.log.since(report.PairsSeen)
 	out := make([]PairCost, 0, len(names))
 	for _, n := range names {
 		e := c.pressures.Of(n.serving, n.filling)
@@ -100,8 +117,8 @@
 	return out, next
 }
 
-// restore adopts the lessons of earlier leaders for pairs and images that are unknown here.
-func (c *costs) restore(u lessons.Update) {
+// Restore adopts the lessons of earlier leaders for pairs and images that are unknown here.
+func (c *Costs) Restore(u lessons.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range u.Pairs {
@@ -115,13 +132,13 @@
 	}
 }
 
-func (c *costs) logPair(serving, filling string) {
+func (c *Costs) logPair(serving, filling string) {
 	c.logEstimate(serving, filling, c.pressures.Of(serving, filling))
 }
 
 // logEstimate records a pair's estimate for the agents, if it was observed or is known from
 // similar images.
-func (c *costs) logEstimate(serving, filling string, e interference.Estimate) {
+func (c *Costs) logEstimate(serving, filling string, e interference.Estimate) {
 	if e.Seen > 0 || known(e) {
 		c.log.record(pairName{serving, filling}, e)
 	}
@@ -132,7 +149,7 @@
 	return e.Seen > 0 || e.Var <= knownDeviation*knownDeviation
 }
 
-func (c *costs) learn(worker string, r Reading, now time.Time) {
+func (c *Costs) learn(worker string, r Reading, now time.Time) {
 	last, over := c.record(worker, &r, now)
 	if last == nil || last.Runs != r.Runs || over < minStep || over > maxStep {
 		return
@@ -165,19 +182,19 @@
 	return out
 }
 
-// expire drops serving groups that have not been reported recently.
-func (c *costs) expire(now time.Time) {
+// Expire drops serving groups that have not been reported recently.
+func (c *Costs) Expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(now)
 }
 
-// at returns a view of the costs at the given time, for one decision.
-func (c *costs) at(now time.Time) costsAt { return costsAt{c, now, make(map[boundKey]float64)} }
+// At returns a view of the costs at the given time, for one decision.
+func (c *Costs) At(now time.Time) dispatch.Costs { return costsAt{c, now, make(map[boundKey]float64)} }
 
 // costsAt implements dispatch.Costs.
 type costsAt struct {
-	*costs
+	*Costs
 	now time.Time
 	// bounds caches the bounds for this decision: each is needed once per task and worker, and
 	// evaluates several seconds of a forecast.
@@ -229,8 +246,8 @@
 	return c.pressures.Similarity(a, b)
 }
 
-// logPairs logs the estimates of all pairs at debug level.
-func (c *costs) logPairs() {
+// LogPairs logs the estimates of all pairs at debug level.
+func (c *Costs) LogPairs() {
 	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
 		return
 	}
--- a/control/durationmodel.go
+++ b/learned/durationmodel.go
@@ -1,4 +1,4 @@
-package control
+package learned
 
 import (
 	"sync"
@@ -8,9 +8,10 @@
 	"github.com/waxwinghaven/waxwinghaven/lessons"
 )
 
-// durationModel is what the leader has learned about task durations. The statistics of queues are
-// committed periodically; those of groups are lost when the leadership changes.
-type durationModel struct {
+// DurationModel is what the leader has learned about task durations. The statistics of queues are
+// committed periodically; those of groups are lost when the leadership changes. It is safe for
+// concurrent use.
+type DurationModel struct {
 	mu        sync.Mutex
 	durations *dispatch.Durations
 	groups    map[jobs.GroupKey]sample
@@ -26,12 +27,13 @@
 // are learned again from their next end.
 const maxSamples = 50_000
 
-func newDurationModel() *durationModel {
-	return &durationModel{durations: dispatch.NewDurations(), groups: make(map[jobs.GroupKey]sample)}
+// NewDurationModel returns a model that knows no queues or groups yet.
+func NewDurationModel() *DurationModel {
+	return &DurationModel{durations: dispatch.NewDurations(), groups: make(map[jobs.GroupKey]sample)}
 }
 
-// record learns from the end of a run that ran at full pace throughout.
-func (m *durationModel) record(s *jobs.State, e jobs.End) {
+// Record learns from the end of a run that ran at full pace throughout.
+func (m *DurationModel) Record(s *jobs.State, e jobs.End) {
 	j := s.Jobs[e.Task.Job]
 	if j == nil || e.Task.Step < 0 || e.Task.Step >= len(j.Spec.Steps) {
 		return
@@ -49,15 +51,15 @@
 	m.groups[key] = g
 }
 
-// lessons returns the statistics of the queues.
-func (m *durationModel) lessons() []lessons.Duration {
+// Lessons returns the statistics of the queues.
+func (m *DurationModel) Lessons() []lessons.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.durations.Lessons()
 }
 
-// restore adopts the statistics of earlier leaders for queues that are unknown here.
-func (m *durationModel) restore(list []lessons.Duration) {
+// Restore adopts the statistics of earlier leaders for queues that are unknown here.
+func (m *DurationModel) Restore(list []lessons.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, x := range list {
@@ -65,21 +67,21 @@
 	}
 }
 
-// estimates returns a view for one decision.
-func (m *durationModel) estimates() *dispatch.Estimates {
-	return &dispatch.Estimates{Durations: m, Measured: m.measured}
+// Estimates returns a view for one decision.
+func (m *DurationModel) Estimates() *dispatch.Estimates {
+	return &dispatch.Estimates{Durations: m, Measured: m.Measured}
 }
 
 // Expect implements dispatch.Expectation.
-func (m *durationModel) Expect(queue string, estimateMS int64) float64 {
+func (m *DurationModel) Expect(queue string, estimateMS int64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.durations.Expect(queue, estimateMS)
 }
 
-// measured returns the mean duration of a group's finished runs in ms, 0 if there are none. The
+// Measured returns the mean duration of a group's finished runs in ms, 0 if there are none. The
 // mean of a whole queue would be too coarse for one step.
-func (m *durationModel) measured(key jobs.GroupKey) float64 {
+func (m *DurationModel) Measured(key jobs.GroupKey) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.groups[key].meanMS
--- a/control/pairs.go
+++ b/learned/pairs.go
@@ -1,4 +1,4 @@
-package control
+package learned
 
 import (
 	"cmp"
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/ablation"
-	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/interference"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/learned"
 )
 
 const (
@@ -44,19 +44,19 @@
 	pace      map[string]int                 // by filling image; full pace if missing
 	slowSince map[string]time.Time           // since when an image's pace is at most stallPace
 	asked     map[runKey]int                 // last requested pace, or unconfirmed
-	costs     map[imagePair]control.PairCost // as the leader sent them
+	costs     map[imagePair]learned.PairCost // as the leader sent them
 	trackers  map[servingGroup]*interference.Tracker
 	degradationDetector
 	violations        map[servingGroup]violation // serving groups over their target
 	changedViolations []violation                // began or ended and not yet taken, for the log
 	lastScan          scan                       // the last reading, and the runs started since
 	worstRatio        float64                    // result of worst for the last reading
-	readings          []control.Reading
+	readings          []learned.Reading
 }
 
 func newPacer(without ablation.Set) *pacer {
 	return &pacer{without: without, begun: time.Now(), pace: make(map[string]int), slowSince: make(map[string]time.Time), asked: make(map[runKey]int),
-		costs: make(map[imagePair]control.PairCost), trackers: make(map[servingGroup]*interference.Tracker), violations: make(map[servingGroup]violation)}
+		costs: make(map[imagePair]learned.PairCost), trackers: make(map[servingGroup]*interference.Tracker), violations: make(map[servingGroup]violation)}
 }
 
 // next processes a reading and returns the pace calls that follow from it.
@@ -104,7 +104,7 @@
 			continue // the worker is degraded; the leader would learn this as the image's own headroom
 		}
 		t := p.trackers[g]
-		p.readings = append(p.readings, control.Reading{Image: g.image, Job: g.job, AtMS: now.Sub(p.begun).Milliseconds(),
+		p.readings = append(p.readings, learned.Reading{Image: g.image, Job: g.job, AtMS: now.Sub(p.begun).Milliseconds(),
 			Headroom: s.headroom(), Own: t.Own(), Rate: t.Rate(), SpareHeadroom: p.spareHeadroom(g, sc.full), Runs: len(s.tails), Fillers: fillers})
 	}
 	if n := len(p.readings); n > maxReadings {
@@ -270,7 +270,7 @@
 
 // report returns the readings since the last report and the runs that are stalled, for the
 // leader.
-func (p *pacer) report(now time.Time, images func() map[runKey]string) ([]control.Reading, []jobs.Stop) {
+func (p *pacer) report(now time.Time, images func() map[runKey]string) ([]learned.Reading, []jobs.Stop) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	readings := p.readings
@@ -298,10 +298,10 @@
 }
 
 // known returns the measured costs of pairs of images.
-func (p *pacer) known() []control.PairCost {
+func (p *pacer) known() []learned.PairCost {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]control.PairCost, 0, len(p.costs))
+	out := make([]learned.PairCost, 0, len(p.costs))
 	for _, c := range p.costs {
 		if c.Seen > 0 { // otherwise it is derived from other pairs
 			out = append(out, c)
@@ -311,7 +311,7 @@
 }
 
 // learn stores the costs of pairs of images that the leader has sent.
-func (p *pacer) learn(costs []control.PairCost) {
+func (p *pacer) learn(costs []learned.PairCost) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range costs {
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/ablation"
-	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/learned"
 )
 
 // readingInterval is the time that one reading covers.
@@ -46,7 +46,7 @@
 // learnCosts gives the pacer well-measured costs of the images, as a leader does.
 func (s *simulation) learnCosts(images ...string) {
 	for _, image := range images {
-		s.p.learn([]control.PairCost{{Serving: "watch", Filling: image, Cost: s.pressure[image], Var: 0.0001, Seen: 30}})
+		s.p.learn([]learned.PairCost{{Serving: "watch", Filling: image, Cost: s.pressure[image], Var: 0.0001, Seen: 30}})
 	}
 }
 
@@ -170,7 +170,7 @@
 // seconds before that.
 func TestPaceStopsEverythingWithinTwoSeconds(t *testing.T) {
 	s := newSimulation(t)
-	s.p.learn([]control.PairCost{{Serving: "watch", Filling: "light", Cost: 0.2, Seen: 9}, {Serving: "watch", Filling: "heavy", Cost: 0, Seen: 9}})
+	s.p.learn([]learned.PairCost{{Serving: "watch", Filling: "light", Cost: 0.2, Seen: 9}, {Serving: "watch", Filling: "heavy", Cost: 0, Seen: 9}})
 	s.tail = 60
 	begun := s.now
 	for !s.allStopped() {
