control: Limit the avoided workers per service

Health.Avoided compared the avoided workers of all services with all workers. With two services, all workers of a small one could be avoided, and failing workers of one could end the avoidance of another's.

Health.Split divides the observations by service, and the dispatcher applies the limit to each part. Registered workers only are counted, so a worker that was lost but not forgotten yet no longer counts as avoided.

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -176,7 +176,7 @@
 	d.r.machine.Read(func(s *State) {
 		waiting := d.trackWaiting(s.Jobs.Ready(), begun)
 		in := d.input(s)
-		in.Avoided, in.Stalled = d.avoidedWorkers(begun, len(s.Jobs.Workers)), d.recent(&d.stalledAt, begun)
+		in.Avoided, in.Stalled = d.avoidedWorkers(begun, s.Jobs.Workers), d.recent(&d.stalledAt, begun)
 		in.Stuck = d.recent(&d.stuckAt, begun)
 		in.Copies = d.copiesDue(begun)
 		in.Regroup = d.regroupDue(begun)
--- a/control/workers.go
+++ b/control/workers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -36,15 +37,18 @@
 
 // avoidedWorkers returns the workers that get nothing new: those that rejected a start recently,
 // and those whose runs fail.
-func (d *dispatcher) avoidedWorkers(now time.Time, workers int) map[string]bool {
+func (d *dispatcher) avoidedWorkers(now time.Time, workers map[string]*jobs.Worker) map[string]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out map[string]bool
+	out := make(map[string]bool)
 	if !d.r.without.Health {
-		out = d.health.Avoided(workers, now)
-	}
-	if out == nil {
-		out = make(map[string]bool)
+		all := make(map[string]int) // workers by service
+		for _, w := range workers {
+			all[w.Service]++
+		}
+		for service, h := range d.health.Split(workers) {
+			maps.Copy(out, h.Avoided(all[service], now))
+		}
 	}
 	for id, until := range d.avoided {
 		if now.After(until) {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -38,8 +38,8 @@
 	// maxSlowness limits the weight of one run: 100 times the expected duration tells no more
 	// than 10 times.
 	maxSlowness = 2.3
-	// maxAvoidedShare is the largest part of the workers that may be avoided. If more fail, the
-	// workers are probably not the cause, and the others would be overloaded.
+	// maxAvoidedShare is the largest part of a service's workers that may be avoided. If more fail,
+	// the workers are probably not the cause, and the others would be overloaded.
 	maxAvoidedShare = 0.4
 )
 
@@ -102,8 +102,26 @@
 	return math.Max(c.slowness, 0)
 }
 
+// Split returns the observations by the service of their worker. Only the given workers are
+// included. The parts share their observations with h.
+func (h *Health) Split(workers map[string]*jobs.Worker) map[string]*Health {
+	out := make(map[string]*Health)
+	for id, c := range h.workers {
+		w := workers[id]
+		if w == nil {
+			continue
+		}
+		if out[w.Service] == nil {
+			out[w.Service] = NewHealth()
+		}
+		out[w.Service].workers[id] = c
+	}
+	return out
+}
+
 // Avoided returns the workers to be avoided now. It returns none if they are more than
-// maxAvoidedShare of all workers.
+// maxAvoidedShare of all workers. The limit is meant for one service: tasks can't move to the
+// workers of another. See Split.
 func (h *Health) Avoided(all int, now time.Time) map[string]bool {
 	out := make(map[string]bool)
 	for id, c := range h.workers {
