runner: Test that a start sent after a crash is not counted

The existing test sends no second start: canFence holds it back, since there is no token in reserve. A worker with a unique id gets such starts.

The new test checks that a start is sent.

--- a/runner/crash_test.go
+++ b/runner/crash_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/resource"
 )
 
 // Only a crash may be counted against the tasks that were running on a worker when another
@@ -122,6 +123,35 @@
 	})
 }
 
+// Guards against counting a crash under a start that was sent after it. A worker with a unique id
+// is sent starts without a token in reserve.
+func TestAStartAfterTheCrashOfAWorkerWithAUniqueIDIsNotCounted(t *testing.T) {
+	withBench(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second) // until the session has begun
+		a := Announcement{Worker: "w1", Service: "vault", Capacity: resource.Vector{MilliCPU: 900}, UniqueID: true, Sequence: 2}
+		if err := b.runner.Announce(a); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		b.ctl.setNoTokens(true)
+		b.runner.tokens.spend(math.MaxUint64)
+		b.worker.failCalls(ErrClosed)
+		time.Sleep(time.Second)
+		b.ctl.give(startOf(runA1))
+		time.Sleep(time.Second)
+		b.ctl.setNoTokens(false)
+		b.worker.replace("w2")
+		a.Worker, a.Sequence = "w2", 1
+		if err := b.runner.Announce(a); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if reported := b.ctl.reportedCrashes(); b.worker.tries() == 0 || b.ctl.known() != "w2" || len(reported) > 0 {
+			t.Errorf("%d starts were sent, the control knows %q and was told of %+v", b.worker.tries(), b.ctl.known(), reported)
+		}
+	})
+}
+
 // Guards against a crash that is lost, or reported twice, when the control is unreachable
 // while the next incarnation arrives. It must be reported once, with the first registration
 // that succeeds.
