dispatch: Test that no other suspect joins an isolated run

No test turned red when chooseForSuspect ignored isolated workers: the tasks beside the isolated run had no suspects in their groups, so ranking chose their workers.

The tests of dispatch pass.

--- a/dispatch/suspects_test.go
+++ b/dispatch/suspects_test.go
@@ -266,3 +266,17 @@
 		t.Error("the task still waits after crashReportWait")
 	}
 }
+
+// Guards against a suspect that starts beside an isolated run because its own group has suspects:
+// such groups choose their workers by another path than groups without.
+func TestIsolatedRunIsApartFromOtherSuspects(t *testing.T) {
+	s := newHarness(t, 1)
+	isolated := submitCrashingTask(s, 1)
+	s.pass()
+	other := s.submit(2, "/titles/", s.in.NowMS, task(1, 500, 300))
+	s.Jobs[other].Groups[0].Tasks[0].Suspected = &jobs.Suspicion{Odds: 20_000} // Suspect, below Isolate
+	s.pass()
+	if len(s.runsByWorker(isolated)) != 1 || len(s.runsByWorker(other)) != 0 {
+		t.Errorf("the isolated run is on %v, the other suspect on %v", s.runsByWorker(isolated), s.runsByWorker(other))
+	}
+}
