runner: Test that no start is sent on the reserve token

Where no other token is in reserve, canFence holds the start back. If the control has granted one meanwhile, the start is sent with the token that is to fence the successor, which could then carry it out late.

--- a/runner/fence_test.go
+++ b/runner/fence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -144,6 +145,26 @@
 	})
 }
 
+// Guards against a start sent with the token that is to fence the worker's successor: the control
+// has granted another one for the reserve meanwhile, so canFence allows the start.
+func TestNoStartIsSentOnTheReserveTokenToASilentWorker(t *testing.T) {
+	withBench(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.worker.failCalls(errLost)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		s := b.session()
+		if !s.onReserveToken.Load() || !s.canFence(s.token.Load()) {
+			t.Fatal("the test needs a session on its reserve token with another one in reserve")
+		}
+		b.ctl.give(startOf(runA1))
+		time.Sleep(400 * time.Millisecond)
+		if n := b.worker.tries(); n > 0 {
+			t.Errorf("%d starts were sent", n)
+		}
+	})
+}
+
 // Guards against starts that wait, after a connection was reset, for the worker's next end or
 // for the full wait of a list.
 func TestStartsGoOnSoonAfterAReset(t *testing.T) {
