admission: Test give-ups, changing slots and single decisions

TestSlotsAreNeverExceeded did less than it said: no caller gave up, the slots never changed, no request was running at the start, no upstream's count was unknown, and nothing checked that a ticket is decided once.

The test does all of that, and checks the slots at each admission instead of after each step, since slots may be taken away under running requests.

--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,37 +15,45 @@
 	return &Ticket{Deadline: start.Add(left), Ready: make(chan struct{})}
 }
 
-// Callers arrive, wait, give up and are served, and callers stop waiting for requests that the
-// upstream still runs, in any order. The upstream must never hold more requests than it has slots,
-// and every ticket must be decided once.
+// Callers arrive, wait, give up and are served, callers stop waiting for requests that the upstream
+// still runs, and the upstream changes its slots, in any order, after a start of the agent beside
+// earlier requests. Nothing may be admitted while the upstream holds as many requests as it has
+// slots, and every ticket must be decided once.
 func TestSlotsAreNeverExceeded(t *testing.T) {
 	rng := rand.New(rand.NewSource(1))
 	for range 300 {
 		g := NewGate()
-		g.Open(1+rng.Intn(4), 0)
+		running, orphans, waiting := 0, rng.Intn(4), []*Ticket{}
+		g.Open(1+rng.Intn(4), orphans)
 		now := start
-		running, orphans, waiting := 0, 0, []*Ticket{}
+		admit := func() {
+			if running++; running+orphans > g.Slots() {
+				t.Fatalf("admitted beside %d running and %d orphaned requests in %d slots", running-1, orphans, g.Slots())
+			}
+		}
 		settle := func(list []*Ticket) {
 			for _, tk := range list {
-				if tk.Verdict.Decision == Admit {
-					running++
+				i := slices.Index(waiting, tk)
+				if i < 0 {
+					t.Fatalf("a ticket that was not queued, or was decided before, got %+v", tk.Verdict)
 				}
-				for i, q := range waiting {
-					if q == tk {
-						waiting = append(waiting[:i], waiting[i+1:]...)
-						break
-					}
+				waiting = slices.Delete(waiting, i, i+1)
+				switch tk.Verdict.Decision {
+				case Admit:
+					admit()
+				case Queue:
+					t.Fatal("a ticket left the queue undecided")
 				}
 			}
 		}
 		for range 200 {
 			now = now.Add(time.Duration(rng.Intn(10)) * time.Millisecond)
-			switch k := rng.Intn(10); {
+			switch k := rng.Intn(12); {
 			case k < 5:
 				tk := &Ticket{Deadline: now.Add(time.Duration(rng.Intn(100)) * time.Millisecond)}
 				switch v := g.Arrive(tk, now); v.Decision {
 				case Admit:
-					running++
+					admit()
 				case Queue:
 					waiting = append(waiting, tk)
 				}
@@ -58,11 +67,26 @@
 			case k == 9:
 				orphans = min(orphans, rng.Intn(2))
 				settle(g.Open(g.Slots(), running+orphans))
+			case k == 10 && len(waiting) > 0:
+				i := rng.Intn(len(waiting))
+				tk := waiting[i]
+				waiting = slices.Delete(waiting, i, i+1)
+				if !g.Abandon(tk) || g.Abandon(tk) {
+					t.Fatal("a queued ticket can't be abandoned, or can be twice")
+				}
+			case k == 11:
+				settle(g.Open(1+rng.Intn(4), UnknownRunning))
 			}
-			if running+orphans > g.Slots() || g.Used() != running {
-				t.Fatalf("%d running and %d orphaned requests in %d slots; the gate counts %d", running, orphans, g.Slots(), g.Used())
+			if g.Used() != running {
+				t.Fatalf("%d requests are running; the gate counts %d", running, g.Used())
 			}
 		}
+		for range 2 { // the second call finds nothing queued
+			settle(g.Close(refusal.NoUpstream))
+		}
+		if len(waiting) > 0 {
+			t.Fatalf("%d tickets are still undecided when the gate is closed", len(waiting))
+		}
 	}
 }
 
