jobs: Test that other ends leave a task's crash history unchanged

TestOtherEndsRaiseNoSuspicion compared the level of suspicion only, after a lapsed lease, a replaced incarnation and a rejected start. Small rises of the odds, counted crashes and the other outcomes went unnoticed.

The test compares the whole crash history, for each kind of end alone and in turn, for a task without crashes and for one with a crash, and checks that the run has ended.

--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -284,23 +284,69 @@
 	}
 }
 
-// A lapsed lease, an incarnation replaced without a crash report and a rejected start are no
-// crashes.
+// A lapsed lease, an incarnation replaced without a crash report and the ends that a worker reports
+// are no crashes. They must leave no crash history, and must not add to one.
 func TestOtherEndsRaiseNoSuspicion(t *testing.T) {
-	w := newFixture(t, "w1", "w2")
-	w.submit(crashID, step(1, 500))
-	for range 3 {
+	reported := func(o Outcome) func(*fixture) {
+		return func(w *fixture) {
+			run := w.startOn("w1", crashTask(0))
+			w.ApplyEnd("w1", End{Task: run.Task, Run: run.Run, Outcome: o}, rules, w.next())
+		}
+	}
+	lapsed := func(w *fixture) {
 		w.startOn("w1", crashTask(0))
 		w.lose("w1")
 		w.register("w1", "agent-w1", "life-1")
+	}
+	replaced := func(w *fixture) {
 		w.startOn("w2", crashTask(0))
 		w.register("w2'", "agent-w2", "life-1") // another incarnation, without a crash report
 		w.register("w2", "agent-w2", "life-1")
-		run := w.startOn("w1", crashTask(0))
-		w.ApplyEnd("w1", End{Task: run.Task, Run: run.Run, Outcome: OutcomeRejected}, rules, w.next())
 	}
-	if g := w.Jobs[crashID].Groups[0]; g.SuspicionLevel(0) != NoSuspicion || w.Jobs[crashID].Phase == Failed {
-		t.Fatalf("the suspicion level is %v, the job is %v", g.SuspicionLevel(0), w.Jobs[crashID].Phase)
+	for _, c := range []struct {
+		name  string
+		times int
+		end   func(*fixture)
+		phase Phase // afterwards
+	}{
+		{"lapsed lease", 3, lapsed, Running},
+		{"replaced incarnation", 3, replaced, Running},
+		{"rejected", 3, reported(OutcomeRejected), Running},
+		{"stopped", 3, reported(OutcomeStopped), Running},
+		{"lost", 3, reported(OutcomeLost), Running},
+		{"failed", 2, reported(OutcomeFailed), Running},
+		{"failed too often", 3, reported(OutcomeFailed), Failed},
+		{"done", 1, reported(OutcomeDone), Completed},
+		{"in turn", 3, func(w *fixture) { lapsed(w); replaced(w); reported(OutcomeRejected)(w) }, Running},
+	} {
+		for crashes := range 2 {
+			t.Run(fmt.Sprintf("%s after %d crashes", c.name, crashes), func(t *testing.T) {
+				w := newFixture(t, "w1", "w2")
+				w.submit(crashID, step(1, 500))
+				history := func() Suspicion {
+					if s := w.Jobs[crashID].Groups[0].Suspicion(0); s != nil {
+						return *s
+					}
+					return Suspicion{}
+				}
+				for range crashes {
+					w.crash("w1", 10, w.startOn("w1", crashTask(0)))
+				}
+				before := history()
+				if before.Crashes != crashes {
+					t.Fatalf("the test needs %d crashes, not %+v", crashes, before)
+				}
+				for range c.times {
+					c.end(w)
+				}
+				if after := history(); after != before {
+					t.Errorf("the crash history is %+v, before %+v", after, before)
+				}
+				if w.Jobs[crashID].Phase != c.phase || w.Jobs[crashID].Active() != 0 {
+					t.Errorf("the job is %v with %d active runs, want %v", w.Jobs[crashID].Phase, w.Jobs[crashID].Active(), c.phase)
+				}
+			})
+		}
 	}
 }
 
