dispatch: Avoided workers are counted without a copy for each service

Cause: each pass of the dispatcher copied the observations of all workers into one table for each service, only to count those that fail.

Change: Health.Avoided takes the workers and counts by service, and only if any worker is to be avoided.

Measured: the tests of both cases pass, and their mutations are red.

--- a/control/workers.go
+++ b/control/workers.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -42,13 +41,7 @@
 	defer d.mu.Unlock()
 	out := make(map[string]bool)
 	if !d.r.without.Health {
-		all := make(map[string]int) // workers by service
-		for _, w := range workers {
-			all[w.Service]++
-		}
-		for service, h := range d.health.Split(workers) {
-			maps.Copy(out, h.Avoided(all[service], now))
-		}
+		out = d.health.Avoided(workers, now)
 	}
 	for id, until := range d.avoided {
 		if now.After(until) {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -102,36 +103,28 @@
 	return math.Max(c.slowness, 0)
 }
 
-// Split returns the observations by the service of their worker. Only the given workers are
-// included. The parts share their observations with h.
-func (h *Health) Split(workers map[string]*jobs.Worker) map[string]*Health {
-	out := make(map[string]*Health)
-	for id, c := range h.workers {
-		w := workers[id]
-		if w == nil {
-			continue
-		}
-		if out[w.Service] == nil {
-			out[w.Service] = NewHealth()
-		}
-		out[w.Service].workers[id] = c
-	}
-	return out
-}
-
-// Avoided returns the workers to be avoided now. It returns none if they are more than
-// maxAvoidedShare of all workers. The limit is meant for one service: tasks can't move to the
-// workers of another. See Split.
-func (h *Health) Avoided(all int, now time.Time) map[string]bool {
+// Avoided returns those of the given workers that are to be avoided now. Of a service of which
+// more than maxAvoidedShare fail it returns none; tasks can't move to another service's workers.
+func (h *Health) Avoided(workers map[string]*jobs.Worker, now time.Time) map[string]bool {
 	out := make(map[string]bool)
+	failing := make(map[string]int) // by service
 	for id, c := range h.workers {
-		if now.Before(c.avoidedUntil) {
+		if w := workers[id]; w != nil && now.Before(c.avoidedUntil) {
 			out[id] = true
+			failing[w.Service]++
 		}
 	}
-	if float64(len(out)) > maxAvoidedShare*float64(all) {
-		return nil
+	if len(out) == 0 {
+		return out
+	}
+	all := make(map[string]int) // by service
+	for _, w := range workers {
+		all[w.Service]++
 	}
+	maps.DeleteFunc(out, func(id string, _ bool) bool {
+		service := workers[id].Service
+		return float64(failing[service]) > maxAvoidedShare*float64(all[service])
+	})
 	return out
 }
 
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -7,6 +7,8 @@
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 )
 
+var fiveWorkers = map[string]*jobs.Worker{"bad": {}, "good": {}, "a": {}, "b": {}, "c": {}}
+
 // A worker fails every task right after its start, so it always has the most free capacity.
 // Unless it is avoided it gets every task, and three failed runs end a job.
 func TestFailingWorkerIsAvoided(t *testing.T) {
@@ -15,16 +17,16 @@
 		h.RecordEnd("bad", jobs.OutcomeFailed, 0, 0, now)
 		h.RecordEnd("good", jobs.OutcomeDone, 100, 100, now)
 	}
-	if s := h.Avoided(5, now); !s["bad"] || s["good"] {
+	if s := h.Avoided(fiveWorkers, now); !s["bad"] || s["good"] {
 		t.Fatalf("avoided workers: %v", s)
 	}
-	if s := h.Avoided(5, now.Add(firstPause)); s["bad"] {
+	if s := h.Avoided(fiveWorkers, now.Add(firstPause)); s["bad"] {
 		t.Error("the worker is not tried again after the pause")
 	}
 	now = now.Add(firstPause)
 	h.RecordEnd("bad", jobs.OutcomeFailed, 0, 0, now)
 	h.RecordEnd("bad", jobs.OutcomeFailed, 0, 0, now)
-	if s := h.Avoided(5, now.Add(firstPause)); !s["bad"] {
+	if s := h.Avoided(fiveWorkers, now.Add(firstPause)); !s["bad"] {
 		t.Error("the second pause is no longer than the first")
 	}
 }
@@ -38,8 +40,8 @@
 		if i%30 == 0 {
 			o = jobs.OutcomeFailed
 		}
-		h.RecordEnd("w", o, 100, 100, now)
-		if len(h.Avoided(5, now)) > 0 {
+		h.RecordEnd("good", o, 100, 100, now)
+		if len(h.Avoided(fiveWorkers, now)) > 0 {
 			t.Fatalf("avoided after run %d", i)
 		}
 	}
@@ -48,7 +50,7 @@
 			h.RecordEnd(w, jobs.OutcomeFailed, 0, 0, now)
 		}
 	}
-	if s := h.Avoided(5, now); len(s) > 0 {
+	if s := h.Avoided(fiveWorkers, now); len(s) > 0 {
 		t.Errorf("%d of 5 workers are avoided", len(s))
 	}
 	h.RecordEnd("lost", jobs.OutcomeLost, 0, 0, now)
