waitlist, dispatch: Plainer names and comments in the waitlist and its admission

The names leave, until, expires and count said little about what they stand for, and the comments on a verdict's excess and rate left their units out. They are now agingWork, aheadUntil, expiresAt and recordCounts.

--- a/control/admission.go
+++ b/control/admission.go
@@ -125,7 +125,7 @@
 // judge decides from this replica's state, without a majority read.
 func (d *dispatcher) judge(c *SubmitJob) (v dispatch.Verdict) {
 	if d.refused != nil {
-		d.leads() // the places of an earlier leadership are void
+		d.leads() // drops the places if they are of an earlier leadership
 	}
 	d.r.machine.Read(func(s *State) {
 		q, id := s.Queues.Config.Match(c.Host, c.Path)
--- a/control/waitlist.go
+++ b/control/waitlist.go
@@ -13,11 +13,9 @@
 	"github.com/waxwinghaven/waxwinghaven/waitlist"
 )
 
-const (
-	// maxListed limits the listed jobs of one queue and kind. At the design size a burst refuses
-	// a few hundred jobs in the time that one waits.
-	maxListed = 512
-)
+// maxListed limits the listed jobs of one queue and kind. At the design size a burst refuses a few
+// hundred jobs in the time that one waits.
+const maxListed = 512
 
 var (
 	waitlistListed   = metrics.NewCounter(`waxwinghaven_waitlist_listed_total`)
@@ -30,11 +28,10 @@
 // refusedJobs keeps the places of refused jobs while this replica leads. A new leader starts with
 // none: callers then return as new ones. A nil *refusedJobs keeps nothing.
 type refusedJobs struct {
-	mu   sync.Mutex
-	list *waitlist.List // by listKey
-	// rates are the rates of completed work, by rateKey.
-	rates   map[rateKey]*waitlist.Rate
-	version uint64 // of the configuration whose queues the list has
+	mu      sync.Mutex
+	list    *waitlist.List             // by listKey
+	rates   map[rateKey]*waitlist.Rate // of completed work
+	version uint64                     // of the configuration that retain was last called with
 }
 
 type rateKey struct {
@@ -100,8 +97,8 @@
 	return keys
 }
 
-// retain drops the entries of queues that a new configuration has removed. The caller holds the
-// lock.
+// retain drops the entries of queues, and the rates of services, that a new configuration has
+// removed. The caller holds the lock.
 func (x *refusedJobs) retain(c *queues.Config) {
 	if x.version == c.Version {
 		return
@@ -123,7 +120,7 @@
 			delete(x.rates, key)
 		}
 	}
-	x.count()
+	x.recordCounts()
 }
 
 // refuse lists a refused job, or updates its entry, and returns when its caller is to return.
@@ -134,11 +131,11 @@
 	defer x.mu.Unlock()
 	work := v.Work
 	if v.TooLarge {
-		work = 0 // it would keep capacity that it can't use
+		work = 0 // capacity kept for it could not be used by it
 	}
 	since, listed := x.list.Since(key, id)
 	retry := x.list.Refuse(key, id, work, now, v.RetryAfter)
-	x.count()
+	x.recordCounts()
 	l := logrus.WithFields(logrus.Fields{"queue": q.Name, "kind": kind.String(), "job": c.Path, "work": math.Round(v.Work), "ahead": math.Round(v.Ahead), "listed_ahead": math.Round(v.Listed),
 		"excess": math.Round(v.Excess), "available": v.Available, "rate": v.Rate, "too_large": v.TooLarge, "expected_ms": v.RetryAfter.Milliseconds(), "retry_after_ms": retry.Milliseconds(), "entries": x.list.Len()})
 	if listed {
@@ -153,6 +150,7 @@
 	return retry
 }
 
+// rate returns the rate of completed work of a service's jobs of a kind. The caller holds the lock.
 func (x *refusedJobs) rate(service string, kind dispatch.Kind) *waitlist.Rate {
 	key := rateKey{service, kind}
 	r := x.rates[key]
@@ -177,7 +175,7 @@
 		return
 	}
 	x.list.Admit(key, id)
-	x.count()
+	x.recordCounts()
 	logrus.WithFields(logrus.Fields{"queue": q.Name, "kind": kind.String(), "job": c.Path, "since_ms": now.Sub(since).Milliseconds(), "entries": x.list.Len()}).
 		Info("control: Admitted a listed job.")
 }
@@ -217,11 +215,12 @@
 	defer x.mu.Unlock()
 	x.retain(&s.Queues.Config)
 	x.list.Expire(now)
-	x.count()
+	x.recordCounts()
 }
 
-// count adds to the counters what has happened to the entries. The caller holds the lock.
-func (x *refusedJobs) count() {
+// recordCounts adds what has happened to the entries since the previous call to the metrics, and
+// logs removals. The caller holds the lock.
+func (x *refusedJobs) recordCounts() {
 	n := x.list.TakeCounts()
 	waitlistListed.Add(n.Listed)
 	waitlistAdmitted.Add(n.Admitted)
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -29,10 +29,14 @@
 	// the refused jobs with an earlier place: in processor-milliseconds, or for standing jobs the
 	// processors that they hold. They are not set for every verdict.
 	Work, Ahead, Listed float64
-	// Excess is how much of what is ahead has to end before there is room for a refused job,
-	// Available the processors that jobs of its kind can use, and Rate the rate that RetryAfter
-	// is based on: in processors, or for standing jobs in processors per second.
-	Excess, Available, Rate float64
+	// Excess is how much of what is ahead has to end before there is room for a refused job, in the
+	// unit of Ahead.
+	Excess float64
+	// Available is the number of processors that jobs of its kind can use.
+	Available float64
+	// Rate is the rate of completed work on which RetryAfter is based, in processors, or for
+	// standing jobs the rate at which they release processors, in processors per second.
+	Rate float64
 	// TooLarge says that the job would be refused with nothing ahead of it.
 	TooLarge bool
 }
@@ -120,7 +124,7 @@
 		return Verdict{}
 	}
 	ahead := 0.0
-	var leaves []leave
+	var aging []agingWork
 	filling := fills(spec)
 	for _, j := range in.Jobs.Jobs {
 		if !competes(j, filling) {
@@ -134,10 +138,10 @@
 			continue
 		}
 		f := in.Estimates.forecast(j, other, 0)
-		if since := age(j, 0, in.NowMS); f.class(since) <= NotStarted {
+		if waited := age(j, 0, in.NowMS); f.class(waited) <= NotStarted {
 			ahead += f.work
 			if in.Listed != nil {
-				leaves = append(leaves, leave{f.deadline - f.remaining - since, f.work})
+				aging = append(aging, agingWork{f.deadline - f.remaining - waited, f.work})
 			}
 		}
 	}
@@ -159,34 +163,34 @@
 		v.Excess = max(0, ahead+v.Listed-float64(limit-own)/float64(time.Millisecond)*available)
 		if in.Listed != nil && !v.TooLarge {
 			v.Rate = in.Rate(available)
-			v.RetryAfter = roomAfter(v.Excess, v.Rate, leaves)
+			v.RetryAfter = roomAfter(v.Excess, v.Rate, aging)
 		}
 	}
 	return v
 }
 
-// leave is when work that is ahead can no longer be in time. It is then served after work that
-// can, and doesn't count as ahead any more.
-type leave struct {
-	after time.Duration
-	work  float64
+// agingWork is work ahead that can no longer be in time after a while. It is then served after work
+// that can, and doesn't count as ahead any more.
+type agingWork struct {
+	lateAfter time.Duration
+	work      float64
 }
 
-// roomAfter returns the time until the excess of the work ahead is done or has left, whichever is
-// earlier. Work is done in about the order in which it would leave, so the two don't add up.
-func roomAfter(excess, rate float64, leaves []leave) time.Duration {
-	slices.SortFunc(leaves, func(a, b leave) int { return cmp.Compare(a.after, b.after) })
+// roomAfter returns the time until the excess of the work ahead is done or has become late, whichever
+// is earlier. Work is done in about the order in which it would become late, so the two don't add up.
+func roomAfter(excess, rate float64, aging []agingWork) time.Duration {
+	slices.SortFunc(aging, func(a, b agingWork) int { return cmp.Compare(a.lateAfter, b.lateAfter) })
 	first := ms(excess / rate)
-	for _, l := range leaves {
-		excess = max(0, excess-l.work)
-		first = min(first, l.after+ms(excess/rate))
+	for _, w := range aging {
+		excess = max(0, excess-w.work)
+		first = min(first, w.lateAfter+ms(excess/rate))
 	}
 	return first
 }
 
 // addListed adds the refused jobs with an earlier place to the work ahead of a job. Only those
-// count that are expected back before the job would be done: the others lose nothing by it, and
-// the processors would be idle until they return. While no accepted work is ahead, none counts, so
+// count that are expected back before the job would be done: later ones lose nothing if it runs
+// first, and the processors would be idle until they return. While no accepted work is ahead, none counts, so
 // that a job is never refused for the sake of callers that may not return. Either way a returning
 // job keeps its place, since work that was accepted after its first refusal isn't ahead of it.
 func (in *Input) addListed(v *Verdict, limit time.Duration) {
--- a/dispatch/admit_test.go
+++ b/dispatch/admit_test.go
@@ -48,14 +48,14 @@
 }
 
 // Guards against a time that is longer than the one after which the job would be accepted: work
-// ahead that leaves because it is late makes room, too, and does so for all jobs alike.
+// ahead that becomes late makes room, too, and does so for all jobs alike.
 func TestTimeUntilThereIsRoom(t *testing.T) {
-	leaves := []leave{{5 * time.Second, 100}, {time.Second, 100}, {2 * time.Second, 100}}
+	aging := []agingWork{{5 * time.Second, 100}, {time.Second, 100}, {2 * time.Second, 100}}
 	for _, c := range []struct {
 		excess, rate float64
 		want         time.Duration
 	}{{50, 0.1, 500 * time.Millisecond}, {50, 0.01, time.Second}, {150, 0.01, 2 * time.Second}, {400, 0.1, 4 * time.Second}} {
-		if got := roomAfter(c.excess, c.rate, leaves); got != c.want {
+		if got := roomAfter(c.excess, c.rate, aging); got != c.want {
 			t.Errorf("an excess of %g at a rate of %g has gone after %v, want %v", c.excess, c.rate, got, c.want)
 		}
 	}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -89,7 +89,7 @@
 	return !j.Phase.Over() && j.Spec.Repeat <= 0 && !standing(&j.Spec) && fills(&j.Spec) == filling
 }
 
-// currentRequest returns the request that stands for a job as a whole.
+// currentRequest returns the request by which a job as a whole is classified and ordered.
 func (in *Input) currentRequest(j *jobs.Job, q *queues.Queue) request {
 	r := request{group: currentGroup(j), queue: q}
 	(&planner{in: *in}).classify(&r)
@@ -119,15 +119,15 @@
 	// LongestWait is the highest age of a job of which nothing has started, or of a standing job
 	// with a task that waits.
 	LongestWait time.Duration
-	// NewWait is how long a new job is expected to wait, like the newest one with or without
-	// filling tasks. Known is false while the service has no processors for it.
+	// NewWait is how long a new job is expected to wait. The job is assumed to have filling tasks
+	// if the queue's newest one has. Known is false while the service has no processors for it.
 	NewWait time.Duration
 	Known   bool
 }
 
 // Backlogs returns the backlog of each queue, in the order of the configuration.
 func Backlogs(in Input) []Backlog {
-	type place struct{ host, prefix string }
+	type queueKey struct{ host, prefix string }
 	type kind struct {
 		service  string
 		filling  bool
@@ -135,13 +135,13 @@
 	}
 	out := make([]Backlog, len(in.Config.Queues))
 	newest, filling := make([]uint64, len(out)), make([]bool, len(out))
-	byPlace := make(map[place]int, len(out))
+	byKey := make(map[queueKey]int, len(out))
 	for i := range in.Config.Queues {
-		byPlace[place{in.Config.Queues[i].Host, in.Config.Queues[i].Prefix}] = i
+		byKey[queueKey{in.Config.Queues[i].Host, in.Config.Queues[i].Prefix}] = i
 	}
 	inTime := make(map[kind]float64) // work that a new job waits for
 	for _, j := range in.Jobs.Jobs {
-		i, known := byPlace[place{j.Host, j.Prefix}]
+		i, known := byKey[queueKey{j.Host, j.Prefix}]
 		if !known {
 			continue
 		}
--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -18,8 +18,8 @@
 	// grace is how long after its time a caller is still expected. It covers the delay of the
 	// response and of the new call. Capacity is kept for the job until then.
 	grace = 2 * time.Second
-	// earlyPause is after what time a caller that ignored the time it was told is expected again:
-	// such callers return after 0.3 to 1 s.
+	// earlyPause is the time after which a caller that ignored the time it was told is expected
+	// again: such callers return after 0.3 to 1 s.
 	earlyPause = time.Second
 	// earlyBy is how much before its time a call may arrive without counting as early.
 	earlyBy = 500 * time.Millisecond
@@ -29,11 +29,11 @@
 	// maxAge limits how long an id keeps its place: four retries after MaxRetryAfter, with the
 	// grace, and the time of as many calls.
 	maxAge = 5 * time.Minute
-	// shareWeight is the weight of one caller in the share of callers that return. It forgets
-	// within a few tens of refusals, the size of a burst.
+	// shareWeight is the weight of one caller in the share of callers that return. It falls to a
+	// tenth within 36 further callers, about as many as a burst refuses.
 	shareWeight = 1.0 / 16
 	// minShare is the share of callers that return below which those that have not returned yet
-	// don't count at all. Even a little work of them would refuse a job that fits exactly.
+	// don't count at all. Even a small part of their work would have a job refused that fits exactly.
 	minShare = 0.25
 )
 
@@ -52,15 +52,15 @@
 	limit  int
 	queues map[string]*queue
 	seq    uint64    // of the last entry
-	next   time.Time // no entry expires before
+	next   time.Time // no entry expires before it
 	counts Counts
 }
 
 type queue struct {
 	entries []*entry // by seq
 	byID    map[string]*entry
-	// share is the recent share of refused callers that returned. Work of callers that have not
-	// returned yet counts by it: when callers use a new id for each call, none ever returns, and
+	// share is the recent share of refused callers that returned. The work of callers that have not
+	// returned yet is weighted by it: when callers use a new id for each call, none ever returns, and
 	// capacity kept for them would stay idle.
 	share float64
 }
@@ -78,11 +78,11 @@
 	returned   bool // at least once
 }
 
-// until is how long the entry's work counts as ahead of later jobs.
-func (e *entry) until() time.Time { return e.back.Add(grace) }
+// aheadUntil returns when the entry's work stops counting as ahead of later jobs.
+func (e *entry) aheadUntil() time.Time { return e.back.Add(grace) }
 
-// expires is how long the entry keeps its place.
-func (e *entry) expires() time.Time {
+// expiresAt returns when the entry loses its place.
+func (e *entry) expiresAt() time.Time {
 	if end := e.first.Add(maxAge); end.Before(e.told.Add(grace)) {
 		return end
 	}
@@ -121,8 +121,8 @@
 	if e.back = e.told; early && retryAfter > earlyPause {
 		e.back = now.Add(earlyPause)
 	}
-	if l.next.IsZero() || e.expires().Before(l.next) {
-		l.next = e.expires()
+	if l.next.IsZero() || e.expiresAt().Before(l.next) {
+		l.next = e.expiresAt()
 	}
 	return retryAfter
 }
@@ -140,7 +140,7 @@
 }
 
 // AheadWithin returns the work of the listed jobs of several queues that have an earlier place than
-// an id of a queue and are expected to return within a time.
+// an id of one queue and are expected to return within the given time.
 func (l *List) AheadWithin(queues []string, queue, id string, now time.Time, within time.Duration) (work float64) {
 	l.Expire(now)
 	place := uint64(math.MaxUint64)
@@ -156,7 +156,7 @@
 			if e.seq >= place {
 				break
 			}
-			if now.After(e.until()) || (within != Forever && e.back.After(now.Add(within))) {
+			if now.After(e.aheadUntil()) || (within != Forever && e.back.After(now.Add(within))) {
 				continue
 			}
 			switch {
@@ -198,15 +198,15 @@
 	l.next = time.Time{}
 	for _, q := range l.queues {
 		l.counts.Lapsed += q.remove(func(e *entry) bool {
-			expired := now.After(e.expires())
+			expired := now.After(e.expiresAt())
 			if expired && !e.returned {
 				q.share -= q.share * shareWeight
 			}
 			return expired
 		})
 		for _, e := range q.entries {
-			if l.next.IsZero() || e.expires().Before(l.next) {
-				l.next = e.expires()
+			if l.next.IsZero() || e.expiresAt().Before(l.next) {
+				l.next = e.expiresAt()
 			}
 		}
 	}
@@ -261,6 +261,7 @@
 	}
 }
 
+// remove removes the entries for which the function returns true, and returns their number.
 func (q *queue) remove(which func(*entry) bool) (n int) {
 	q.entries = slices.DeleteFunc(q.entries, func(e *entry) bool {
 		if !which(e) {
--- a/waitlist/rate.go
+++ b/waitlist/rate.go
@@ -29,8 +29,8 @@
 	r.buckets[r.last%rateBuckets] += work
 }
 
-// Processors returns the recent rate, in processors, within the bounds that the processors which
-// are up give.
+// Processors returns the recent rate in processors: at least MinRateShare of the available ones, and
+// at most all of them.
 func (r *Rate) Processors(available float64, now time.Time) float64 {
 	if r.base.IsZero() {
 		return MinRateShare * available
@@ -45,7 +45,7 @@
 	return min(max(sum/1000/seconds, MinRateShare*available), available)
 }
 
-// advance clears the buckets of the seconds that have passed since the latest one.
+// advance makes the present second's bucket the latest one, and clears those of the seconds between.
 func (r *Rate) advance(now time.Time) {
 	second := int64(now.Sub(r.base) / time.Second)
 	for n := 0; r.last < second && n < rateBuckets; n++ {
