control, learned, quorum: Comments and a name that were unclear to a new reader

The demand's queuePlace could be taken for a place in the waitlist; it is now queueKey. Comments say which refusals are final, what the summaries cover, what a job's acceptance time is used for, and how long messages are handled during a write.

--- a/cmd/waxwinghaven/demand.go
+++ b/cmd/waxwinghaven/demand.go
@@ -69,6 +69,7 @@
 	return strings.Join(parts, ", ")
 }
 
+// explainCommand adds the command that explains a caller's job.
 func (c *cli) explainCommand(top *kingpin.CmdClause) {
 	cmd := top.Command("explain", "Explains a caller's job: why it was refused, its class, what is served before it, and when it is expected to start and end.\n\nExample: waxwinghaven job explain a.example /renders/00000000000000aa")
 	host := cmd.Arg("host", "The queue's host.").Required().String()
--- a/control/demandfeed.go
+++ b/control/demandfeed.go
@@ -25,11 +25,11 @@
 	stats *demand.Stats
 	// queues holds the names and metrics of queues, by host and prefix, so that recording neither
 	// formats nor allocates. It has at most maxDemandQueues entries; further queues share other.
-	queues map[queuePlace]*queueMetrics
+	queues map[queueKey]*queueMetrics
 	other  *queueMetrics
 }
 
-type queuePlace struct{ host, prefix string }
+type queueKey struct{ host, prefix string }
 
 // maxDemandQueues bounds the queues with metrics of their own, as demand.Stats bounds those that
 // it counts.
@@ -88,7 +88,7 @@
 }
 
 func newDemandFeed(r *Replica) *demandFeed {
-	return &demandFeed{r: r, stats: demand.New(time.Now()), queues: make(map[queuePlace]*queueMetrics)}
+	return &demandFeed{r: r, stats: demand.New(time.Now()), queues: make(map[queueKey]*queueMetrics)}
 }
 
 // lock locks the statistics of this leadership, or returns false if this replica doesn't lead.
@@ -113,8 +113,8 @@
 
 // metricsOf returns a queue's metrics. The caller holds the lock.
 func (f *demandFeed) metricsOf(host, prefix string) *queueMetrics {
-	place := queuePlace{host, prefix}
-	if m := f.queues[place]; m != nil {
+	key := queueKey{host, prefix}
+	if m := f.queues[key]; m != nil {
 		return m
 	}
 	if len(f.queues) >= maxDemandQueues {
@@ -124,7 +124,7 @@
 		return f.other
 	}
 	m := newQueueMetrics(host + prefix)
-	f.queues[place] = m
+	f.queues[key] = m
 	return m
 }
 
@@ -134,12 +134,12 @@
 	if inFlight {
 		return
 	}
-	var place queuePlace
+	var key queueKey
 	var id string
 	f.r.machine.Read(func(s *State) {
 		q, rest := s.Queues.Config.Match(c.Host, c.Path)
 		if q != nil && jobs.ValidID(rest) && s.Jobs.Jobs[rest] == nil {
-			place, id = queuePlace{q.Host, q.Prefix}, rest
+			key, id = queueKey{q.Host, q.Prefix}, rest
 		}
 	})
 	now := time.Now()
@@ -147,7 +147,7 @@
 		return
 	}
 	defer f.mu.Unlock()
-	m := f.metricsOf(place.host, place.prefix)
+	m := f.metricsOf(key.host, key.prefix)
 	c.queue, c.jobID = m, id
 	m.arrived.Inc()
 	f.stats.Arrived(m.queue, now)
@@ -182,9 +182,9 @@
 	f.stats.Refused(m.queue, id, r, now)
 }
 
-// refusalOfSubmission returns why a submission was not accepted, and whether that was the
-// decision: without a quorum, a leader or room on its disk the entry asks again elsewhere, and an
-// unknown outcome may be an acceptance.
+// refusalOfSubmission returns why a submission was not accepted, and whether that is final. It is
+// not without a quorum, a leader or room on its disk, since the entry then asks again elsewhere,
+// and for an unknown outcome, since the job may have been accepted.
 func refusalOfSubmission(c *SubmitJob, err error) (r demand.Refusal, final bool) {
 	e, ok := err.(*refusal.Error) // errors.As allocates
 	if !ok {
@@ -303,10 +303,10 @@
 		for i := range list {
 			configured[list[i].Host+list[i].Prefix] = true
 		}
-		for place, m := range f.queues {
+		for key, m := range f.queues {
 			if !configured[m.queue] {
 				m.unregister()
-				delete(f.queues, place)
+				delete(f.queues, key)
 			}
 		}
 		f.stats.Retain(func(queue string) bool { return configured[queue] })
@@ -328,7 +328,8 @@
 	})
 }
 
-// summaries returns since when the statistics cover and, for each given queue, its summary.
+// summaries returns when the statistics begin, the summary of each given queue, and that of the
+// queues that are not counted separately.
 func (f *demandFeed) summaries(list []queues.Queue, now time.Time) (since time.Time, out []demand.Summary, others demand.Summary) {
 	f.begin()
 	f.mu.Lock()
@@ -345,7 +346,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	queue := host + prefix
-	if f.queues[queuePlace{host, prefix}] == nil && f.other != nil {
+	if f.queues[queueKey{host, prefix}] == nil && f.other != nil {
 		queue = demand.Other
 	}
 	v, ok = f.stats.Verdict(queue, id, now)
--- a/control/operator_demand.go
+++ b/control/operator_demand.go
@@ -55,7 +55,7 @@
 	TasksRunning  int    `json:"tasks_running"`
 	FailureReason string `json:"why,omitempty"`
 	// JobsAhead and ProcessorSecondsAhead are the jobs of the same service and kind, with or
-	// without filling tasks, that are served before.
+	// without filling tasks, that are served before this one.
 	JobsAhead             int     `json:"jobs_ahead"`
 	ProcessorSecondsAhead float64 `json:"processor_seconds_ahead"`
 	// StartInMS and EndInMS are when the job is expected to start and end, from now. They are
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -154,7 +154,8 @@
 	Seq uint64 `msgpack:"q"`
 	// AcceptedAt is when the leader accepted the job, or when it first refused a job that kept its
 	// place until it was accepted, by the median of many clocks, in milliseconds since 1970. It is
-	// used only to decide on work and its order. It may be earlier than that of a job with a lower Seq.
+	// used only to admit, classify and order work, and may be earlier than that of a job with a
+	// lower Seq.
 	AcceptedAt int64    `msgpack:"a"`
 	Groups     []*Group `msgpack:"g"` // by occurrence, then step
 	// FailureReason is the reason of the failure for operators, "" if the job did not fail.
--- a/learned/costs.go
+++ b/learned/costs.go
@@ -75,8 +75,8 @@
 }
 
 // Costs is what the leader has learned about which filling image slows down which served image.
-// It is safe for concurrent use. Estimates of pairs and images are committed periodically; the serving groups are lost when the
-// leadership changes.
+// It is safe for concurrent use. Estimates of pairs and images are committed periodically; the
+// serving groups are lost when the leadership changes.
 type Costs struct {
 	mu        sync.Mutex
 	pressures *interference.Pressures
@@ -90,8 +90,8 @@
 	return &Costs{without: without, pressures: interference.NewPressures(), log: newPairLog(), headrooms: newHeadrooms(without)}
 }
 
-// Observe learns from the readings in a report. It returns the pairs that have changed
-// since the agent's last revision, and the revision to ask from next.
+// Observe learns from the readings in a report. It returns the pairs that have changed since the
+// agent's last revision, and the revision to ask from next.
 func (c *Costs) Observe(report Report, now time.Time) ([]PairCost, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -23,9 +23,9 @@
 	// removed. It is longer than a restart or a short network cut, so that a learner is not
 	// removed and added again repeatedly.
 	learnerExpiryTicks = 10 * UnresponsiveTicks
-	// maxConcurrentTicks is how long a write may overlap with messages; then the core waits for it.
-	// A disk that neither completes nor fails a write makes a leader apply nothing and a follower
-	// acknowledge nothing. If they went on exchanging heartbeats, neither would be replaced.
+	// maxConcurrentTicks limits how long messages are handled during a write; then the core waits for
+	// its end. A disk that neither completes nor fails a write makes a leader apply nothing and a
+	// follower acknowledge nothing. If they went on exchanging heartbeats, neither would be replaced.
 	maxConcurrentTicks = ElectionTicks
 
 	// maxAppendBytes limits one append and chunkBytes one part of a snapshot. 256 KiB takes 10 ms
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -119,7 +119,7 @@
 	// synced, so that a commit does not wait for the sync of the one before.
 	ConcurrentSync bool `toml:"concurrent_sync"`
 	// Contention selects what the leader does when a service has more work than capacity.
-	// Without the table all of it is off.
+	// Everything in it is off by default.
 	Contention Contention `toml:"contention"`
 }
 
