--- a/waitlist/list.go
+++ b/waitlist/list.go
@@ -133,12 +133,6 @@
 	return (d + time.Second - 1).Truncate(time.Second)
 }
 
-// Ahead returns the work of a queue's listed jobs with an earlier place that are expected to
-// return. All of them are ahead of an id that isn't listed.
-func (l *List) Ahead(queue, id string, now time.Time) (work float64) {
-	return l.AheadWithin([]string{queue}, queue, id, now, Forever)
-}
-
 // AheadWithin returns the work of the listed jobs of several queues that have an earlier place than
 // an id of one queue and are expected to return within the given time.
 func (l *List) AheadWithin(queues []string, queue, id string, now time.Time, within time.Duration) (work float64) {
--- a/waitlist/list_test.go
+++ b/waitlist/list_test.go
@@ -12,6 +12,11 @@
 
 var start = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// workAhead returns the listed work of queue q that is ahead of an id at any time.
+func workAhead(l *List, id string, now time.Time) float64 {
+	return l.AheadWithin([]string{"q"}, "q", id, now, Forever)
+}
+
 // step is one call of a caller: it waits, then its job is refused or admitted.
 type step struct {
 	id, pauseMS int
@@ -66,7 +71,7 @@
 			}
 		}
 		now = now.Add(MaxRetryAfter + grace + time.Millisecond)
-		if ahead := l.Ahead("q", "new", now); ahead != 0 || l.Len() != 0 {
+		if ahead := workAhead(l, "new", now); ahead != 0 || l.Len() != 0 {
 			return fmt.Sprintf("%g of work is kept for %d callers that have not returned", ahead, l.Len())
 		}
 		c := l.TakeCounts()
@@ -83,17 +88,17 @@
 	if l.Len() != len(first) {
 		return fmt.Sprintf("%d entries, want %d", l.Len(), len(first))
 	}
-	all := l.Ahead("q", "new", now)
+	all := workAhead(l, "new", now)
 	for id, at := range first {
 		if got, listed := l.Since("q", id); !listed || !got.Equal(at) {
 			return fmt.Sprintf("%s has the place %v %v, want %v", id, got, listed, at)
 		}
-		ahead := l.Ahead("q", id, now)
+		ahead := workAhead(l, id, now)
 		if ahead > all+1e-9 {
 			return fmt.Sprintf("%s has more ahead than a new id: %g, %g", id, ahead, all)
 		}
 		for other, then := range first {
-			if then.Before(at) && l.Ahead("q", other, now) > ahead+1e-9 {
+			if then.Before(at) && workAhead(l, other, now) > ahead+1e-9 {
 				return fmt.Sprintf("%s has more ahead than the later %s", other, id)
 			}
 		}
@@ -119,10 +124,10 @@
 			t.Fatalf("%d entries", n)
 		}
 	}
-	if at, listed := l.Since("q", "waits"); !listed || !at.Equal(start) || l.Ahead("q", "waits", now) != 0 {
+	if at, listed := l.Since("q", "waits"); !listed || !at.Equal(start) || workAhead(l, "waits", now) != 0 {
 		t.Errorf("the first id has lost its place: %v %v", at, listed)
 	}
-	if ahead := l.Ahead("q", "new", now); ahead != 5 {
+	if ahead := workAhead(l, "new", now); ahead != 5 {
 		t.Errorf("%g of work is ahead of a new id, want 5 and nothing for the flood", ahead)
 	}
 	l.Refuse("other", "a", 1, now, time.Second)
@@ -146,10 +151,10 @@
 	l.Refuse("q", "hasty", 5, start.Add(600*time.Millisecond), 20*time.Second)
 	l.Refuse("q", "resent", 7, start, 20*time.Second)
 	l.Refuse("q", "resent", 7, start.Add(50*time.Millisecond), 20*time.Second)
-	if ahead := l.Ahead("q", "new", start.Add(3*time.Second)); ahead != 12 {
+	if ahead := workAhead(l, "new", start.Add(3*time.Second)); ahead != 12 {
 		t.Errorf("%g is ahead of a new id at first, want 12", ahead)
 	}
-	if ahead := l.Ahead("q", "new", start.Add(4*time.Second)); ahead != 7 {
+	if ahead := workAhead(l, "new", start.Add(4*time.Second)); ahead != 7 {
 		t.Errorf("%g is ahead of a new id once a hasty caller has not returned, want 7", ahead)
 	}
 	if at, listed := l.Since("q", "hasty"); !listed || !at.Equal(start) {
