quorum: The test of commit times waits for its links

A link of the test's network slept until a message was due when the test returned; virtual time stands still then.

Change: the test waits for its links. Its checks and bounds are as before.

--- a/quorum/concurrent_test.go
+++ b/quorum/concurrent_test.go
@@ -360,6 +360,9 @@
 	nodes map[uint64]*Node
 	links map[[2]uint64]chan delayedMessages
 	done  chan struct{}
+	// running counts the links. Their ends must be awaited: a bubble whose main goroutine has
+	// exited doesn't advance its time, and a link may be waiting for a message's due time.
+	running sync.WaitGroup
 }
 
 type delayedMessages struct {
@@ -380,7 +383,7 @@
 	if link == nil {
 		link = make(chan delayedMessages, 10000)
 		s.links[key] = link
-		go s.run(s.nodes[to.ID], link)
+		s.running.Go(func() { s.run(s.nodes[to.ID], link) })
 	}
 	link <- delayedMessages{time.Now().Add(s.delay), delivery{Replica{ID: s.from}, slices.Clone(msgs)}}
 }
@@ -404,7 +407,7 @@
 	set := Config{Voters: voterSet(1, 2, 3, 4, 5)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	defer func() { cancel(); running.Wait(); close(l.done) }()
+	defer func() { cancel(); running.Wait(); close(l.done); l.running.Wait() }()
 	for _, r := range set.Voters {
 		disk := slowDisk(t, t.TempDir(), r.ID, diskSync)
 		n, err := NewNode(Options{Disk: disk, Machine: &counter{}, Sender: delayedSender{l, r.ID}, TickEvery: 30 * time.Millisecond,
