control, quorum: One preamble for counting ends, one opening for a lone replica

Cause: the two ways in which the demand figures learn of ended jobs each took the state, the lock and the leadership check by themselves, and three tests of concurrent syncs opened a single replica as singleNode does.

Change: whileLeading and runAlone serve them. Behaviour, checks and bounds are as before; ended takes one job, as its callers always passed one.

--- a/control/demandfeed.go
+++ b/control/demandfeed.go
@@ -203,17 +203,23 @@
 	return r, true
 }
 
+// whileLeading calls record with the statistics locked, if this replica leads.
+func (f *demandFeed) whileLeading(record func(s *State, now time.Time)) {
+	now := time.Now()
+	f.r.machine.Read(func(s *State) {
+		if f.lock(now) {
+			defer f.mu.Unlock()
+			record(s, now)
+		}
+	})
+}
+
 // handleEnds counts the work of committed ends, and the jobs that ended with them.
 func (f *demandFeed) handleEnds(ends []jobs.End, res *endsResult) {
 	if len(ends) == 0 {
 		return
 	}
-	now := time.Now()
-	f.r.machine.Read(func(s *State) {
-		if !f.lock(now) {
-			return
-		}
-		defer f.mu.Unlock()
+	f.whileLeading(func(s *State, now time.Time) {
 		for _, e := range ends {
 			g := s.Jobs.Group(e.Task)
 			if g == nil || e.Outcome != jobs.OutcomeDone || slices.Contains(res.late, e) {
@@ -233,21 +239,9 @@
 	})
 }
 
-// ended counts jobs that ended otherwise than by the ends of their tasks.
-func (f *demandFeed) ended(ids ...string) {
-	if len(ids) == 0 {
-		return
-	}
-	now := time.Now()
-	f.r.machine.Read(func(s *State) {
-		if !f.lock(now) {
-			return
-		}
-		defer f.mu.Unlock()
-		for _, id := range ids {
-			f.countEnd(s, id, now)
-		}
-	})
+// ended counts a job that ended otherwise than by the ends of its tasks.
+func (f *demandFeed) ended(id string) {
+	f.whileLeading(func(s *State, now time.Time) { f.countEnd(s, id, now) })
 }
 
 // countEnd counts a job that has just ended. The caller holds the lock.
--- a/quorum/concurrent_test.go
+++ b/quorum/concurrent_test.go
@@ -275,11 +275,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- n.Run(ctx) }()
-	if err := n.Bootstrap(ctx, Replica{ID: 1}); err != nil {
-		t.Fatal(err)
-	}
+	ended := runAlone(t, ctx, n, Replica{ID: 1})
 	var callers sync.WaitGroup
 	for range proposals {
 		time.Sleep(2 * time.Millisecond)
@@ -324,11 +320,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- n.Run(ctx) }()
-	if err := n.Bootstrap(ctx, Replica{ID: 1}); err != nil {
-		t.Fatal(err)
-	}
+	ended := runAlone(t, ctx, n, Replica{ID: 1})
 	if _, err := n.Propose(ctx, []byte("kept")); err != nil {
 		t.Fatal(err)
 	}
@@ -524,11 +516,7 @@
 		failing.Store(true)
 		go n.Propose(ctx, []byte("under way"))
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- n.Run(ctx) }()
-	if err := n.Bootstrap(ctx, Replica{ID: 1}); err != nil {
-		t.Fatal(err)
-	}
+	ended := runAlone(t, ctx, n, Replica{ID: 1})
 	if _, err := n.Propose(ctx, []byte("first")); err != nil {
 		t.Fatal(err)
 	}
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -25,13 +25,19 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return n, disk, runAlone(t, ctx, n, Replica{ID: disk.Stored().ID, Name: "r"})
+}
+
+// runAlone runs a node as the only replica of a set. Its result is sent on the channel.
+func runAlone(t *testing.T, ctx context.Context, n *Node, r Replica) chan error {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(ctx) }()
-	t.Cleanup(cancel)
-	if err := n.Bootstrap(ctx, Replica{ID: disk.Stored().ID, Name: "r"}); err != nil {
+	if err := n.Bootstrap(ctx, r); err != nil {
 		t.Fatal(err)
 	}
-	return n, disk, ended
+	return ended
 }
 
 // A write to the disk fails. The replica must end with an error, and the caller is told that the
