control, runner: A report of an earlier session frees no run

Cause: an agent that was refused a start reports that the run never started. That is true for the session that says so, and only until the next session of the agent gets the same order. RunEnds named the worker and no session, so a report that the network had delayed over the agent's restart freed the run that the next session had started since, and the task was placed again.

Ruled out: a second start of the first session (the worker has a higher token by then), orders from a replica that is behind (it refuses until it has applied the registration), a lease that ended (run 1 goes on).

Change: RunEnds names its session. When the ends are applied, a rejection counts only if that session is the registered one. The log orders the report and the registration, so either the run is freed before the next session reads its orders, or the report changes nothing. All other outcomes are what the worker listed; they count whoever reports them and however late, since their acknowledgement binds. An ignored rejection doesn't count against its worker or the advisor's ticket either. Messages without a session, from agents of earlier versions, are taken as before.

--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -60,6 +60,7 @@
 
 // endsResult is the effect of applying ends.
 type endsResult struct {
+	outdated  []jobs.End // rejections that were ignored, see mayReject
 	late      []jobs.End // of runs that no longer held capacity
 	overtaken int        // late ends whose task has been ordered again, see jobs.Ended
 	over      []string   // jobs that ended with them
@@ -67,6 +68,10 @@
 
 func (s *State) applyEnds(c *RunEnds, index uint64) (res endsResult) {
 	for _, e := range c.Ends {
+		if e.Outcome == jobs.OutcomeRejected && !s.mayReject(c) {
+			res.outdated = append(res.outdated, e)
+			continue
+		}
 		live := s.jobIsLive(e.Task.Job)
 		ended := s.Jobs.ApplyEnd(c.Worker, e, s.jobRules(), index)
 		if ended.Late {
@@ -82,6 +87,18 @@
 	return res
 }
 
+// mayReject reports whether a session may say that a run never started. The worker lists all other
+// ends, so they are true whoever reports them and however late. But that a run never started is
+// known only to the session that did not start it. A later session gets the same order and starts
+// the run, and a report that was delayed until then would free a run that is running.
+func (s *State) mayReject(c *RunEnds) bool {
+	if c.Session == "" {
+		return true // from an agent of an earlier version, which does not name its session
+	}
+	_, err := s.registration(WorkerRef{Worker: c.Worker, Session: c.Session})
+	return err == nil
+}
+
 // jobIsLive reports whether a job is known and not over.
 func (s *State) jobIsLive(id string) bool {
 	j := s.Jobs.Jobs[id]
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -41,6 +41,7 @@
 	voidReplaced        = metrics.NewCounter(`waxwinghaven_runs_void_total{reason="replaced"}`)
 	voidLapsed          = metrics.NewCounter(`waxwinghaven_runs_void_total{reason="lapsed"}`)
 	voidEnds            = metrics.NewCounter(`waxwinghaven_ends_of_void_runs_total`)
+	outdatedEnds        = metrics.NewCounter(`waxwinghaven_ends_outdated_total`)
 	voidGone            = metrics.NewCounter(`waxwinghaven_runs_void_total{reason="gone"}`)
 )
 
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -291,6 +292,8 @@
 		return a, err
 	}
 	res := v.(endsResult)
+	req.logOutdated(res.outdated)
+	req.Ends = slices.DeleteFunc(req.Ends, func(e jobs.End) bool { return slices.Contains(res.outdated, e) })
 	logLateEnds(req.Worker, res.late)
 	r.dispatcher.handleEnds(req, arrived)
 	r.dispatcher.demand.handleEnds(req.Ends, &res)
@@ -306,6 +309,16 @@
 	return lease.WithMargin(r.set.Control.LongestLease.Duration)
 }
 
+// logOutdated logs reports that a run never started which came from a session that is no longer
+// registered.
+func (req *RunEnds) logOutdated(ends []jobs.End) {
+	for _, e := range ends {
+		outdatedEnds.Inc()
+		logrus.WithFields(logrus.Fields{"worker": req.Worker, "session": req.Session, "task": e.Task.String(), "run": e.Run}).
+			Warn("control: Ignored a report that a run never started: its session is no longer registered.")
+	}
+}
+
 // logLateEnds logs runs that no longer held capacity and ended by themselves rather than with
 // their worker or its lease: runs that ended before they were made void or while a successor ran,
 // or ends that were reported again.
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -191,6 +191,8 @@
 type RunEnds struct {
 	Worker string     `msgpack:"w"`
 	Ends   []jobs.End `msgpack:"e"`
+	// Session is the agent's session that reports the ends, "" in messages of earlier versions.
+	Session string `msgpack:"l,omitempty"`
 }
 
 // EndsAnswer confirms that ends are committed.
--- a/runner/ends.go
+++ b/runner/ends.go
@@ -114,7 +114,7 @@
 // commit commits ends as those of a worker, and lets the next call to the worker acknowledge
 // them. It retries until it succeeds, and returns false if the session ends first.
 func (s *session) commit(worker string, batch []endReport) (a control.EndsAnswer, ok bool) {
-	req := control.RunEnds{Worker: worker}
+	req := control.RunEnds{Worker: worker, Session: s.id}
 	highest := uint64(0)
 	for _, b := range batch {
 		req.Ends = append(req.Ends, b.end)
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -554,6 +554,9 @@
 	case *control.RunEnds:
 		resp.(*control.EndsAnswer).MaxLeaseMS = c.maxLeaseMS
 		for _, e := range q.Ends {
+			if e.Outcome == jobs.OutcomeRejected && q.Session != c.session {
+				continue // like the control
+			}
 			c.ends = append(c.ends, e)
 			if key := (runKey{e.Task, e.Run}); c.endsOf[key] == "" {
 				c.endsOf[key] = q.Worker
