agent: Only the worker says that an attempt of a market's task never started

An agent reported an attempt as rejected on its own when the worker's capacity had become too small for it. A start command that it, or its earlier process, had sent could still be carried out, and the renewal with that report could arrive after the agent's next process had started the attempt on a worker that had grown again: the task then runs in two places.

The agent now does what it does in a data centre out of service: it has the worker stop the attempt. From then on the worker refuses to start it and reports it as rejected, which is a fact whoever reports it.

TestTooLargeTaskIsRejected asked for the agent's own report. TestTooLargeTaskIsRejectedByTheWorker takes its place: it asks for the stop, for no end before the worker's report, and for the same end after it.

--- a/agent/ledger.go
+++ b/agent/ledger.go
@@ -60,16 +60,14 @@
 }
 
 // Ends returns the ended attempts that the control has not processed yet, in order of task.
-// An end is reported again until the control's orders no longer contain the attempt.
+// An end is reported again until the control's orders no longer contain the attempt. Only what the
+// worker itself reports as ended has ended: a report may reach the control after the agent's next
+// process has started an attempt that this one did not.
 func (l *Ledger) Ends() []lease.End {
 	var out []lease.End
 	for _, o := range l.orders {
-		t, ok := l.report[refOf(o)]
-		switch {
-		case ok && !t.Running:
+		if t, ok := l.report[refOf(o)]; ok && !t.Running {
 			out = append(out, lease.End{Task: o.Task, Attempt: o.Attempt, Outcome: t.Outcome, Checkpoint: t.Checkpoint, Reason: t.Reason})
-		case !ok && o.Stop == lease.StopNone && !o.Need.Fits(l.capacity):
-			out = append(out, lease.End{Task: o.Task, Attempt: o.Attempt, Outcome: lease.OutcomeRejected, Reason: "the worker is too small"})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Task < out[j].Task })
@@ -131,7 +129,7 @@
 	t, known := l.report[refOf(o)]
 	switch {
 	case known && !t.Running:
-	case !known && l.cordoned:
+	case !known && (l.cordoned || !o.Need.Fits(l.capacity)):
 		// An earlier start command may still be in flight. Once the worker has processed
 		// the stop it reports the attempt as rejected, and the task can run elsewhere.
 		s.Stop = append(s.Stop, worker.Stop{Task: o.Task, Attempt: o.Attempt})
