control: A refusal of a job also binds its messages that are still on their way

Cause: the entry's first message about the job was held up in the network. After 0.7 s it tried again, the leader refused that try for want of room, and control.Client passed the refusal on: combinedOutcome kept an outcome unknown after an unanswered try for three codes only. Then the first message arrived, found room, and was accepted. A refusal said that its own try had no effect, but was told to the caller as if it spoke for all.

Ruled out: two submissions in flight at the leader at once (admission refuses neither then), a leader that was replaced (there was one), a second call of the client (it made one).

An unknown outcome (504) would be true, but callers are better served by a refusal that they can act on. So the refusal is made true: each answer of the leader carries a stamp, each message about a job the newest stamp that its sender has received, and the leader does not take a message whose stamp is older than its last refusal of the same job. Its sender, if it is still there, sends it again with the stamp of that answer, at once. Nothing rests on a clock of the sender or on both clocks agreeing: stamps only order the leader's answers. A message names the term of its stamp and is committed in that term only, so a leader that follows need not know what its predecessor refused.

combinedOutcome now keeps an outcome unknown for every code, also for ones that are added, unless the leader says that the refusal is final; verdicts on the sender (a session that is not registered, a key of another request) and answers to questions pass as before. Unknown outcomes and final refusals are counted.

Weighed and left: a refusal committed in the log under the attempt's id (a commit for each of up to 1,500 refusals a second, and a bound on how long to keep it all the same); messages that expire at a time of the leader's clock (the sender has to estimate it, and refusals wait for the expiry).

Messages of entries of earlier versions have no stamp and are taken as before; refusals by a leader of an earlier version are never final.

--- a/control/admission.go
+++ b/control/admission.go
@@ -15,16 +15,18 @@
 // Only a refusal needs the confirmation of a majority. An accepted job is committed, which
 // confirms the leadership too and saves the other callers a round trip.
 func (d *dispatcher) admit(c *SubmitJob) error {
+	if err := d.awaitLeadership(); err != nil {
+		return err
+	}
 	return d.admitConfirmed(c, d.r.confirmedLeader)
 }
 
 // admitConfirmed is admit with the function that confirms the leadership.
 func (d *dispatcher) admitConfirmed(c *SubmitJob, confirm func() error) error {
-	key := c.Host + c.Path
-	d.mu.Lock()
-	running := d.inFlight[key] > 0
-	d.inFlight[key]++
-	d.mu.Unlock()
+	running, err := d.begin(c)
+	if err != nil {
+		return err
+	}
 	c.AtMS = d.nowMS()
 	d.demand.arrived(c, running)
 	if running || !d.judgeAndReserve(c).Refuse {
@@ -35,28 +37,16 @@
 		return err
 	}
 	v := d.judgeAndReserve(c)
-	if !v.Refuse || !d.withdraw(key) {
+	if !v.Refuse || !d.withdraw(c) {
 		return nil
 	}
 	c.refusalCode = v.Code()
 	e := refusal.New(refusal.Overloaded, "hand it in again later", "%s", v.Reason())
 	e.RetryAfter = d.retryAfter(c, &v)
+	d.markFinal(e, c.Seen)
 	return e
 }
 
-// withdraw ends the only submission of a job, so that it can be refused. It returns false if
-// another submission is in flight: that one was not judged because of this one, so it is committed,
-// and a refusal of this one would say that the job never runs.
-func (d *dispatcher) withdraw(key string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.inFlight[key] > 1 {
-		return false
-	}
-	delete(d.inFlight, key)
-	return true
-}
-
 // retryAfter returns when the caller of a refused job is to return, and lists the job. Jobs that
 // wait for an operator are not listed, nor those that another call has submitted meanwhile.
 func (d *dispatcher) retryAfter(c *SubmitJob, v *dispatch.Verdict) time.Duration {
@@ -150,11 +140,15 @@
 
 // submitted releases what admit has recorded and reserved for the call.
 func (d *dispatcher) submitted(c *SubmitJob) {
-	key := c.Host + c.Path
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.inFlight[key]--; d.inFlight[key] <= 0 {
-		delete(d.inFlight, key)
+	d.release(c)
+}
+
+// release is submitted for a caller that holds the lock.
+func (d *dispatcher) release(c *SubmitJob) {
+	if d.inFlight[c.key()]--; d.inFlight[c.key()] <= 0 {
+		delete(d.inFlight, c.key())
 	}
 	if d.reserved[c.service] -= c.reserved; d.reserved[c.service] <= 0 {
 		delete(d.reserved, c.service)
--- a/control/client.go
+++ b/control/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/transport"
 )
@@ -25,6 +26,7 @@
 	mu          sync.Mutex
 	currentAddr string
 	next        int
+	seen        refusal.Stamp // the newest that was received
 }
 
 // NewClient returns a client whose counters are labelled with part. It calls configured whenever
@@ -77,34 +79,100 @@
 func (c *Client) Call(path string, timeout time.Duration, req, resp any) error {
 	begun := time.Now()
 	deadline := begun.Add(timeout)
-	maybeTaken := false
+	maybeTaken, stale := false, false
 	for pause := minPause; ; pause = min(2*pause, maxPause) {
 		addr := c.current()
 		asked := time.Now()
+		c.addSeen(req)
 		err := c.rpc.Call(addr, path, min(time.Until(deadline), callTimeout), req, resp)
 		if err == nil {
+			c.observeAnswer(resp)
 			return nil
 		}
 		e, ok := refusal.Of(err)
 		if !ok {
 			return err
 		}
+		c.observe(e.Stamp)
 		maybeTaken = maybeTaken || e.Code == refusal.Unreachable || e.Code == refusal.UnknownOutcome
 		pastLimit := c.retryLimit > 0 && !maybeTaken && time.Since(begun) > c.retryLimit
 		if !c.switchReplica(addr, asked, e) || time.Until(deadline) < minTry || pastLimit {
-			return combinedOutcome(e, maybeTaken)
+			return combinedOutcome(path, e, maybeTaken)
 		}
 		refusal.CountRetry(c.part, e.Code)
+		if e.Code == refusal.Stale && !stale {
+			stale = true
+			continue // the answer has brought the stamp that was missing
+		}
 		time.Sleep(refusal.Jitter(pause))
 	}
 }
 
-// combinedOutcome returns the outcome of several tries, of which e was the last.
-func combinedOutcome(e *refusal.Error, maybeTaken bool) error {
-	if maybeTaken && (e.Code == refusal.NotLeader || e.Code == refusal.NoQuorum || e.Code == refusal.SendFailed) {
-		return refusal.New(refusal.UnknownOutcome, "send the same again", "an earlier try may have taken effect; the last one: %s", e.Message)
+// combinedOutcome returns the outcome of several tries of a call, of which e was the last. A refusal
+// says that its own try had no effect. It says nothing about earlier tries that may have taken effect
+// or are still on their way, unless the leader says that it does.
+func combinedOutcome(path string, e *refusal.Error, maybeTaken bool) error {
+	if !maybeTaken || e.Final || e.Code == refusal.Unreachable || concernsSender(e.Code) || changesNothing(path) {
+		return e
+	}
+	unknownOutcomes.Inc()
+	return refusal.New(refusal.UnknownOutcome, "send the same again", "an earlier try may have taken effect; the last one: %s", e.Message)
+}
+
+var unknownOutcomes = metrics.NewCounter(`waxwinghaven_outcomes_unknown_total`)
+
+// concernsSender reports whether a refusal is a verdict on the sender or on its key, which holds
+// whatever became of its earlier tries: a session that is not registered stays so, a service is
+// unknown to the configuration, and a record under the key is another request's.
+func concernsSender(code refusal.Code) bool {
+	switch code {
+	case refusal.NotRegistered, refusal.UnknownService, refusal.KeyMismatch, refusal.KeyExpired:
+		return true
+	}
+	return false
+}
+
+// changesNothing reports whether the calls of a path only read: each answer is true by itself.
+func changesNothing(path string) bool {
+	switch path {
+	case PathLookUp, PathOrders, PathReplicas, PathSync, PathGetConfig, PathGetWave, PathGetDataCentre:
+		return true
+	}
+	return false
+}
+
+// stampedRequest is a message that carries the newest stamp that its sender has received, and
+// stampedAnswer an answer that carries its own, see messageOrder.
+type (
+	stampedRequest interface{ setSeen(*refusal.Stamp) }
+	stampedAnswer  interface{ stamp() *refusal.Stamp }
+)
+
+// addSeen adds the newest received stamp to a message, a zero one if there is none.
+func (c *Client) addSeen(req any) {
+	r, ok := req.(stampedRequest)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seen := c.seen
+	r.setSeen(&seen)
+}
+
+func (c *Client) observeAnswer(resp any) {
+	if a, ok := resp.(stampedAnswer); ok {
+		c.observe(a.stamp())
+	}
+}
+
+// observe keeps the newest stamp, which may be nil.
+func (c *Client) observe(s *refusal.Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s != nil && s.After(&c.seen) {
+		c.seen = *s
 	}
-	return e
 }
 
 const (
@@ -127,9 +195,12 @@
 	return c.currentAddr
 }
 
-// switchReplica selects another replica after a refusal, and reports whether a retry can help.
+// switchReplica selects another replica after a refusal if that can help, and reports whether a retry
+// can.
 func (c *Client) switchReplica(from string, asked time.Time, e *refusal.Error) bool {
 	switch e.Code {
+	case refusal.Stale:
+		return true // the same replica takes it with the stamp that it sent
 	case refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable, refusal.SendFailed, refusal.UnknownOutcome:
 	default:
 		return false
--- a/control/client_test.go
+++ b/control/client_test.go
@@ -122,3 +122,75 @@
 	e.Leader, e.SinceLeader = leader, sinceLeader
 	return e
 }
+
+// Guards against "no effect" as the answer to a call of which an earlier try may have taken effect or
+// is still on its way, for each code and for codes that will be added: only a final refusal, a verdict
+// on the sender, or the answer to a question says more than that the last try had no effect.
+func TestRefusalSaysNothingAboutEarlierTries(t *testing.T) {
+	codes := []refusal.Code{refusal.NotLeader, refusal.NoQuorum, refusal.DiskFull, refusal.UnknownOutcome, refusal.Conflict, refusal.ChangeReused,
+		refusal.Invalid, refusal.NotFound, refusal.Forbidden, refusal.TooLarge, refusal.NoConfig, refusal.Behind, refusal.Stale, refusal.NoRoute,
+		refusal.NoUpstream, refusal.Overloaded, refusal.SendFailed, refusal.KeyStoreFull, "a-code-that-will-be-added"}
+	for _, code := range codes {
+		e := refusal.New(code, "", "refused")
+		if err := combinedOutcome(PathSubmitJob, e, true); !refusal.Is(err, refusal.UnknownOutcome) {
+			t.Errorf("%s after a try that may have been taken: %v", code, err)
+		}
+		if err := combinedOutcome(PathSubmitJob, e, false); !refusal.Is(err, code) {
+			t.Errorf("%s of the only try: %v", code, err)
+		}
+		final := *e
+		final.Final = true
+		if err := combinedOutcome(PathSubmitJob, &final, true); !refusal.Is(err, code) {
+			t.Errorf("a final %s: %v", code, err)
+		}
+		if err := combinedOutcome(PathLookUp, e, true); !refusal.Is(err, code) {
+			t.Errorf("%s to a look-up: %v", code, err)
+		}
+	}
+	for _, code := range []refusal.Code{refusal.NotRegistered, refusal.UnknownService, refusal.KeyMismatch, refusal.KeyExpired} {
+		if err := combinedOutcome(PathRegister, refusal.New(code, "", "refused"), true); !refusal.Is(err, code) {
+			t.Errorf("the verdict %s: %v", code, err)
+		}
+	}
+}
+
+// serveJobs answers submissions at an address with the results of f.
+func serveJobs(t *testing.T, addr string, f func(*SubmitJob) (Acknowledged, error)) {
+	t.Helper()
+	server := transport.NewServer("test", nil)
+	server.Handle(PathSubmitJob, handle(func(c SubmitJob) (Acknowledged, error) { return f(&c) }), transport.RoleEntry)
+	ln, err := transport.Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a job that is refused because its entry had not heard from the leader: the message
+// is sent again with the stamp of the answer.
+func TestStaleMessageIsSentAgain(t *testing.T) {
+	stamp := &refusal.Stamp{Term: 3, Tick: 8}
+	var seen []refusal.Stamp
+	serveJobs(t, "127.0.8.61:7880", func(c *SubmitJob) (Acknowledged, error) {
+		seen = append(seen, *c.Seen)
+		if stamp.After(c.Seen) {
+			e := refusal.New(refusal.Stale, "", "stale")
+			e.Stamp = stamp
+			return Acknowledged{}, e
+		}
+		return Acknowledged{}, nil
+	})
+	c := clientOf("127.0.8.61:7880")
+	if err := c.Call(PathSubmitJob, time.Second, &SubmitJob{}, &Acknowledged{}); err != nil {
+		t.Error(err)
+	}
+	if len(seen) != 2 || seen[0] != (refusal.Stamp{}) || seen[1] != *stamp {
+		t.Errorf("sent with %+v", seen)
+	}
+}
--- /dev/null
+++ b/control/finalrefusal.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/quorum"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+)
+
+// finalRefusals counts refusals that also hold for messages that are still on their way.
+var finalRefusals = metrics.NewCounter(`waxwinghaven_job_refusals_total{final="true"}`)
+
+func (c *SubmitJob) key() string { return c.Host + c.Path }
+
+// stamp returns the place of an answer that is given now, nil if this replica does not lead.
+func (d *dispatcher) stamp() *refusal.Stamp {
+	if !d.leads() {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.messages.next(time.Now())
+}
+
+// awaitLeadership returns once this replica leads with a current state.
+func (d *dispatcher) awaitLeadership() error {
+	if d.leads() {
+		return nil
+	}
+	if err := d.r.confirmedLeader(); err != nil {
+		return err
+	}
+	if d.leads() {
+		return nil
+	}
+	return d.r.refusalOf(quorum.ErrNotLeader)
+}
+
+// begin checks the order of a submission's message and records that the submission is in flight.
+// running reports whether another one of the job is in flight.
+func (d *dispatcher) begin(c *SubmitJob) (running bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.messages.check(c.key(), c.Seen, time.Now()); err != nil {
+		return false, err
+	}
+	c.term = d.term
+	running = d.inFlight[c.key()] > 0
+	d.inFlight[c.key()]++
+	return running, nil
+}
+
+// withdraw ends the only submission of a job in flight, so that it can be refused. It returns false
+// if another submission is in flight or was accepted meanwhile: that one was not judged because of
+// this one, and a refusal of this one would say that the job never runs. Messages about the job that
+// were sent before are not taken any more.
+func (d *dispatcher) withdraw(c *SubmitJob) (refused bool) {
+	d.r.machine.Read(func(s *State) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.inFlight[c.key()] > 1 || s.hasJob(c.Host, c.Path) {
+			return
+		}
+		d.messages.refuse(c.key(), time.Now())
+		d.release(c)
+		refused = true
+	})
+	return refused
+}
+
+// markFinal marks the refusal of a withdrawn submission as final, if its sender and those of
+// earlier messages name the stamps that they had received.
+func (d *dispatcher) markFinal(e *refusal.Error, seen *refusal.Stamp) {
+	finalRefusals.Inc()
+	e.Final, e.Stamp = seen != nil, d.stamp()
+}
+
+func (d *dispatcher) hasJob(host, path string) (known bool) {
+	d.r.machine.Read(func(s *State) { known = s.hasJob(host, path) })
+	return known
+}
+
+// hasJob reports whether a job was accepted under a host and path, whichever queue has them now.
+func (s *State) hasJob(host, path string) bool {
+	if len(path) < jobs.IDLength {
+		return false
+	}
+	j := s.Jobs.Jobs[path[len(path)-jobs.IDLength:]]
+	return j != nil && j.Host == host && j.Prefix+j.ID == path
+}
--- /dev/null
+++ b/control/finalrefusal_test.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/transport"
+)
+
+// delayedJob is a job whose first message is still on its way, with the stamp that its sender had
+// received when it sent the message.
+type delayedJob struct {
+	r       *Replica
+	job     SubmitJob
+	delayed SubmitJob
+}
+
+func delayJob(c *cluster, job SubmitJob) *delayedJob {
+	r := c.replicas[c.leader()]
+	c.wait("a stamp", func() bool { return r.dispatcher.stamp() != nil })
+	x := &delayedJob{r, job, job}
+	x.delayed.Seen = r.dispatcher.stamp()
+	return x
+}
+
+// try sends the job again, with the newest stamp.
+func (x *delayedJob) try() error {
+	again := x.job
+	again.Seen = x.r.dispatcher.stamp()
+	_, err := x.r.onSubmitJob(again)
+	return err
+}
+
+// arrive lets the delayed message arrive.
+func (x *delayedJob) arrive() error {
+	_, err := x.r.onSubmitJob(x.delayed)
+	return err
+}
+
+func wantFinal(t *testing.T, err error, code refusal.Code) {
+	t.Helper()
+	if e, ok := refusal.Of(err); !ok || e.Code != code || !e.Final {
+		t.Errorf("want a final refusal %q, got %+v", code, err)
+	}
+}
+
+func wantStale(t *testing.T, err error) {
+	t.Helper()
+	if !refusal.Is(err, refusal.Stale) {
+		t.Errorf("a message from before the refusal is taken: %v", err)
+	}
+}
+
+// Guards against a job that runs although its caller was told that it was refused for lack of room:
+// an earlier message about it arrives when there is room.
+func TestDelayedMessageOfARefusedJobIsNotTaken(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	x := delayJob(c, standingJob("00000000000000bb", 3))
+	full := standingJob("00000000000000aa", 3)
+	if _, err := x.r.onSubmitJob(full); err != nil {
+		t.Fatal(err)
+	}
+	wantFinal(t, x.try(), refusal.Overloaded)
+	if _, err := x.r.onRegister(Registration{Worker: testWorker("w2", "b", "1")}); err != nil {
+		t.Fatal(err) // there is room now
+	}
+	wantStale(t, x.arrive())
+	if x.r.dispatcher.hasJob(x.job.Host, x.job.Path) {
+		t.Error("the refused job was accepted")
+	}
+	if err := x.try(); err != nil {
+		t.Errorf("the same job, handed in again when there is room: %v", err)
+	}
+}
+
+// Guards against replicas and entries of two versions that don't understand each other's messages.
+func TestMessagesOfEarlierVersionsAreUnderstood(t *testing.T) {
+	for _, pair := range [][2]any{
+		{&Empty{}, &Acknowledged{}},
+		{&Acknowledged{&refusal.Stamp{Term: 3}}, &Empty{}},
+	} {
+		b, err := transport.Encode(pair[0])
+		if err == nil {
+			err = transport.Decode(b, pair[1])
+		}
+		if err != nil {
+			t.Errorf("%T read as %T: %v", pair[0], pair[1], err)
+		}
+	}
+}
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -50,23 +50,29 @@
 }
 
 func (r *Replica) proposeJob(c JobCommand) (any, error) {
+	return r.proposeJobIn(quorum.AnyTerm, c)
+}
+
+// proposeJobIn is like proposeJob, but only commits in the given term.
+func (r *Replica) proposeJobIn(term uint64, c JobCommand) (any, error) {
 	if r.node.View().Role != quorum.Leader {
 		return nil, r.refusalOf(quorum.ErrNotLeader)
 	}
-	return r.propose(Command{Jobs: &c})
+	return r.proposeIn(term, Command{Jobs: &c})
 }
 
-func (r *Replica) onSubmitJob(c SubmitJob) (Empty, error) {
+func (r *Replica) onSubmitJob(c SubmitJob) (Acknowledged, error) {
 	arrived := time.Now()
 	if err := c.Spec.Validate(); err != nil {
-		return Empty{}, err
+		return Acknowledged{}, err
 	}
 	if err := r.dispatcher.admit(&c); err != nil {
 		r.dispatcher.demand.submitted(&c, err)
 		r.logCall("submit", JobCall{c.Host, c.Path}, err)
-		return Empty{}, err
+		return Acknowledged{}, err
 	}
-	_, err := r.proposeJob(JobCommand{Submit: &c})
+	c.Seen = nil // not committed
+	_, err := r.proposeJobIn(c.term, JobCommand{Submit: &c})
 	r.dispatcher.submitted(&c)
 	r.dispatcher.demand.submitted(&c, err)
 	r.logCall("submit", JobCall{c.Host, c.Path}, err)
@@ -77,7 +83,7 @@
 		logrus.WithFields(logrus.Fields{"job": c.Path, "steps": c.Spec.String(), "took_ms": time.Since(arrived).Milliseconds()}).Info("control: Took a job in.")
 		r.dispatcher.wake()
 	}
-	return Empty{}, err
+	return Acknowledged{r.dispatcher.stamp()}, err
 }
 
 func (r *Replica) onCancelJob(c JobCall) (Empty, error) {
@@ -112,6 +118,7 @@
 	if e, ok := refusal.Of(err); ok {
 		e.Revision = a.Version
 	}
+	a.Stamp = r.dispatcher.stamp()
 	return a, err
 }
 
@@ -374,7 +381,7 @@
 }
 
 func (r *Replica) onReplicas(Empty) (ReplicasAnswer, error) {
-	return ReplicasAnswer{r.replicaAddresses()}, nil
+	return ReplicasAnswer{r.replicaAddresses(), r.dispatcher.stamp()}, nil
 }
 
 func (r *Replica) replicaAddresses() []string {
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -4,6 +4,7 @@
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/learned"
 	"github.com/waxwinghaven/waxwinghaven/queues"
+	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/upkeep"
 )
 
@@ -37,10 +38,17 @@
 	Host string    `msgpack:"h"`
 	Path string    `msgpack:"p"`
 	Spec jobs.Spec `msgpack:"s"`
+	// Seen is the newest stamp that the sender has received, nil from senders of earlier versions.
+	// It is not committed.
+	Seen *refusal.Stamp `msgpack:"v,omitempty"`
 	// AtMS is when the leader received the call, or first refused the job if it kept its place since
 	// then, in milliseconds since 1970, set by the leader.
 	AtMS int64 `msgpack:"a,omitempty"`
 
+	// term is the leadership that checked Seen, and the only one that may commit the call. It is not
+	// sent.
+	term uint64
+
 	// reserved is the capacity of the service, in thousandths of a processor, that the leader
 	// reserves while the call is being committed. It is not sent.
 	reserved int64
@@ -54,6 +62,16 @@
 	refusalCode string
 }
 
+func (c *SubmitJob) setSeen(s *refusal.Stamp) { c.Seen = s }
+
+// Acknowledged answers a call that was committed.
+type Acknowledged struct {
+	// Stamp is the place of the answer among those of the leader.
+	Stamp *refusal.Stamp `msgpack:"z,omitempty"`
+}
+
+func (a *Acknowledged) stamp() *refusal.Stamp { return a.Stamp }
+
 // JobCall names a job, or a queue if nothing follows the prefix.
 type JobCall struct {
 	Host string `msgpack:"h"`
@@ -69,8 +87,12 @@
 	Pending int  `msgpack:"n,omitempty"`
 	// Version is the version of the configuration used to find the queue.
 	Version uint64 `msgpack:"v,omitempty"`
+	// Stamp is the place of the answer among those of the leader.
+	Stamp *refusal.Stamp `msgpack:"z,omitempty"`
 }
 
+func (a *LookUpAnswer) stamp() *refusal.Stamp { return a.Stamp }
+
 // PutConfig sets a version of the configuration.
 type PutConfig struct {
 	Config queues.Config `msgpack:"c"`
@@ -218,4 +240,8 @@
 // ReplicasAnswer lists the addresses of the control replicas.
 type ReplicasAnswer struct {
 	Replicas []string `msgpack:"r"`
+	// Stamp is the place of the answer among those of the leader, nil from other replicas.
+	Stamp *refusal.Stamp `msgpack:"z,omitempty"`
 }
+
+func (a *ReplicasAnswer) stamp() *refusal.Stamp { return a.Stamp }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -88,7 +88,8 @@
 	if err := spec.Validate(); err != nil {
 		return err
 	}
-	return j.ctl.Call(control.PathSubmitJob, within-replyMargin, &control.SubmitJob{Host: host, Path: path, Spec: spec}, nil)
+	c := &control.SubmitJob{Host: host, Path: path, Spec: spec}
+	return j.ctl.Call(control.PathSubmitJob, within-replyMargin, c, &control.Acknowledged{})
 }
 
 // LookUp returns the state of a job or the length of a queue. If the configuration version of the
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -36,6 +36,7 @@
 	NotRegistered  Code = "not-registered"
 	UnknownService Code = "unknown-service"
 	Behind         Code = "behind"
+	Stale          Code = "stale"
 )
 
 // Codes sent to callers.
@@ -78,6 +79,25 @@
 	Revision uint64 `msgpack:"v,omitempty" json:"revision,omitempty"`
 	// RetryAfter is how long to wait before a retry, 0 if a retry can't succeed.
 	RetryAfter time.Duration `msgpack:"a,omitempty" json:"retry_after_ns,omitempty"`
+	// Final says that no message about the same that was sent before this refusal has taken effect
+	// or ever will.
+	Final bool `msgpack:"f,omitempty" json:"-"`
+	// Stamp is the place of this refusal among the leader's answers, nil if it has none.
+	Stamp *Stamp `msgpack:"s,omitempty" json:"-"`
+}
+
+// Stamp is a place in the order of a leader's answers. Ticks increase with each stamp of a term.
+type Stamp struct {
+	Term uint64 `msgpack:"t"`
+	Tick uint64 `msgpack:"i"`
+}
+
+// After reports whether a stamp is newer than another one, which may be nil.
+func (s *Stamp) After(other *Stamp) bool {
+	if other == nil || s.Term != other.Term {
+		return other == nil || s.Term > other.Term
+	}
+	return s.Tick > other.Tick
 }
 
 // Error returns the code, the message and the remedy.
