control: A job refused for want of a queue stays refused, and an accepted one isn't refused

An earlier message that was still on its way could be accepted once an operator had added the queue, after the caller had got its 404 or 503. The other way round, a job that had been accepted was answered with 404 when it was handed in again after its queue was removed.

Such a refusal is now remembered and final like one for want of room, unless another message about the job is being committed. A job that was accepted before is answered with an unknown outcome instead.

Tests, red before: TestDelayedMessageIsNotTakenOnceItsQueueExists, TestAcceptedJobOfARemovedQueueIsNotRefused.

--- a/control/finalrefusal.go
+++ b/control/finalrefusal.go
@@ -9,8 +9,12 @@
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
 
-// finalRefusals counts refusals that also hold for messages that are still on their way.
-var finalRefusals = metrics.NewCounter(`waxwinghaven_job_refusals_total{final="true"}`)
+// finalRefusals counts refusals that also hold for messages that are still on their way, and
+// openRefusals those that don't, because another message about the job was being committed.
+var (
+	finalRefusals = metrics.NewCounter(`waxwinghaven_job_refusals_total{final="true"}`)
+	openRefusals  = metrics.NewCounter(`waxwinghaven_job_refusals_total{final="false"}`)
+)
 
 func (c *SubmitJob) key() string { return c.Host + c.Path }
 
@@ -77,6 +81,35 @@
 	e.Final, e.Stamp = seen != nil, d.stamp()
 }
 
+// conclude ends a submission with the result of its commit, and returns what its sender is told.
+func (d *dispatcher) conclude(c *SubmitJob, seen *refusal.Stamp, err error) error {
+	e, refused := refusal.Of(err)
+	if !refused || !dependsOnState(e.Code) {
+		d.submitted(c)
+		return err
+	}
+	if d.withdraw(c) {
+		d.markFinal(e, seen)
+		return e
+	}
+	openRefusals.Inc()
+	d.submitted(c)
+	if d.hasJob(c.Host, c.Path) {
+		return refusal.New(refusal.UnknownOutcome, "look the job up, or cancel it", "the job was accepted before; refused now: %s", e.Message)
+	}
+	return e
+}
+
+// dependsOnState reports whether a code is the state machine's refusal of a call about a job: the
+// call had no effect, but the same call may be accepted later.
+func dependsOnState(code refusal.Code) bool {
+	switch code {
+	case refusal.NoRoute, refusal.NoConfig, refusal.NotFound, refusal.Invalid, refusal.Conflict:
+		return true
+	}
+	return false
+}
+
 func (d *dispatcher) hasJob(host, path string) (known bool) {
 	d.r.machine.Read(func(s *State) { known = s.hasJob(host, path) })
 	return known
--- a/control/finalrefusal_test.go
+++ b/control/finalrefusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/transport"
 )
@@ -74,6 +75,48 @@
 	}
 }
 
+// Guards against a job that runs although its caller was told that no such queue exists: an earlier
+// message about it arrives after the queue was added.
+func TestDelayedMessageIsNotTakenOnceItsQueueExists(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	without := watchQueues
+	without.Version, without.Queues = watchQueues.Version+1, []queues.Queue{{Name: "other", Host: "b.example", Prefix: "/x/", Service: "vault", TimeoutMS: 1000}}
+	x := delayJob(c, standingJob("00000000000000bb", 3))
+	if _, err := x.r.PutConfig(PutConfig{Config: without}); err != nil {
+		t.Fatal(err)
+	}
+	wantFinal(t, x.try(), refusal.NoRoute)
+	with := watchQueues
+	with.Version = without.Version + 1
+	if _, err := x.r.PutConfig(PutConfig{Config: with}); err != nil {
+		t.Fatal(err)
+	}
+	wantStale(t, x.arrive())
+	if err := x.try(); err != nil {
+		t.Errorf("the same job, handed in again: %v", err)
+	}
+}
+
+// Guards against a caller that is told that its queue does not exist while its job, accepted before
+// the queue was removed, may run.
+func TestAcceptedJobOfARemovedQueueIsNotRefused(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	x := delayJob(c, standingJob("00000000000000bb", 3))
+	if err := x.arrive(); err != nil {
+		t.Fatal(err)
+	}
+	without := watchQueues
+	without.Version, without.Queues = watchQueues.Version+1, nil
+	if _, err := x.r.PutConfig(PutConfig{Config: without}); err != nil {
+		t.Fatal(err)
+	}
+	if err := x.try(); !refusal.Is(err, refusal.UnknownOutcome) {
+		t.Errorf("the job that was accepted, handed in again: %v", err)
+	}
+}
+
 // Guards against replicas and entries of two versions that don't understand each other's messages.
 func TestMessagesOfEarlierVersionsAreUnderstood(t *testing.T) {
 	for _, pair := range [][2]any{
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -71,9 +71,10 @@
 		r.logCall("submit", JobCall{c.Host, c.Path}, err)
 		return Acknowledged{}, err
 	}
+	seen := c.Seen
 	c.Seen = nil // not committed
 	_, err := r.proposeJobIn(c.term, JobCommand{Submit: &c})
-	r.dispatcher.submitted(&c)
+	err = r.dispatcher.conclude(&c, seen, err)
 	r.dispatcher.demand.submitted(&c, err)
 	r.logCall("submit", JobCall{c.Host, c.Path}, err)
 	if err == nil {
