control, entry: "No such job" to a cancellation binds submissions that are still on their way

A client that hands a job in at one entry, leaves and cancels through another was told that there is no such job (410) while the submission was held up; it then arrived and the job ran. The same the other way round: a cancellation that was held up while its second try was answered with 410 cancelled the job that the client handed in afterwards.

A cancellation carries its sender's newest stamp too. An answer that there is no such job is remembered for submissions and for cancellations of it, so that earlier messages of either kind are not taken. Beside a submission that is being committed the cancellation is sent again instead, and finds the job.

Test: TestDelayedMessageOfACancelledJobIsNotTaken; without the change it fails at the final answer, the late submission and the late cancellation. TestMessagesOfEarlierVersionsAreUnderstood reads the new message as the old one and the other way round.

--- a/control/finalrefusal.go
+++ b/control/finalrefusal.go
@@ -18,6 +18,11 @@
 
 func (c *SubmitJob) key() string { return c.Host + c.Path }
 
+// cancelPrefix distinguishes what messageOrder remembers about cancellations from submissions.
+const cancelPrefix = "cancel "
+
+func (c *CancelJob) key() string { return c.Host + c.Path }
+
 // stamp returns the place of an answer that is given now, nil if this replica does not lead.
 func (d *dispatcher) stamp() *refusal.Stamp {
 	if !d.leads() {
@@ -110,6 +115,48 @@
 	return false
 }
 
+// beginCancel checks the order of a cancellation's message, and returns the only leadership that
+// may commit it.
+func (d *dispatcher) beginCancel(c *CancelJob) (term uint64, err error) {
+	if c.Seen == nil {
+		return quorum.AnyTerm, nil
+	}
+	if err := d.awaitLeadership(); err != nil {
+		return 0, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.term, d.messages.check(cancelPrefix+c.key(), c.Seen, time.Now())
+}
+
+// concludeCancel returns what the sender of a cancellation that was not committed is told. An
+// answer that there is no such job also holds for submissions that were sent before it: they are
+// not taken any more. Beside one that is being committed the cancellation has to be sent again.
+func (d *dispatcher) concludeCancel(c *CancelJob, err error) error {
+	e, refused := refusal.Of(err)
+	if c.Seen == nil || !refused || !dependsOnState(e.Code) {
+		return err
+	}
+	now, beside := time.Now(), false
+	d.r.machine.Read(func(s *State) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if beside = d.inFlight[c.key()] > 0 || s.hasJob(c.Host, c.Path); beside {
+			return
+		}
+		d.messages.refuse(cancelPrefix+c.key(), now)
+		d.messages.refuse(c.key(), now)
+	})
+	if beside {
+		openRefusals.Inc()
+		again := refusal.New(refusal.Stale, "send it again", "the job is being submitted")
+		again.Stamp = d.stamp()
+		return again
+	}
+	d.markFinal(e, c.Seen)
+	return e
+}
+
 func (d *dispatcher) hasJob(host, path string) (known bool) {
 	d.r.machine.Read(func(s *State) { known = s.hasJob(host, path) })
 	return known
--- a/control/finalrefusal_test.go
+++ b/control/finalrefusal_test.go
@@ -117,9 +117,33 @@
 	}
 }
 
+// Guards against a job that runs after its caller was told that there is none to cancel: its
+// submission was still on its way.
+func TestDelayedMessageOfACancelledJobIsNotTaken(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	x := delayJob(c, standingJob("00000000000000bb", 3))
+	cancel := CancelJob{JobCall{x.job.Host, x.job.Path}, x.r.dispatcher.stamp()}
+	delayedCancel := cancel
+	_, err := x.r.onCancelJob(cancel)
+	wantFinal(t, err, refusal.NotFound)
+	wantStale(t, x.arrive())
+	if err := x.try(); err != nil {
+		t.Errorf("the same job, handed in again: %v", err)
+	}
+	_, err = x.r.onCancelJob(delayedCancel)
+	wantStale(t, err) // it would cancel the job that was handed in since
+}
+
 // Guards against replicas and entries of two versions that don't understand each other's messages.
 func TestMessagesOfEarlierVersionsAreUnderstood(t *testing.T) {
+	type oldCall struct {
+		Host string `msgpack:"h"`
+		Path string `msgpack:"p"`
+	}
 	for _, pair := range [][2]any{
+		{&oldCall{"h", "p"}, &CancelJob{}},
+		{&CancelJob{JobCall{"h", "p"}, &refusal.Stamp{Term: 3, Tick: 4}}, &JobCall{}},
 		{&Empty{}, &Acknowledged{}},
 		{&Acknowledged{&refusal.Stamp{Term: 3}}, &Empty{}},
 	} {
@@ -130,5 +154,15 @@
 		if err != nil {
 			t.Errorf("%T read as %T: %v", pair[0], pair[1], err)
 		}
+		switch got := pair[1].(type) {
+		case *CancelJob:
+			if got.JobCall != (JobCall{"h", "p"}) || got.Seen != nil {
+				t.Errorf("read %+v", got)
+			}
+		case *JobCall:
+			if *got != (JobCall{"h", "p"}) {
+				t.Errorf("read %+v", got)
+			}
+		}
 	}
 }
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -87,16 +87,23 @@
 	return Acknowledged{r.dispatcher.stamp()}, err
 }
 
-func (r *Replica) onCancelJob(c JobCall) (Empty, error) {
-	v, err := r.proposeJob(JobCommand{Cancel: &c})
-	r.logCall("cancel", c, err)
+func (r *Replica) onCancelJob(c CancelJob) (Acknowledged, error) {
+	term, err := r.dispatcher.beginCancel(&c)
+	if err != nil {
+		return Acknowledged{}, err
+	}
+	v, err := r.proposeJobIn(term, JobCommand{Cancel: &c.JobCall})
+	if err != nil {
+		err = r.dispatcher.concludeCancel(&c, err)
+	}
+	r.logCall("cancel", c.JobCall, err)
 	if err == nil {
 		if id := v.(string); id != "" {
 			r.dispatcher.demand.ended(id)
 		}
 		r.dispatcher.wake()
 	}
-	return Empty{}, err
+	return Acknowledged{r.dispatcher.stamp()}, err
 }
 
 func (r *Replica) logCall(call string, c JobCall, err error) {
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -78,6 +78,14 @@
 	Path string `msgpack:"p"`
 }
 
+// CancelJob cancels a job. Seen is the same as in SubmitJob.
+type CancelJob struct {
+	JobCall
+	Seen *refusal.Stamp `msgpack:"v,omitempty"`
+}
+
+func (c *CancelJob) setSeen(s *refusal.Stamp) { c.Seen = s }
+
 // LookUpAnswer is the phase of a job, or the length of a queue.
 type LookUpAnswer struct {
 	Phase jobs.Phase `msgpack:"p"`
--- a/control/operator_demand_test.go
+++ b/control/operator_demand_test.go
@@ -199,7 +199,7 @@
 		case 2:
 			c.waitForRun(r, j)
 			for range 2 {
-				if _, err := r.onCancelJob(JobCall{j.Host, j.Path}); err != nil {
+				if _, err := r.onCancelJob(CancelJob{JobCall: JobCall{j.Host, j.Path}}); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -388,7 +388,7 @@
 	next := c.replicas[c.leader()]
 	next.dispatcher.demand.update()
 	c.wait("the cancellation", func() bool {
-		_, err := next.onCancelJob(JobCall{cfg.Queues[maxDemandQueues].Host, render(0, 1, 1000).Path})
+		_, err := next.onCancelJob(CancelJob{JobCall: JobCall{cfg.Queues[maxDemandQueues].Host, render(0, 1, 1000).Path}})
 		return err == nil
 	})
 	var a DemandAnswer
--- a/control/operator_jobs.go
+++ b/control/operator_jobs.go
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	logrus.WithField("job", j.Path).Info("control: An operator cancels a job.")
-	return r.onCancelJob(JobCall{j.Host, j.Path})
+	return r.onCancelJob(CancelJob{JobCall: JobCall{j.Host, j.Path}})
 }
 
 func (r *Replica) getJobs(q *fasthttp.RequestCtx) (any, error) {
--- a/control/waves_test.go
+++ b/control/waves_test.go
@@ -110,7 +110,7 @@
 	if _, err := c.replicas[(l+1)%3].MoveMachine(move); !refusal.Is(err, refusal.Conflict) {
 		t.Fatalf("with standing tasks on it: %v", err)
 	}
-	if _, err := c.replicas[l].onCancelJob(JobCall{job.Host, job.Path}); err != nil {
+	if _, err := c.replicas[l].onCancelJob(CancelJob{JobCall: JobCall{job.Host, job.Path}}); err != nil {
 		t.Fatal(err)
 	}
 	c.wait("the move is accepted", func() bool { _, err := c.replicas[(l+1)%3].MoveMachine(move); return err == nil })
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -123,5 +123,6 @@
 
 // Cancel cancels a job and returns once that is committed.
 func (j *Jobs) Cancel(host, path string, within time.Duration) error {
-	return j.ctl.Call(control.PathCancelJob, within-replyMargin, &control.JobCall{Host: host, Path: path}, nil)
+	c := &control.CancelJob{JobCall: control.JobCall{Host: host, Path: path}}
+	return j.ctl.Call(control.PathCancelJob, within-replyMargin, c, &control.Acknowledged{})
 }
