control: A job whose commit is uncertain is not refused

When the caller sent the job again while there was no room, it was refused, and the entry could be committed afterwards.

The leader keeps such jobs until its leadership ends and refuses no further submission of them; a cancellation that finds nothing is sent again. A leader that follows has the entry in its log, and so in its state before it decides anything, or it can't be committed any more.

By reading; test, red before: TestJobWhoseCommitIsUncertainIsNotRefused.

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -69,9 +69,10 @@
 	waits         *waitStarts
 	advice        *adviceRequester
 	demand        *demandFeed
-	lastCopies    time.Time      // last check for runs that need a copy
-	lastRegroup   time.Time      // last regrouping of served tasks
-	inFlight      map[string]int // submissions being committed, by host and path
+	lastCopies    time.Time       // last check for runs that need a copy
+	lastRegroup   time.Time       // last regrouping of served tasks
+	inFlight      map[string]int  // submissions being committed, by host and path
+	uncertain     map[string]bool // submissions whose commit is unknown, by host and path
 	messages      *messageOrder
 	// reserved is the CPU, in thousandths, that standing tasks of submissions being committed
 	// will hold, by service. reserveMu serialises the calls that reserve from it.
@@ -102,7 +103,7 @@
 	d.stalledAt = make(map[jobs.Stop]time.Time)
 	d.stuckAt = make(map[jobs.Stop]time.Time)
 	d.advice.table = advice.NewTable()
-	d.messages = newMessageOrder(term, time.Now())
+	d.messages, d.uncertain = newMessageOrder(term, time.Now()), make(map[string]bool)
 	d.refused.reset()
 }
 
--- a/control/finalrefusal.go
+++ b/control/finalrefusal.go
@@ -56,7 +56,7 @@
 		return false, err
 	}
 	c.term = d.term
-	running = d.inFlight[c.key()] > 0
+	running = d.inFlight[c.key()] > 0 || d.uncertain[c.key()]
 	d.inFlight[c.key()]++
 	return running, nil
 }
@@ -69,7 +69,7 @@
 	d.r.machine.Read(func(s *State) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if d.inFlight[c.key()] > 1 || s.hasJob(c.Host, c.Path) {
+		if d.inFlight[c.key()] > 1 || d.uncertain[c.key()] || s.hasJob(c.Host, c.Path) {
 			return
 		}
 		d.messages.refuse(c.key(), time.Now())
@@ -89,6 +89,9 @@
 // conclude ends a submission with the result of its commit, and returns what its sender is told.
 func (d *dispatcher) conclude(c *SubmitJob, seen *refusal.Stamp, err error) error {
 	e, refused := refusal.Of(err)
+	if refused && e.Code == refusal.UnknownOutcome {
+		d.markUncertain(c)
+	}
 	if !refused || !dependsOnState(e.Code) {
 		d.submitted(c)
 		return err
@@ -105,6 +108,16 @@
 	return e
 }
 
+// markUncertain records that a submission may be in this leader's log without being committed yet.
+// Until the leadership ends, no other submission of the job is refused.
+func (d *dispatcher) markUncertain(c *SubmitJob) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.term == c.term {
+		d.uncertain[c.key()] = true
+	}
+}
+
 // dependsOnState reports whether a code is the state machine's refusal of a call about a job: the
 // call had no effect, but the same call may be accepted later.
 func dependsOnState(code refusal.Code) bool {
@@ -141,7 +154,7 @@
 	d.r.machine.Read(func(s *State) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if beside = d.inFlight[c.key()] > 0 || s.hasJob(c.Host, c.Path); beside {
+		if beside = d.inFlight[c.key()] > 0 || d.uncertain[c.key()] || s.hasJob(c.Host, c.Path); beside {
 			return
 		}
 		d.messages.refuse(cancelPrefix+c.key(), now)
--- a/control/finalrefusal_test.go
+++ b/control/finalrefusal_test.go
@@ -135,6 +135,28 @@
 	wantStale(t, err) // it would cancel the job that was handed in since
 }
 
+// Guards against a refusal while an earlier submission of the job may yet be committed, because its
+// commit had not been confirmed in time.
+func TestJobWhoseCommitIsUncertainIsNotRefused(t *testing.T) {
+	inSite(t, func(t *testing.T, x *site) {
+		x.submit(standingJob("00000000000000aa", 12))
+		c := standingJob("0000000000000001", 10)
+		if _, err := x.d.begin(&c); err != nil {
+			t.Fatal(err)
+		}
+		unknown := refusal.New(refusal.UnknownOutcome, "", "not committed in time")
+		if err := x.d.conclude(&c, nil, unknown); !refusal.Is(err, refusal.UnknownOutcome) {
+			t.Fatal(err)
+		}
+		if x.submit(c) != 0 {
+			t.Error("the same job is refused")
+		}
+		if other := standingJob("0000000000000002", 10); x.submit(other) == 0 {
+			t.Error("another job that has no room is accepted")
+		}
+	})
+}
+
 // Guards against replicas and entries of two versions that don't understand each other's messages.
 func TestMessagesOfEarlierVersionsAreUnderstood(t *testing.T) {
 	type oldCall struct {
