entry, platform: A call whose caller is gone is not handed in

The leader no longer takes the entry's message, whose stamp is older than its answer to the cancellation. But the entry sends it again, and it may have heard from the leader before it reads its sockets. So an entry hands a job in, and in again, only while its caller's connection is open, as replicas do with operators' orders that carry no version. A call that isn't made is counted as a refusal with the reason caller-gone.

TestStaleMessageIsSentAgainWhileItsCallerWaits also asks that nothing is sent again once the caller has given up; it takes the place of TestStaleMessageIsSentAgain, whose checks it keeps.

--- a/control/client.go
+++ b/control/client.go
@@ -77,10 +77,19 @@
 // The error covers all tries: if any of them may have taken effect, a later refusal does not turn
 // the outcome into "no effect".
 func (c *Client) Call(path string, timeout time.Duration, req, resp any) error {
+	return c.CallWhile(func() bool { return true }, path, timeout, req, resp)
+}
+
+// CallWhile is like Call, but makes a try only while wanted returns true: what nobody waits for any
+// more must not take effect late.
+func (c *Client) CallWhile(wanted func() bool, path string, timeout time.Duration, req, resp any) error {
 	begun := time.Now()
 	deadline := begun.Add(timeout)
 	maybeTaken, stale := false, false
 	for pause := minPause; ; pause = min(2*pause, maxPause) {
+		if !wanted() {
+			return combinedOutcome(path, refusal.New(refusal.CallerGone, "", "the caller no longer waits"), maybeTaken)
+		}
 		addr := c.current()
 		asked := time.Now()
 		c.addSeen(req)
--- a/control/client_test.go
+++ b/control/client_test.go
@@ -129,7 +129,7 @@
 func TestRefusalSaysNothingAboutEarlierTries(t *testing.T) {
 	codes := []refusal.Code{refusal.NotLeader, refusal.NoQuorum, refusal.DiskFull, refusal.UnknownOutcome, refusal.Conflict, refusal.ChangeReused,
 		refusal.Invalid, refusal.NotFound, refusal.Forbidden, refusal.TooLarge, refusal.NoConfig, refusal.Behind, refusal.Stale, refusal.NoRoute,
-		refusal.NoUpstream, refusal.Overloaded, refusal.SendFailed, refusal.KeyStoreFull, "a-code-that-will-be-added"}
+		refusal.NoUpstream, refusal.Overloaded, refusal.SendFailed, refusal.KeyStoreFull, refusal.CallerGone, "a-code-that-will-be-added"}
 	for _, code := range codes {
 		e := refusal.New(code, "", "refused")
 		if err := combinedOutcome(PathSubmitJob, e, true); !refusal.Is(err, refusal.UnknownOutcome) {
@@ -173,8 +173,8 @@
 }
 
 // Guards against a job that is refused because its entry had not heard from the leader: the message
-// is sent again with the stamp of the answer.
-func TestStaleMessageIsSentAgain(t *testing.T) {
+// is sent again with the stamp of the answer, unless its caller has given up meanwhile.
+func TestStaleMessageIsSentAgainWhileItsCallerWaits(t *testing.T) {
 	stamp := &refusal.Stamp{Term: 3, Tick: 8}
 	var seen []refusal.Stamp
 	serveJobs(t, "127.0.8.61:7880", func(c *SubmitJob) (Acknowledged, error) {
@@ -187,10 +187,19 @@
 		return Acknowledged{}, nil
 	})
 	c := clientOf("127.0.8.61:7880")
+	tries := 0
+	whileFirst := func() bool { tries++; return tries == 1 }
+	if err := c.CallWhile(whileFirst, PathSubmitJob, time.Second, &SubmitJob{}, &Acknowledged{}); !refusal.Is(err, refusal.CallerGone) {
+		t.Errorf("after the caller gave up: %v", err)
+	}
+	if len(seen) != 1 || seen[0] != (refusal.Stamp{}) {
+		t.Fatalf("sent with %+v", seen)
+	}
+	stamp = &refusal.Stamp{Term: 4, Tick: 1} // another leader
 	if err := c.Call(PathSubmitJob, time.Second, &SubmitJob{}, &Acknowledged{}); err != nil {
-		t.Error(err)
+		t.Errorf("while the caller waits: %v", err)
 	}
-	if len(seen) != 2 || seen[0] != (refusal.Stamp{}) || seen[1] != *stamp {
+	if len(seen) != 3 || seen[1] != (refusal.Stamp{Term: 3, Tick: 8}) || seen[2] != *stamp {
 		t.Errorf("sent with %+v", seen)
 	}
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -85,11 +85,18 @@
 // Unreachable the job may have been accepted; the same call may be repeated through any entry.
 // The call takes at most the time within.
 func (j *Jobs) Submit(host, path string, spec jobs.Spec, within time.Duration) error {
+	return j.SubmitWhile(func() bool { return true }, host, path, spec, within)
+}
+
+// SubmitWhile is like Submit, but hands the job in only while waiting returns true. A process that
+// was suspended finds calls in its sockets whose callers have long given up, and may have cancelled
+// the job elsewhere.
+func (j *Jobs) SubmitWhile(waiting func() bool, host, path string, spec jobs.Spec, within time.Duration) error {
 	if err := spec.Validate(); err != nil {
 		return err
 	}
 	c := &control.SubmitJob{Host: host, Path: path, Spec: spec}
-	return j.ctl.Call(control.PathSubmitJob, within-replyMargin, c, &control.Acknowledged{})
+	return j.ctl.CallWhile(waiting, control.PathSubmitJob, within-replyMargin, c, &control.Acknowledged{})
 }
 
 // LookUp returns the state of a job or the length of a queue. If the configuration version of the
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -60,6 +60,7 @@
 	KeyRequired    Code = "key-required"
 	KeyUnconfirmed Code = "key-unconfirmed"
 	RetryBudget    Code = "retry-budget-spent"
+	CallerGone     Code = "caller-gone"
 )
 
 // Error describes one refusal.
