proof, memnet: The simulation delays messages

The network in memory can now hold writes up; what follows on the connection, its end included, arrives behind them. TestSimulatedSystemWithDelayedMessages plays the same system with, besides, single lost segments of any process that arrive after 0.25 to 3.75 s, agents that restart while their messages are held up and their worker rejects starts, and jobs whose first message is held up while there is no room for them. It checks the same guarantees, and that no job ran whose every attempt was rejected. The draws of the other simulations are unchanged.

--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -17,6 +17,7 @@
 	isolated     map[string]bool // by IP number
 	uplinks      map[string]*uplink
 	link         Link
+	delay        DelayFunc
 	bytesSent    map[string]int64 // by the sender's IP number
 	messagesSent map[string]int64 // writes, by the sender's IP number
 }
@@ -88,6 +89,30 @@
 	n.isolated[ip] = on
 }
 
+// DelayFunc returns for how long the network holds up a write, 0 for not at all. The addresses are IP
+// numbers.
+type DelayFunc func(from, to string, b []byte) time.Duration
+
+// SetDelay sets the function that decides which writes are held up, nil for none. What is written to
+// the connection afterwards arrives behind the bytes that are held up, also the end of the connection,
+// as when a lost segment is sent again after a timeout: a message may arrive long after its sender has
+// given up or ended. It only applies to links without delay and bandwidth limit.
+func (n *Network) SetDelay(delay DelayFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+func (n *Network) delayOf(from, to string, b []byte) time.Duration {
+	n.mu.Lock()
+	delay := n.delay
+	n.mu.Unlock()
+	if delay == nil {
+		return 0
+	}
+	return delay(from, to, b)
+}
+
 // BytesSent returns the number of bytes that a host has sent.
 func (n *Network) BytesSent(ip string) int64 {
 	n.mu.Lock()
@@ -192,6 +217,9 @@
 	segments      chan segment
 	mu            sync.Mutex
 	writeDeadline time.Time
+	held          []segment // writes that are held up, oldest first
+	delivering    bool      // deliverHeld is running
+	ending        bool      // closed while writes were held up
 }
 
 // segment is a part of a write, with the time at which it arrives.
@@ -234,6 +262,9 @@
 	}
 	if c.segments == nil {
 		c.net.reserve(c.from, len(b))
+		if c.hold(b) {
+			return len(b), nil
+		}
 		return c.Conn.Write(b)
 	}
 	for done := 0; done < len(b); {
@@ -246,6 +277,54 @@
 	return len(b), nil
 }
 
+// hold reports whether a write is held up: by itself, or behind earlier ones.
+func (c *conn) hold(b []byte) bool {
+	d := c.net.delayOf(c.from, c.to, b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d == 0 && !c.delivering {
+		return false
+	}
+	c.held = append(c.held, segment{append([]byte(nil), b...), time.Now().Add(d)})
+	if !c.delivering {
+		c.delivering = true
+		go c.deliverHeld()
+	}
+	return true
+}
+
+// deliverHeld passes the writes that are held up to the other end, in order.
+func (c *conn) deliverHeld() {
+	for {
+		seg, ok := c.nextHeld()
+		if !ok {
+			return
+		}
+		time.Sleep(time.Until(seg.at))
+		if c.net.isBlocked(c.from, c.to) {
+			continue
+		}
+		c.Conn.SetWriteDeadline(time.Time{}) // the sender may have given up meanwhile
+		c.Conn.Write(seg.bytes)              // fails if the other end has closed the connection
+	}
+}
+
+// nextHeld takes the oldest write that is held up. After the last one it ends the connection if it
+// was closed meanwhile.
+func (c *conn) nextHeld() (seg segment, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.held) > 0 {
+		seg, c.held = c.held[0], c.held[1:]
+		return seg, true
+	}
+	c.delivering = false
+	if c.ending {
+		c.Conn.Close()
+	}
+	return seg, false
+}
+
 // enqueue puts a segment on the link; it waits for space in the connection's window until the
 // write deadline.
 func (c *conn) enqueue(b []byte) error {
@@ -289,6 +368,12 @@
 
 func (c *conn) Close() error {
 	c.once.Do(func() { close(c.closed) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.delivering {
+		c.ending = true
+		return c.Conn.SetReadDeadline(time.Now())
+	}
 	return c.Conn.Close()
 }
 
--- a/proof/simulation_events_test.go
+++ b/proof/simulation_events_test.go
@@ -346,8 +346,9 @@
 	// listOdds delays one Hold call in so many, 0 for lateListOdds.
 	listOdds int
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu   sync.Mutex
+	rng  *rand.Rand
+	busy bool // rejects all starts
 	// seen holds the increasing tokens of the calls that reached an incarnation without delay,
 	// by its name.
 	seen       map[string][]tokenSeen
@@ -374,6 +375,18 @@
 	return t
 }
 
+func (w *lateWorker) setBusy(busy bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy = busy
+}
+
+func (w *lateWorker) isBusy() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.busy
+}
+
 const (
 	lateOrderOdds = 8
 	lateListOdds  = 300
@@ -426,6 +439,10 @@
 	if v, err := w.checkIncarnation(c.Target); v != runner.VerdictDone || err != nil {
 		return runner.Reply{Verdict: v}, err
 	}
+	if w.isBusy() {
+		w.recordToken(c.Token)
+		return runner.Reply{Verdict: runner.VerdictBusy}, nil
+	}
 	sent := tokenSeen{c.Token, time.Now()} // the call's target may change once it is delayed
 	if w.maybeDelay(lateOrderOdds, &c.Target, func() { w.Host.Start(c) }) {
 		w.mu.Lock()
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -45,9 +45,10 @@
 	dir    string
 	ctx    context.Context
 
-	noDelays  bool   // workers carry out all calls without delay
-	ownAgents int    // number of agents that ask the leader for orders; the others ask followers
-	optional  string // settings of the replicas, see optionalParts
+	noDelays  bool    // workers carry out all calls without delay
+	ownAgents int     // number of agents that ask the leader for orders; the others ask followers
+	optional  string  // settings of the replicas, see optionalParts
+	delays    *delays // holds messages up, nil for no delays
 	started   time.Time
 	formed    bool // the replica set has formed: an empty disk is a lost one
 	log       []string
@@ -95,6 +96,8 @@
 type submitted struct {
 	spec         jobs.Spec
 	accepted     bool   // some submission was answered with success
+	attempts     int    // submissions that were answered, and those of them that were rejected,
+	rejected     int    // both only counted by submitOnce
 	cancelled    bool   // a cancellation was sent
 	standing     bool   // its tasks run until it is cancelled
 	crashingTask string // the task that crashes every worker, "" for none
@@ -106,6 +109,8 @@
 	s.log = append(s.log, fmt.Sprintf("%6.2f ", time.Since(s.started).Seconds())+fmt.Sprintf(format, args...))
 }
 
+const gatewayIP = "10.0.2.1"
+
 func replicaIP(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
 func agentIP(i int) string   { return fmt.Sprintf("10.0.1.%d", i+1) }
 
@@ -238,7 +243,7 @@
 	}
 	s.formed = true
 	s.startAgents(workers)
-	gateway, err := entry.NewJobs(s.settingsOf("10.0.2.1", "[entry]\nport = 7105\nhealth_port = 7106"))
+	gateway, err := entry.NewJobs(s.settingsOf(gatewayIP, "[entry]\nport = 7105\nhealth_port = 7106"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -273,6 +278,9 @@
 		if time.Since(s.started) < fuzzTime {
 			s.restoreDataCentres(maxOutOfService)
 			s.injectRandomEvent(fault)
+			if s.delays != nil {
+				s.injectDelay()
+			}
 			continue
 		}
 		for i := range s.agents {
