control, jobs, runner: A queue's length counts jobs until a task has begun

The product counted jobs of which nothing had ever been placed. A placement is the control's decision and not a start: the worker may be silent, reject the run, or be lost before it begins, and a job that was placed once was never counted again.

Change: each lease renewal says up to which log index the agent knows its worker's orders and which of the ordered runs have not started, so the leader knows of starts without a commit for each. That a job has begun is committed with the ends of its runs and, before runs become void with a worker that is lost or replaced, for those that the renewals cover. Pending counts the live jobs that are not known to have begun. A new leader takes runs for started for two seconds, until the agents have reported. Renewals of agents of earlier versions count all their runs as started, as before.

--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -18,6 +18,7 @@
 	Lost     []jobs.Loss   `msgpack:"l,omitempty"`
 	Ends     *RunEnds      `msgpack:"e,omitempty"`
 	Forget   []string      `msgpack:"f,omitempty"` // job ids
+	Began    []string      `msgpack:"b,omitempty"` // ids of jobs of which a task has started
 	Wave     *StartWave    `msgpack:"w,omitempty"`
 	Marks    []upkeep.Mark `msgpack:"m,omitempty"`
 }
@@ -54,6 +55,8 @@
 		s.Waves.ApplyMarks(c.Marks)
 	case c.Forget != nil:
 		s.Jobs.ApplyForget(c.Forget)
+	case c.Began != nil:
+		s.Jobs.ApplyBegan(c.Began)
 	}
 	return nil, nil
 }
--- /dev/null
+++ b/control/begun.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+)
+
+// begunReport is what an agent last reported about which runs have started on its worker. Each lease
+// renewal carries one, so that the leader need not commit each start.
+type begunReport struct {
+	ordersIndex uint64
+	unstarted   []jobs.Stop
+}
+
+func newBegunReport(req *LeaseRequest) begunReport {
+	return begunReport{ordersIndex: req.OrdersIndex, unstarted: req.Unstarted}
+}
+
+// hasBegun reports whether a run on the worker had started when the report was made. A report of an
+// earlier version does not say, so all runs count.
+func (b *begunReport) hasBegun(ref jobs.Ref, r *jobs.Placed) bool {
+	if b.ordersIndex == 0 {
+		return true
+	}
+	return r.Changed <= b.ordersIndex && !slices.Contains(b.unstarted, jobs.Stop{Task: ref, Run: r.Run})
+}
+
+// begunReportsDue is how long a new leader takes runs on workers without a report for started. Agents
+// renew their leases every 0.7 s.
+const begunReportsDue = 2 * time.Second
+
+// begunTest returns a function that reports whether a run is known to have started. It holds until the
+// state is unlocked.
+func (d *dispatcher) begunTest() func(jobs.Ref, *jobs.Placed) bool {
+	d.mu.Lock()
+	reports, isNew := d.begun, time.Since(d.begunSince) < begunReportsDue
+	d.mu.Unlock()
+	return func(ref jobs.Ref, r *jobs.Placed) bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		b, reported := reports[r.Worker]
+		return (!reported && isNew) || (reported && b.hasBegun(ref, r))
+	}
+}
+
+// commitBegun records in the log which jobs have begun, before their runs on workers that are lost or
+// replaced become void: a job whose only runs were there would count as pending again.
+func (d *dispatcher) commitBegun(workers []string) {
+	begun, found := d.begunTest(), make(map[string]bool)
+	d.r.machine.Read(func(s *State) {
+		for _, worker := range workers {
+			for _, ref := range s.Jobs.RunsOn(worker) {
+				j := s.Jobs.Jobs[ref.Job]
+				if r := s.Jobs.Group(ref).Tasks[ref.Index].On(worker); !j.Began && !found[j.ID] && begun(ref, r) {
+					found[j.ID] = true
+				}
+			}
+		}
+	})
+	if len(found) == 0 {
+		return
+	}
+	ids := slices.Sorted(maps.Keys(found))
+	if _, err := d.r.proposeJob(JobCommand{Began: ids}); err != nil {
+		logrus.Warnf("control: Could not commit that %d jobs have begun: %v.", len(ids), err)
+	}
+}
--- /dev/null
+++ b/control/begun_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/waxwinghaven/waxwinghaven/jobs"
+)
+
+// queueLength returns the length of the queue of watchQueues by the leader's answer.
+func queueLength(t *testing.T, r *Replica) int {
+	t.Helper()
+	a, err := r.onLookUp(JobCall{watchQueues.Queues[0].Host, watchQueues.Queues[0].Prefix})
+	if err != nil || !a.IsQueue {
+		t.Fatalf("look-up: %+v, %v", a, err)
+	}
+	return a.Pending
+}
+
+// Guards against a queue's length that leaves out a job which is placed and has not begun, by what its
+// worker's agent reports, and against one that counts a job again whose worker was lost after it began.
+func TestQueueLengthFollowsTheAgentsReports(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	r := c.replicas[c.leader()]
+	if _, err := r.onSubmitJob(standingJob("00000000000000aa", 1)); err != nil {
+		t.Fatal(err)
+	}
+	ref := jobs.Ref{Job: "00000000000000aa"}
+	placedAt := func() (index uint64) {
+		r.machine.Read(func(s *State) {
+			if x := s.Jobs.Group(ref).Tasks[0].On("w"); x != nil {
+				index = x.Changed
+			}
+		})
+		return index
+	}
+	c.wait("run 1", func() bool { return placedAt() > 0 })
+	if n := queueLength(t, r); n != 0 {
+		t.Errorf("%d jobs pending at a new leader, before the first reports", n)
+	}
+	r.dispatcher.mu.Lock()
+	r.dispatcher.begunSince = time.Now().Add(-begunReportsDue)
+	r.dispatcher.mu.Unlock()
+	if n := queueLength(t, r); n != 1 {
+		t.Errorf("%d jobs pending, the worker was silent since the job was placed", n)
+	}
+	for _, x := range []struct {
+		name      string
+		index     uint64
+		unstarted []jobs.Stop
+		want      int
+	}{
+		{"the order has not arrived", placedAt() - 1, nil, 1},
+		{"the order has arrived, the run has not started", placedAt(), []jobs.Stop{{Task: ref, Run: 1}}, 1},
+		{"an agent that does not say", 0, nil, 0},
+		{"the run has started", placedAt(), nil, 0},
+	} {
+		if _, err := r.onLease(LeaseRequest{WorkerRef: WorkerRef{"w", "1"}, OrdersIndex: x.index, Unstarted: x.unstarted}); err != nil {
+			t.Fatal(err)
+		}
+		if n := queueLength(t, r); n != x.want {
+			t.Errorf("%s: %d jobs pending, want %d", x.name, n, x.want)
+		}
+	}
+	c.wait("the worker's loss", func() bool { return !isRegistered(r, "w") })
+	if n := queueLength(t, r); n != 0 {
+		t.Errorf("%d jobs pending after the loss of the worker on which the job had begun", n)
+	}
+}
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -66,6 +66,8 @@
 	durationModel *learned.DurationModel
 	lessonWriter  *learned.LessonWriter
 	health        *dispatch.Health
+	begun         map[string]begunReport // by worker
+	begunSince    time.Time              // when begun was empty
 	waits         *waitStarts
 	advice        *adviceRequester
 	demand        *demandFeed
@@ -103,6 +105,7 @@
 	d.stalledAt = make(map[jobs.Stop]time.Time)
 	d.stuckAt = make(map[jobs.Stop]time.Time)
 	d.advice.table = advice.NewTable()
+	d.begun, d.begunSince = make(map[string]begunReport), time.Now()
 	d.messages, d.uncertain = newMessageOrder(term, time.Now()), make(map[string]bool)
 	d.refused.reset()
 }
@@ -313,6 +316,7 @@
 		d.waits.forget(func(job string) bool { return s.Jobs.Jobs[job] != nil })
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		maps.DeleteFunc(d.begun, func(worker string, _ begunReport) bool { return s.Jobs.Workers[worker] == nil })
 		d.advice.table.Forget(func(step jobs.GroupKey) bool {
 			j := s.Jobs.Jobs[step.Job]
 			return j != nil && !j.Phase.Over()
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -120,7 +120,7 @@
 		return a, err
 	}
 	r.machine.Read(func(s *State) {
-		a, err = s.lookUp(c)
+		a, err = s.lookUp(c, r.dispatcher.begunTest())
 		a.Version = s.Queues.Config.Version
 	})
 	if e, ok := refusal.Of(err); ok {
@@ -130,14 +130,15 @@
 	return a, err
 }
 
-// lookUp returns the phase of a job, or the length of a queue.
-func (s *State) lookUp(c JobCall) (a LookUpAnswer, err error) {
+// lookUp returns the phase of a job, or the length of a queue. begun reports whether a run is known to
+// have started.
+func (s *State) lookUp(c JobCall, begun func(jobs.Ref, *jobs.Placed) bool) (a LookUpAnswer, err error) {
 	host, prefix, id, err := s.findQueue(c)
 	if err != nil {
 		return a, err
 	}
 	if id == "" {
-		return LookUpAnswer{IsQueue: true, Pending: s.Jobs.Pending(host, prefix)}, nil
+		return LookUpAnswer{IsQueue: true, Pending: s.Jobs.Pending(host, prefix, begun)}, nil
 	}
 	a.Phase, err = s.Jobs.Lookup(host, prefix, id)
 	return a, err
@@ -221,6 +222,7 @@
 	if w.Crash != nil && r.waves.moved(w.Crash.Worker) {
 		w.Crash = nil
 	}
+	r.dispatcher.commitBegun(r.replacedBy(&w))
 	v, err := r.proposeJob(JobCommand{Register: &w})
 	if err != nil {
 		return Registered{}, err
@@ -238,6 +240,17 @@
 	return answer, nil
 }
 
+// replacedBy returns the worker that a registration replaces by another incarnation, none if there is
+// none.
+func (r *Replica) replacedBy(w *Registration) (replaced []string) {
+	r.machine.Read(func(s *State) {
+		if old := s.Jobs.WorkerOf(w.Agent); old != nil && old.ID != w.ID {
+			replaced = append(replaced, old.ID)
+		}
+	})
+	return replaced
+}
+
 func (r *Replica) logRegistration(w *Registration, done *registerResult) {
 	l := logrus.WithFields(logrus.Fields{"agent": w.Agent, "worker": w.ID, "service": w.Service, "token": done.Worker.Token, "draining": w.Draining})
 	l.Info("control: Registered a worker.")
@@ -366,6 +379,7 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	r.dispatcher.commitBegun([]string{ref.Worker})
 	v, err := r.proposeJob(JobCommand{Lost: []jobs.Loss{{Worker: ref.Worker, Registered: registered}}})
 	if err == nil {
 		voidGone.Add(v.(int))
--- a/control/leases.go
+++ b/control/leases.go
@@ -131,6 +131,7 @@
 // replica the workers may hold leases from another leader in between.
 func (d *dispatcher) commitLoss(l *loss) {
 	decided := time.Now()
+	d.commitBegun(workersOf(l.workers))
 	v, err := d.r.proposeIn(l.term, Command{Jobs: &JobCommand{Lost: l.workers}})
 	if err != nil {
 		// The outcome may be unknown, so the leases stay closed and the next watch proposes the
@@ -151,6 +152,13 @@
 	d.wake()
 }
 
+func workersOf(list []holder) (workers []string) {
+	for _, x := range list {
+		workers = append(workers, x.Worker)
+	}
+	return workers
+}
+
 func (l *loss) log(runs int, took time.Duration) {
 	ungrantedMS := make([]int64, 0, len(l.sinceGrant)) // in the order of the workers
 	for _, d := range l.sinceGrant {
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -244,6 +244,9 @@
 	if g == nil {
 		return Ended{}
 	}
+	if e.Outcome != OutcomeRejected {
+		s.setBegan(g.job)
+	}
 	t := &g.Tasks[e.Task.Index]
 	if r := t.On(worker); r == nil || r.Run != e.Run {
 		s.applyLateDone(g, e, index)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -28,9 +28,11 @@
 	copyable map[Ref]struct{} // running tasks that may have a copy and have none
 	// suspects are the tasks suspected of crashing their workers.
 	suspects map[Ref]struct{}
-	pending  map[string]int // jobs without a started task, by host and prefix
-	live     int
-	changed  []string // workers whose orders changed
+	queued   map[string]int // jobs of which nothing was ever placed, by host and prefix
+	// placed holds the live jobs that had a run and are not known to have begun, by host and prefix.
+	placed  map[string]map[string]*Job
+	live    int
+	changed []string // workers whose orders changed
 }
 
 // Use is the capacity that the runs on one worker hold. CPU amounts are in thousandths of a
@@ -80,7 +82,8 @@
 	s.ready = make(map[*Group]struct{})
 	s.copyable = make(map[Ref]struct{})
 	s.suspects = make(map[Ref]struct{})
-	s.pending = make(map[string]int)
+	s.queued = make(map[string]int)
+	s.placed = make(map[string]map[string]*Job)
 	s.live = 0
 	for _, w := range s.Workers {
 		s.byAgent[w.Agent] = w
@@ -114,8 +117,10 @@
 		}
 	}
 	if j.Phase == Queued {
-		s.pending[j.Host+j.Prefix]++
+		s.queued[j.Host+j.Prefix]++
 	}
+	j.Began = j.Began || j.hasProgress() // snapshots of earlier versions don't have it
+	s.trackPlaced(j)
 	if !j.Phase.Over() {
 		s.live++
 		for _, g := range j.Groups {
@@ -291,7 +296,75 @@
 func (s *State) Live() int { return s.live }
 
 // Pending counts a queue's jobs without a started task.
-func (s *State) Pending(host, prefix string) int { return s.pending[host+prefix] }
+//
+// begun reports whether a run is known to have started, by other means than the log.
+func (s *State) Pending(host, prefix string, begun func(Ref, *Placed) bool) int {
+	n := s.queued[host+prefix]
+	for _, j := range s.placed[host+prefix] {
+		if !j.anyRun(begun) {
+			n++
+		}
+	}
+	return n
+}
+
+// anyRun reports whether test holds for any run of the job.
+func (j *Job) anyRun(test func(Ref, *Placed) bool) bool {
+	for _, g := range j.Groups {
+		for k := range g.Tasks {
+			for _, r := range g.Tasks[k].Runs() {
+				if test(g.ref(k), r) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// hasProgress reports whether a task has ended or saved a checkpoint.
+func (j *Job) hasProgress() bool {
+	for _, g := range j.Groups {
+		for k := range g.Tasks {
+			if t := &g.Tasks[k]; t.Done || t.Failures > 0 || t.Checkpoint != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ApplyBegan records that tasks of jobs have started.
+func (s *State) ApplyBegan(ids []string) {
+	for _, id := range ids {
+		if j := s.Jobs[id]; j != nil {
+			s.setBegan(j)
+		}
+	}
+}
+
+func (s *State) setBegan(j *Job) {
+	if !j.Began {
+		j.Began = true
+		s.trackPlaced(j)
+	}
+}
+
+// trackPlaced updates placed after a change of a job.
+func (s *State) trackPlaced(j *Job) {
+	queue := j.Host + j.Prefix
+	if j.Phase != Running || j.Began {
+		delete(s.placed[queue], j.ID)
+		if len(s.placed[queue]) == 0 {
+			delete(s.placed, queue)
+		}
+		return
+	}
+	if s.placed[queue] == nil {
+		s.placed[queue] = make(map[string]*Job)
+	}
+	s.placed[queue][j.ID] = j
+}
 
 // Use returns the capacity that is held on a worker.
 func (s *State) Use(worker string) Use {
@@ -455,9 +528,10 @@
 
 func (s *State) setPhase(j *Job, p Phase) {
 	if j.Phase == Queued && p != Queued {
-		s.pending[j.Host+j.Prefix]--
+		s.queued[j.Host+j.Prefix]--
 	}
 	j.Phase = p
+	s.trackPlaced(j)
 }
 
 // ApplyForget removes the given jobs if they are over and hold no capacity.
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -488,7 +488,7 @@
 	}
 	w.end("w1", Ref{idA, 0, 0, 0}, 1, OutcomeStopped, "")
 	w.ApplyForget([]string{idA})
-	if w.Jobs[idA] != nil || w.Pending(host, prefix) != 0 {
+	if w.Jobs[idA] != nil || w.Pending(host, prefix, neverBegun) != 0 {
 		t.Fatal("a job that is over was not forgotten")
 	}
 }
@@ -505,7 +505,7 @@
 	w.place(idA, 0, 1, "w2")
 	w.end("w2", Ref{idA, 0, 0, 1}, 1, OutcomeDone, "")
 	back := restoreSnapshot(t, w.State)
-	if !reflect.DeepEqual(back.Use("w1").Held, w.Use("w1").Held) || back.Live() != w.Live() || back.Pending(host, prefix) != w.Pending(host, prefix) {
+	if !reflect.DeepEqual(back.Use("w1").Held, w.Use("w1").Held) || back.Live() != w.Live() || back.Pending(host, prefix, neverBegun) != w.Pending(host, prefix, neverBegun) {
 		t.Error("the derived state differs")
 	}
 	if !reflect.DeepEqual(back.Orders("w1", 0), w.Orders("w1", 0)) {
@@ -664,3 +664,52 @@
 		t.Error("the gang is started again, but the end is not overtaken")
 	}
 }
+
+func neverBegun(Ref, *Placed) bool { return false }
+
+// Guards against a queue's length that leaves out jobs which never began: they were placed on a worker
+// that was lost, or that rejected them. A job of which a task has begun must not be counted again when
+// its worker is lost.
+func TestPendingCountsJobsUntilATaskHasBegun(t *testing.T) {
+	lost := func(w *fixture) { w.lose("w1") }
+	ended := func(o Outcome) func(*fixture) {
+		return func(w *fixture) { w.end("w1", Ref{idA, 0, 0, 0}, 1, o, "") }
+	}
+	began := func(w *fixture) { w.ApplyBegan([]string{idA, "unknown"}) }
+	for _, c := range []struct {
+		name  string
+		begun bool // by the agent's report
+		after []func(*fixture)
+		want  int
+	}{
+		{"placed", false, nil, 1},
+		{"placed and started", true, nil, 0},
+		{"its worker is lost", false, []func(*fixture){lost}, 1},
+		{"rejected", false, []func(*fixture){ended(OutcomeRejected)}, 1},
+		{"started, its worker is lost", false, []func(*fixture){began, lost}, 0},
+		{"a run has lapsed", false, []func(*fixture){ended(OutcomeLost)}, 0},
+		{"a run has failed", false, []func(*fixture){ended(OutcomeFailed)}, 0},
+		{"its worker is lost, then a late end arrives", false, []func(*fixture){lost, ended(OutcomeStopped)}, 0},
+		{"cancelled", false, []func(*fixture){func(w *fixture) { w.ApplyCancel(idA, 50) }}, 0},
+	} {
+		w := newFixture(t, "w1")
+		w.submit(idA, step(2, 1000))
+		pending := func(s *State) int {
+			return s.Pending(host, prefix, func(ref Ref, r *Placed) bool { return c.begun && ref.Job == idA && r.Worker == "w1" })
+		}
+		if n := pending(w.State); n != 1 {
+			t.Fatalf("a job that waits: %d pending", n)
+		}
+		w.place(idA, 0, 0, "w1")
+		for _, f := range c.after {
+			f(w)
+		}
+		if n := pending(w.State); n != c.want {
+			t.Errorf("%s: %d pending, want %d", c.name, n, c.want)
+		}
+		w.Rebuild()
+		if n := pending(w.State); n != c.want {
+			t.Errorf("%s, after a snapshot: %d pending, want %d", c.name, n, c.want)
+		}
+	}
+}
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -158,6 +158,9 @@
 	// lower Seq.
 	AcceptedAt int64    `msgpack:"a"`
 	Groups     []*Group `msgpack:"g"` // by occurrence, then step
+	// Began is set once it is committed that a task of the job has started. A run of a job without it
+	// may have started all the same.
+	Began bool `msgpack:"b,omitempty"`
 	// FailureReason is the reason of the failure for operators, "" if the job did not fail.
 	FailureReason string `msgpack:"w,omitempty"`
 	active        int    // runs that hold capacity
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -383,11 +383,12 @@
 	cordoned      bool     // the worker's data centre is out of service
 	termMS        int64
 	changed       chan struct{}
-	onRegister    func() // called at each registration
-	noTokens      bool   // hands out no fencing tokens
-	maxLeaseMS    int64  // returned with each end
-	lateLeaseMS   int64  // returned for registrations with LateLease
-	lateLeases    []bool // LateLease of the registrations
+	onRegister    func()               // called at each registration
+	noTokens      bool                 // hands out no fencing tokens
+	maxLeaseMS    int64                // returned with each end
+	lateLeaseMS   int64                // returned for registrations with LateLease
+	lateLeases    []bool               // LateLease of the registrations
+	renewal       control.LeaseRequest // the last one that was granted
 }
 
 type order struct {
@@ -541,6 +542,7 @@
 		if q.Session != c.session {
 			return refusal.New(refusal.NotRegistered, "", "")
 		}
+		c.renewal = *q
 		a := resp.(*control.LeaseAnswer)
 		a.TermMS, a.Cordoned = c.termMS, c.cordoned
 	case *control.OrdersRequest:
--- a/runner/grant.go
+++ b/runner/grant.go
@@ -5,6 +5,7 @@
 
 	"github.com/waxwinghaven/waxwinghaven/clock"
 	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/jobs"
 )
 
 // renew requests a lease. clockMS is the worker's clock as it was read before the request, so
@@ -15,6 +16,7 @@
 	req.Stuck = s.progress.stuck(time.Now())
 	req.Degraded = s.pacer.isDegraded()
 	req.PairsSeen = s.pairsRevision.Load()
+	req.OrdersIndex, req.Unstarted = s.unstarted()
 	if s.sendKnown.Load() {
 		req.KnownPairs = s.pacer.known()
 	}
@@ -43,3 +45,19 @@
 	s.lease = make(chan struct{})
 	s.mu.Unlock()
 }
+
+// unstarted returns the log index up to which orders have been received, and the runs among them that
+// are not known to have started.
+func (s *session) unstarted() (index uint64, list []jobs.Stop) {
+	index = s.ordersIndex.Load() // before the runs are listed
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, r := range s.runs {
+		r.mu.Lock()
+		if r.ordered && !r.started && !r.ended {
+			list = append(list, jobs.Stop{Task: key.task, Run: key.run})
+		}
+		r.mu.Unlock()
+	}
+	return index, list
+}
--- a/runner/session.go
+++ b/runner/session.go
@@ -83,6 +83,7 @@
 	inServiceAsOf clock.Instant
 
 	registered        atomic.Uint64 // index of the registration
+	ordersIndex       atomic.Uint64 // log index up to which orders have been received
 	leader            atomic.Uint64 // leadership that granted the last lease
 	leaderStartMS     atomic.Int64  // the leader's clock when the session began, 0 if not known
 	awaitingLateLease bool          // awaitLateLease is running or done; only registrations use it
@@ -357,6 +358,7 @@
 		}
 		s.applyOrders(a.Orders, since == 0)
 		since, wait = max(since, a.Index), ordersWait
+		s.ordersIndex.Store(since)
 	}
 }
 
