jobs: An end with an impossible occurrence does not end the replicas

Seen by the review, by reading: a task's name comes from a worker's list and may hold any number as its occurrence. One of about 2^62 overflowed the index of its group, and each replica would have panicked when it applied the end. The occurrence is compared with the number of groups first.

Test, a panic before: TestEndOfAnImpossibleOccurrenceIsIgnored.

--- a/jobs/state.go
+++ b/jobs/state.go
@@ -450,8 +450,8 @@
 
 func (s *State) group(ref Ref) *Group {
 	j := s.Jobs[ref.Job]
-	if j == nil || ref.Step < 0 || ref.Step >= len(j.Spec.Steps) || ref.Occurrence < 0 {
-		return nil
+	if j == nil || ref.Step < 0 || ref.Step >= len(j.Spec.Steps) || ref.Occurrence < 0 || ref.Occurrence >= len(j.Groups) {
+		return nil // a worker's list may hold any number as the occurrence
 	}
 	i := ref.Occurrence*len(j.Spec.Steps) + ref.Step
 	if i >= len(j.Groups) || ref.Index < 0 || ref.Index >= len(j.Groups[i].Tasks) {
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 
@@ -713,3 +714,16 @@
 		}
 	}
 }
+
+// Guards against replicas that all end when they apply the end of a run whose name holds an occurrence
+// so large that its group's index overflows.
+func TestEndOfAnImpossibleOccurrenceIsIgnored(t *testing.T) {
+	w := newFixture(t, "w1")
+	w.submit(idA, step(1, 1000), step(1, 1000))
+	for _, occurrence := range []int{1, 1 << 61, 1 << 62, math.MaxInt, math.MinInt, -1} {
+		e := End{Task: Ref{idA, occurrence, 0, 0}, Run: 1, Outcome: OutcomeDone}
+		if ended := w.ApplyEnd("w1", e, rules, w.next()); ended != (Ended{}) {
+			t.Errorf("occurrence %d: %+v", occurrence, ended)
+		}
+	}
+}
