control: A former leader's stale answers are left, and what is not reported isn't committed as begun

A leader that has been replaced and does not know it yet finds a message of an entry stale that has heard from its successor, and its stamp is of an earlier term. The entry sent the message to the same replica again until its caller's time was over. It asks another replica now; the stamp of a lower term tells. TestStaleMessageIsNotSentToAFormerLeaderAgain failed before.

A leader in its first two seconds took runs without a report for started also where that is committed, for workers that leave or are replaced then. Only the length of a queue does so now.

The answers' stamps don't appear in the operator's interface. Unknown outcomes are counted by part. The tests' two servers share one function.

--- a/control/begun.go
+++ b/control/begun.go
@@ -33,24 +33,31 @@
 // renew their leases every 0.7 s.
 const begunReportsDue = 2 * time.Second
 
-// begunTest returns a function that reports whether a run is known to have started. It holds until the
-// state is unlocked.
-func (d *dispatcher) begunTest() func(jobs.Ref, *jobs.Placed) bool {
-	d.mu.Lock()
-	reports, isNew := d.begun, time.Since(d.begunSince) < begunReportsDue
-	d.mu.Unlock()
+// begunTest returns a function that reports whether a run has started, by its worker's last report.
+// Without a report it returns unreported.
+func (d *dispatcher) begunTest(unreported bool) func(jobs.Ref, *jobs.Placed) bool {
 	return func(ref jobs.Ref, r *jobs.Placed) bool {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		b, reported := reports[r.Worker]
-		return (!reported && isNew) || (reported && b.hasBegun(ref, r))
+		b, reported := d.begun[r.Worker]
+		if !reported {
+			return unreported
+		}
+		return b.hasBegun(ref, r)
 	}
 }
 
+// awaitsBegunReports reports whether this leader is so new that agents may not have reported yet.
+func (d *dispatcher) awaitsBegunReports() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.begunSince) < begunReportsDue
+}
+
 // commitBegun records in the log which jobs have begun, before their runs on workers that are lost or
 // replaced become void: a job whose only runs were there would count as pending again.
 func (d *dispatcher) commitBegun(workers []string) {
-	begun, found := d.begunTest(), make(map[string]bool)
+	begun, found := d.begunTest(false), make(map[string]bool)
 	d.r.machine.Read(func(s *State) {
 		for _, worker := range workers {
 			for _, ref := range s.Jobs.RunsOn(worker) {
--- a/control/client.go
+++ b/control/client.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -88,7 +89,7 @@
 	maybeTaken, stale := false, false
 	for pause := minPause; ; pause = min(2*pause, maxPause) {
 		if !wanted() {
-			return combinedOutcome(path, refusal.New(refusal.CallerGone, "", "the caller no longer waits"), maybeTaken)
+			return c.outcome(path, refusal.New(refusal.CallerGone, "", "the caller no longer waits"), maybeTaken)
 		}
 		addr := c.current()
 		asked := time.Now()
@@ -106,7 +107,7 @@
 		maybeTaken = maybeTaken || e.Code == refusal.Unreachable || e.Code == refusal.UnknownOutcome
 		pastLimit := c.retryLimit > 0 && !maybeTaken && time.Since(begun) > c.retryLimit
 		if !c.switchReplica(addr, asked, e) || time.Until(deadline) < minTry || pastLimit {
-			return combinedOutcome(path, e, maybeTaken)
+			return c.outcome(path, e, maybeTaken)
 		}
 		refusal.CountRetry(c.part, e.Code)
 		if e.Code == refusal.Stale && !stale {
@@ -117,19 +118,25 @@
 	}
 }
 
+// outcome returns and counts the outcome of a call.
+func (c *Client) outcome(path string, e *refusal.Error, maybeTaken bool) error {
+	all := combinedOutcome(path, e, maybeTaken)
+	if all.Code == refusal.UnknownOutcome {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`waxwinghaven_outcomes_unknown_total{part=%q}`, c.part)).Inc()
+	}
+	return all
+}
+
 // combinedOutcome returns the outcome of several tries of a call, of which e was the last. A refusal
 // says that its own try had no effect. It says nothing about earlier tries that may have taken effect
 // or are still on their way, unless the leader says that it does.
-func combinedOutcome(path string, e *refusal.Error, maybeTaken bool) error {
+func combinedOutcome(path string, e *refusal.Error, maybeTaken bool) *refusal.Error {
 	if !maybeTaken || e.Final || e.Code == refusal.Unreachable || concernsSender(e.Code) || changesNothing(path) {
 		return e
 	}
-	unknownOutcomes.Inc()
 	return refusal.New(refusal.UnknownOutcome, "send the same again", "an earlier try may have taken effect; the last one: %s", e.Message)
 }
 
-var unknownOutcomes = metrics.NewCounter(`waxwinghaven_outcomes_unknown_total`)
-
 // concernsSender reports whether a refusal is a verdict on the sender or on its key, which holds
 // whatever became of its earlier tries: a session that is not registered stays so, a service is
 // unknown to the configuration, and a record under the key is another request's.
@@ -208,9 +215,7 @@
 // can.
 func (c *Client) switchReplica(from string, asked time.Time, e *refusal.Error) bool {
 	switch e.Code {
-	case refusal.Stale:
-		return true // the same replica takes it with the stamp that it sent
-	case refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable, refusal.SendFailed, refusal.UnknownOutcome:
+	case refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable, refusal.SendFailed, refusal.UnknownOutcome, refusal.Stale:
 	default:
 		return false
 	}
@@ -221,6 +226,9 @@
 	}
 	switch {
 	case c.currentAddr != from: // a concurrent call has already switched
+	case e.Code == refusal.Stale && e.Stamp != nil && e.Stamp.Term >= c.seen.Term:
+		// The same replica takes the message with the stamp that it sent. With a lower term it leads no
+		// longer, and does not know that yet.
 	case e.Code == refusal.NotLeader && e.Leader != "" && c.failed[e.Leader].Before(asked.Add(-e.SinceLeader)):
 		// A replica keeps naming a partitioned leader until it notices the loss. A leader that it
 		// heard from after the failure recorded here has recovered, or was only busy.
--- a/control/client_test.go
+++ b/control/client_test.go
@@ -12,9 +12,15 @@
 
 // serve answers PathPutConfig at an address with the result of f.
 func serve(t *testing.T, addr string, f func() error) {
+	t.Helper()
+	serveAt(t, addr, PathPutConfig, func([]byte) (any, error) { return Empty{}, f() })
+}
+
+// serveAt answers the messages of one path at an address.
+func serveAt(t *testing.T, addr, path string, h transport.Handler) {
 	t.Helper()
 	server := transport.NewServer("test", nil)
-	server.Handle(PathPutConfig, func([]byte) (any, error) { return Empty{}, f() }, transport.RoleControl)
+	server.Handle(path, h, transport.RoleControl, transport.RoleEntry)
 	ln, err := transport.Listen(addr)
 	if err != nil {
 		t.Fatal(err)
@@ -157,19 +163,25 @@
 // serveJobs answers submissions at an address with the results of f.
 func serveJobs(t *testing.T, addr string, f func(*SubmitJob) (Acknowledged, error)) {
 	t.Helper()
-	server := transport.NewServer("test", nil)
-	server.Handle(PathSubmitJob, handle(func(c SubmitJob) (Acknowledged, error) { return f(&c) }), transport.RoleEntry)
-	ln, err := transport.Listen(addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(ctx, ln) }()
-	t.Cleanup(func() {
-		cancel()
-		<-done
+	serveAt(t, addr, PathSubmitJob, handle(func(c SubmitJob) (Acknowledged, error) { return f(&c) }))
+}
+
+// Guards against a caller that waits in vain at a leader which was replaced and does not know it yet: it
+// finds the message stale, and its stamps are of an earlier term.
+func TestStaleMessageIsNotSentToAFormerLeaderAgain(t *testing.T) {
+	former := 0
+	serveJobs(t, "127.0.8.71:7880", func(*SubmitJob) (Acknowledged, error) {
+		former++
+		e := refusal.New(refusal.Stale, "", "stale")
+		e.Stamp = &refusal.Stamp{Term: 3, Tick: 100}
+		return Acknowledged{}, e
 	})
+	serveJobs(t, "127.0.8.72:7880", func(c *SubmitJob) (Acknowledged, error) { return Acknowledged{}, nil })
+	c := clientOf("127.0.8.71:7880", "127.0.8.72:7880")
+	c.observe(&refusal.Stamp{Term: 4, Tick: 1})
+	if err := c.Call(PathSubmitJob, time.Second, &SubmitJob{}, &Acknowledged{}); err != nil || former != 1 {
+		t.Errorf("after %d tries at the former leader: %v", former, err)
+	}
 }
 
 // Guards against a job that is refused because its entry had not heard from the leader: the message
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -119,8 +119,9 @@
 	if err := r.confirmedLeader(); err != nil {
 		return a, err
 	}
+	begun := r.dispatcher.begunTest(r.dispatcher.awaitsBegunReports())
 	r.machine.Read(func(s *State) {
-		a, err = s.lookUp(c, r.dispatcher.begunTest())
+		a, err = s.lookUp(c, begun)
 		a.Version = s.Queues.Config.Version
 	})
 	if e, ok := refusal.Of(err); ok {
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -67,7 +67,7 @@
 // Acknowledged answers a call that was committed.
 type Acknowledged struct {
 	// Stamp is the place of the answer among those of the leader.
-	Stamp *refusal.Stamp `msgpack:"z,omitempty"`
+	Stamp *refusal.Stamp `msgpack:"z,omitempty" json:"-"`
 }
 
 func (a *Acknowledged) stamp() *refusal.Stamp { return a.Stamp }
@@ -96,7 +96,7 @@
 	// Version is the version of the configuration used to find the queue.
 	Version uint64 `msgpack:"v,omitempty"`
 	// Stamp is the place of the answer among those of the leader.
-	Stamp *refusal.Stamp `msgpack:"z,omitempty"`
+	Stamp *refusal.Stamp `msgpack:"z,omitempty" json:"-"`
 }
 
 func (a *LookUpAnswer) stamp() *refusal.Stamp { return a.Stamp }
@@ -253,7 +253,7 @@
 type ReplicasAnswer struct {
 	Replicas []string `msgpack:"r"`
 	// Stamp is the place of the answer among those of the leader, nil from other replicas.
-	Stamp *refusal.Stamp `msgpack:"z,omitempty"`
+	Stamp *refusal.Stamp `msgpack:"z,omitempty" json:"-"`
 }
 
 func (a *ReplicasAnswer) stamp() *refusal.Stamp { return a.Stamp }
