--- a/proof/simulation_delays_test.go
+++ b/proof/simulation_delays_test.go
@@ -134,15 +134,14 @@
 func (s *simulation) submitOnce(id string, spec jobs.Spec) {
 	err := s.gateway.Submit("a.example", "/q/"+id, spec, 3*time.Second)
 	s.logf("job %s: %v", id, err)
-	s.recordAnswer(id, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs[id].recordAnswer(err)
 }
 
-// recordAnswer records what a caller was told about a job. All but an acceptance and an unknown
+// recordAnswer records what a caller was told about its job. All but an acceptance and an unknown
 // outcome tell it that the job never runs.
-func (s *simulation) recordAnswer(id string, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	j := s.jobs[id]
+func (j *submitted) recordAnswer(err error) {
 	j.attempts++
 	j.accepted = j.accepted || err == nil
 	if err != nil && !refusal.Is(err, refusal.UnknownOutcome) && !refusal.Is(err, refusal.Unreachable) {
--- a/proof/soak_check_test.go
+++ b/proof/soak_check_test.go
@@ -88,6 +88,9 @@
 		}
 	}
 	found = append(found, s.checkCompleted(completed, record)...)
+	if s.delays != nil {
+		found = append(found, s.checkRejected(record)...)
+	}
 	if left := s.unfinished(); len(left) > 0 {
 		found = append(found, soakFinding{left[0], fmt.Errorf("an accepted job isn't over %v after the last fault", soakRecovery), nil})
 	}
--- a/proof/soak_disk_test.go
+++ b/proof/soak_disk_test.go
@@ -11,6 +11,7 @@
 	"github.com/waxwinghaven/waxwinghaven/daemon"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/settings"
+	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
 // soakDiskEnv is the environment variable with the path of the file that sets the sync delay of a
@@ -18,22 +19,27 @@
 const soakDiskEnv = "WAXWINGHAVEN_SOAK_DISK"
 
 func TestMain(m *testing.M) {
+	settingsPath := os.Args[len(os.Args)-1]
 	if path := os.Getenv(soakDiskEnv); path != "" {
-		runWithSlowDisk(os.Args[len(os.Args)-1], path)
+		quorum.ObserveSyncs(slowDisk(path))
+		runDaemon(settingsPath)
+		return
+	}
+	if relay := os.Getenv(soakRelayEnv); relay != "" {
+		transport.SetNetwork(relayedNetwork{relay})
+		runDaemon(settingsPath)
 		return
 	}
 	os.Exit(m.Run())
 }
 
-// runWithSlowDisk runs the roles of a settings file as the released program does, with the sync
-// delay that the file disk holds.
-func runWithSlowDisk(path, disk string) {
+// runDaemon runs the roles of a settings file as the released program does.
+func runDaemon(path string) {
 	set, err := settings.Load(path)
 	if err != nil {
 		logrus.Fatal(err)
 	}
 	daemon.SetupLog(set.Log)
-	quorum.ObserveSyncs(slowDisk(disk))
 	if err := daemon.Run(daemon.SignalContext(), set); err != nil {
 		logrus.Errorf("daemon: %v.", err)
 		daemon.FlushLog()
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -86,7 +86,7 @@
 // chosenFaults returns the faults to draw from, each as often as its weight.
 func (s *soak) chosenFaults() (list []soakFault) {
 	names := strings.Split(*soakFaultNames, ",")
-	for _, f := range soakFaults {
+	for _, f := range s.kinds {
 		if (*soakFaultNames != "" && !slices.Contains(names, f.name)) || (f.name == slowDisksFault && !*soakSlowDisks) {
 			continue
 		}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -63,6 +63,9 @@
 	gateway  *entry.Jobs
 	faults   sync.WaitGroup
 	calls    sync.WaitGroup
+	kinds    []soakFault // the faults to draw from
+	delays   *delays     // holds up messages to the control, nil for no delays
+	crowded  sync.Mutex  // held during a crowd fault
 	stop     chan struct{}
 
 	mu     sync.Mutex
@@ -95,16 +98,21 @@
 	runSoaks(t, true)
 }
 
-func runSoaks(t *testing.T, sameID bool) {
+func runSoaks(t *testing.T, sameID bool) { runSoaksWith(t, *soakSeed, func(*soak) {}, sameID) }
+
+// runSoaksWith runs soaks with the seeds from first on. configure changes each before any process is
+// started.
+func runSoaksWith(t *testing.T, first int64, configure func(*soak), sameID bool) {
 	for k := range int64(*soakRuns) {
-		seed := *soakSeed + k
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSoak(t, seed, sameID) })
+		seed := first + k
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSoak(t, configure, seed, sameID) })
 	}
 }
 
-func runSoak(t *testing.T, seed int64, sameID bool) {
+func runSoak(t *testing.T, configure func(*soak), seed int64, sameID bool) {
 	s := newSoak(t, seed, sameID)
 	defer s.end()
+	configure(s)
 	s.prepare()
 	s.run()
 	found := s.check()
@@ -128,7 +136,7 @@
 		t.Fatal(err)
 	}
 	fleetNet++
-	s := &soak{t: t, seed: seed, reuseIDs: sameID, rng: rand.New(rand.NewSource(seed)), dir: dir, net: fleetNet % 250, started: time.Now(), stop: make(chan struct{}), jobs: make(map[string]*soakJob)}
+	s := &soak{t: t, seed: seed, reuseIDs: sameID, rng: rand.New(rand.NewSource(seed)), dir: dir, net: fleetNet % 250, started: time.Now(), kinds: soakFaults, stop: make(chan struct{}), jobs: make(map[string]*soakJob)}
 	for i := range *soakControls {
 		s.addControl(bin, i)
 	}
@@ -149,7 +157,10 @@
 	return fmt.Sprintf("127.%d.%d.%d", 210+os.Getpid()/200%40, s.net, i)
 }
 
-func (s *soak) controlAddress(i int) string { return s.address(10+i) + ":7101" }
+// soakControlPort is the port of the control replicas.
+const soakControlPort = ":7101"
+
+func (s *soak) controlAddress(i int) string { return s.address(10+i) + soakControlPort }
 
 func (s *soak) controlAddresses() (out []string) {
 	for i := range *soakControls {
