control, entry: Two tests without data races of their own

Seen by the review: under -race, TestReplicaCatchesUpBesideTheLoad reads the list of replicas while one of them is started again, and TestRetriesAndReportedOutcome reads the number of tries while a server counts them.

--- a/control/catchup_test.go
+++ b/control/catchup_test.go
@@ -26,6 +26,7 @@
 	tb    testing.TB
 	net   *memnet.Network
 	plan  catchUp
+	mu    sync.Mutex // guards nodes: callers propose while a replica is started again
 	nodes [groupSize]*quorum.Node
 	links [groupSize]*links
 	stops [groupSize]func()
@@ -69,7 +70,7 @@
 		g.start(i)
 	}
 	for i := range groupSize {
-		if err := g.nodes[i].BootstrapSet(context.Background(), set); err != nil {
+		if err := g.node(i).BootstrapSet(context.Background(), set); err != nil {
 			tb.Fatal(err)
 		}
 	}
@@ -102,13 +103,22 @@
 	var ended sync.WaitGroup
 	ended.Go(func() { server.Serve(ctx, ln) })
 	ended.Go(func() { n.Run(ctx) })
-	g.nodes[i], g.links[i] = n, l
+	g.mu.Lock()
+	g.nodes[i] = n
+	g.mu.Unlock()
+	g.links[i] = l
 	g.stops[i] = func() { cancel(); ended.Wait(); l.close(); disk.Close() }
 }
 
+func (g *logGroup) node(i int) *quorum.Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.nodes[i]
+}
+
 func (g *logGroup) leader() int {
-	for i, n := range g.nodes {
-		if n.View().Role == quorum.Leader {
+	for i := range groupSize {
+		if g.node(i).View().Role == quorum.Leader {
 			return i
 		}
 	}
@@ -116,7 +126,7 @@
 }
 
 func (g *logGroup) status(i int) quorum.Status {
-	st, err := g.nodes[i].Status(context.Background())
+	st, err := g.node(i).Status(context.Background())
 	if err != nil {
 		g.tb.Fatal(err)
 	}
@@ -144,7 +154,7 @@
 			g.tb.Error("there is no leader")
 			return
 		}
-		if _, err := g.nodes[leader].Propose(context.Background(), make([]byte, g.plan.entryBytes)); err != nil {
+		if _, err := g.node(leader).Propose(context.Background(), make([]byte, g.plan.entryBytes)); err != nil {
 			g.tb.Error(err)
 			return
 		}
--- a/entry/retry_test.go
+++ b/entry/retry_test.go
@@ -29,6 +29,13 @@
 	return w
 }
 
+// served returns the number of tries that were answered.
+func (s *script) served() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tries
+}
+
 func (s *script) serve(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Header.SetBytesV(header.ID, ctx.Request.Header.Peek(header.ID))
 	switch s.next() {
@@ -106,8 +113,8 @@
 		ctx.Request.Header.SetHost("x")
 		e.serve(&ctx)
 		got := header.Outcome(ctx.Response.Header.Peek(header.OutcomeName))
-		if got != c.outcome || s.tries != c.tries {
-			t.Errorf("%s: %s after %d tries, want %s after %d", c.name, got, s.tries, c.outcome, c.tries)
+		if tries := s.served(); got != c.outcome || tries != c.tries {
+			t.Errorf("%s: %s after %d tries, want %s after %d", c.name, got, tries, c.outcome, c.tries)
 		}
 		if body := string(ctx.Response.Body()); body == "another's" || (got == header.Done && body != "own") {
 			t.Errorf("%s: the caller got %q", c.name, body)
