control, platform: Calls about a known job whose queue was removed are answered at once

A job that was accepted and is handed in again after its queue was removed got an unknown outcome, and a cancellation of it a stale message: codes on which an entry tries again until its caller's time is over.

The first is told at once that it was accepted before, as a code of its own that callers get as 504 (it must not say "not accepted"); the second that there is no such queue. TestCancellationInARemovedQueueIsAnswered failed before. TestAcceptedJobOfARemovedQueueIsNotRefused asks for the new code in place of the unknown outcome; TestOnlyCertainRefusalsSayThatNothingWasAccepted for its status.

--- a/control/finalrefusal.go
+++ b/control/finalrefusal.go
@@ -103,7 +103,7 @@
 	openRefusals.Inc()
 	d.submitted(c)
 	if d.hasJob(c.Host, c.Path) {
-		return refusal.New(refusal.UnknownOutcome, "look the job up, or cancel it", "the job was accepted before; refused now: %s", e.Message)
+		return refusal.New(refusal.Accepted, "hand it in again once its queue exists", "the job was accepted before; refused now: %s", e.Message)
 	}
 	return e
 }
@@ -150,24 +150,33 @@
 	if c.Seen == nil || !refused || !dependsOnState(e.Code) {
 		return err
 	}
-	now, beside := time.Now(), false
+	if d.refuseCancel(c) {
+		d.markFinal(e, c.Seen)
+		return e
+	}
+	openRefusals.Inc()
+	if e.Code != refusal.NotFound {
+		return e // the job is known, and its queue is not
+	}
+	again := refusal.New(refusal.Stale, "send it again", "the job is being submitted")
+	again.Stamp = d.stamp()
+	return again
+}
+
+// refuseCancel remembers that there is no such job, unless one was accepted or may be.
+func (d *dispatcher) refuseCancel(c *CancelJob) (refused bool) {
 	d.r.machine.Read(func(s *State) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if beside = d.inFlight[c.key()] > 0 || d.uncertain[c.key()] || s.hasJob(c.Host, c.Path); beside {
+		if d.inFlight[c.key()] > 0 || d.uncertain[c.key()] || s.hasJob(c.Host, c.Path) {
 			return
 		}
+		now := time.Now()
 		d.messages.refuse(cancelPrefix+c.key(), now)
 		d.messages.refuse(c.key(), now)
+		refused = true
 	})
-	if beside {
-		openRefusals.Inc()
-		again := refusal.New(refusal.Stale, "send it again", "the job is being submitted")
-		again.Stamp = d.stamp()
-		return again
-	}
-	d.markFinal(e, c.Seen)
-	return e
+	return refused
 }
 
 func (d *dispatcher) hasJob(host, path string) (known bool) {
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -61,6 +61,7 @@
 	KeyUnconfirmed Code = "key-unconfirmed"
 	RetryBudget    Code = "retry-budget-spent"
 	CallerGone     Code = "caller-gone"
+	Accepted       Code = "accepted-before"
 )
 
 // Error describes one refusal.
