--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -135,8 +136,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fleetNet++
-	s := &soak{t: t, seed: seed, reuseIDs: sameID, rng: rand.New(rand.NewSource(seed)), dir: dir, net: fleetNet % 250, started: time.Now(), kinds: soakFaults, stop: make(chan struct{}), jobs: make(map[string]*soakJob)}
+	s := &soak{t: t, seed: seed, reuseIDs: sameID, rng: rand.New(rand.NewSource(seed)), dir: dir, started: time.Now(), kinds: soakFaults, stop: make(chan struct{}), jobs: make(map[string]*soakJob)}
+	s.reserveNet()
 	for i := range *soakControls {
 		s.addControl(bin, i)
 	}
@@ -153,6 +154,20 @@
 	return s
 }
 
+// reserveNet chooses addresses that no other soak uses, also one of another process.
+func (s *soak) reserveNet() {
+	for range 250 {
+		fleetNet++
+		s.net = fleetNet % 250
+		ln, err := net.Listen("tcp4", s.address(253)+":7110")
+		if err == nil {
+			s.t.Cleanup(func() { ln.Close() })
+			return
+		}
+	}
+	s.t.Fatal("no addresses are free")
+}
+
 func (s *soak) address(i int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 210+os.Getpid()/200%40, s.net, i)
 }
