control, jobs: Agents' calls, a worker's capacity and queue lengths in files of their own

Functions and types were moved, none was changed: control/agentcalls.go, jobs/use.go and jobs/pending.go are new.

--- a/jobs/state.go
+++ b/jobs/state.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/waxwinghaven/waxwinghaven/refusal"
-	"github.com/waxwinghaven/waxwinghaven/resource"
 )
 
 // State is all jobs and workers. Its exported fields are the snapshot; the rest
@@ -35,24 +34,6 @@
 	changed []string // workers whose orders changed
 }
 
-// Use is the capacity that the runs on one worker hold. CPU amounts are in thousandths of a
-// processor.
-type Use struct {
-	// Held is the sum of the needs, without the CPU of filling runs.
-	Held resource.Vector
-	// Filling is the CPU that filling runs would use if it were available.
-	Filling int64
-	Runs    map[Ref]*Task
-	// Serving counts, by image, the runs that have a target for their tail
-	// latency, and ServingCPU is the CPU that they hold.
-	Serving    map[string]int
-	ServingCPU int64
-	// StandingCPU is the CPU that standing tasks hold.
-	StandingCPU int64
-	// Fillers is the CPU that filling runs ask for, by image.
-	Fillers map[string]int
-}
-
 // NewState returns the empty state.
 func NewState() *State {
 	s := &State{Jobs: make(map[string]*Job), Workers: make(map[string]*Worker), ServiceDataCentres: make(map[string][]string), Tokens: make(map[string]uint64), LastWorkers: make(map[string]string)}
@@ -295,154 +276,9 @@
 // Live counts the jobs that are not over.
 func (s *State) Live() int { return s.live }
 
-// Pending counts a queue's jobs without a started task.
-//
-// begun reports whether a run is known to have started, by other means than the log.
-func (s *State) Pending(host, prefix string, begun func(Ref, *Placed) bool) int {
-	n := s.queued[host+prefix]
-	for _, j := range s.placed[host+prefix] {
-		if !j.anyRun(begun) {
-			n++
-		}
-	}
-	return n
-}
-
-// anyRun reports whether test holds for any run of the job.
-func (j *Job) anyRun(test func(Ref, *Placed) bool) bool {
-	for _, g := range j.Groups {
-		for k := range g.Tasks {
-			for _, r := range g.Tasks[k].Runs() {
-				if test(g.ref(k), r) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
-// hasProgress reports whether a task has ended or saved a checkpoint.
-func (j *Job) hasProgress() bool {
-	for _, g := range j.Groups {
-		for k := range g.Tasks {
-			if t := &g.Tasks[k]; t.Done || t.Failures > 0 || t.Checkpoint != "" {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// ApplyBegan records that tasks of jobs have started.
-func (s *State) ApplyBegan(ids []string) {
-	for _, id := range ids {
-		if j := s.Jobs[id]; j != nil {
-			s.setBegan(j)
-		}
-	}
-}
-
-func (s *State) setBegan(j *Job) {
-	if !j.Began {
-		j.Began = true
-		s.trackPlaced(j)
-	}
-}
-
-// trackPlaced updates placed after a change of a job.
-func (s *State) trackPlaced(j *Job) {
-	queue := j.Host + j.Prefix
-	if j.Phase != Running || j.Began {
-		delete(s.placed[queue], j.ID)
-		if len(s.placed[queue]) == 0 {
-			delete(s.placed, queue)
-		}
-		return
-	}
-	if s.placed[queue] == nil {
-		s.placed[queue] = make(map[string]*Job)
-	}
-	s.placed[queue][j.ID] = j
-}
-
-// Use returns the capacity that is held on a worker.
-func (s *State) Use(worker string) Use {
-	if u := s.use[worker]; u != nil {
-		return *u
-	}
-	return Use{}
-}
-
 // WorkerOf returns the worker registered by an agent, nil for none.
 func (s *State) WorkerOf(agent string) *Worker { return s.byAgent[agent] }
 
-// reserve and release keep the derived use of a worker equal to the sum over the runs that hold
-// capacity there.
-func (s *State) reserve(ref Ref, t *Task, r *Placed) {
-	u := s.use[r.Worker]
-	if u == nil {
-		u = &Use{Runs: make(map[Ref]*Task), Serving: make(map[string]int), Fillers: make(map[string]int)}
-		s.use[r.Worker] = u
-	}
-	st := s.step(ref)
-	need, filling := heldBy(st)
-	u.Held, u.Filling = u.Held.Add(need), u.Filling+filling
-	u.Runs[ref] = t
-	u.count(st, 1)
-}
-
-func (s *State) release(ref Ref, r *Placed) {
-	u := s.use[r.Worker]
-	st := s.step(ref)
-	need, filling := heldBy(st)
-	u.Held, u.Filling = u.Held.Sub(need), u.Filling-filling
-	delete(u.Runs, ref)
-	u.count(st, -1)
-	if len(u.Runs) == 0 {
-		delete(s.use, r.Worker)
-	}
-}
-
-// count adds n runs of a step to the totals by kind and image.
-func (u *Use) count(st *Step, n int) {
-	var by map[string]int
-	if st.Standing {
-		u.StandingCPU += int64(n) * st.Need.MilliCPU
-	}
-	switch {
-	case st.TargetMS > 0:
-		by = u.Serving
-		u.ServingCPU += int64(n) * st.Need.MilliCPU
-	case st.Fills:
-		by = u.Fillers
-		n *= int(st.Need.MilliCPU)
-	default:
-		return
-	}
-	if by[st.Image] += n; by[st.Image] == 0 {
-		delete(by, st.Image)
-	}
-}
-
-// Held returns the part of a worker's capacity that a task of the step takes. A filling task takes
-// no CPU.
-func (st *Step) Held() resource.Vector {
-	held, _ := heldBy(st)
-	return held
-}
-
-// heldBy returns the part of a worker's capacity that a run of a step takes, and the CPU that a
-// filling run may use when it is free.
-func heldBy(st *Step) (held resource.Vector, filling int64) {
-	if st.Fills {
-		n := st.Need
-		n.MilliCPU = 0
-		return n, st.Need.MilliCPU
-	}
-	return st.Need, 0
-}
-
 // Group returns the group that a task belongs to, nil if there is none.
 func (s *State) Group(ref Ref) *Group { return s.group(ref) }
 
