control, proof: Two tests share their set-up, the soak and the simulation their cancelling

Found on a last reading of the change. The two tests of a removed queue built the same accepted job; the soak cancelled jobs, and told rejected ones, by copies of what the simulation has. Only tests are touched; each asks for what it asked for.

--- a/control/finalrefusal_test.go
+++ b/control/finalrefusal_test.go
@@ -98,9 +98,9 @@
 	}
 }
 
-// Guards against a caller that is told that its queue does not exist while its job, accepted before
-// the queue was removed, may run.
-func TestAcceptedJobOfARemovedQueueIsNotRefused(t *testing.T) {
+// acceptInRemovedQueue returns a job that was accepted, and whose queue was removed since.
+func acceptInRemovedQueue(t *testing.T) *delayedJob {
+	t.Helper()
 	c := newCluster(t)
 	c.prepareJobs(4)
 	x := delayJob(c, standingJob("00000000000000bb", 3))
@@ -112,6 +112,13 @@
 	if _, err := x.r.PutConfig(PutConfig{Config: without}); err != nil {
 		t.Fatal(err)
 	}
+	return x
+}
+
+// Guards against a caller that is told that its queue does not exist while its job, accepted before
+// the queue was removed, may run.
+func TestAcceptedJobOfARemovedQueueIsNotRefused(t *testing.T) {
+	x := acceptInRemovedQueue(t)
 	if err := x.try(); !refusal.Is(err, refusal.Accepted) {
 		t.Errorf("the job that was accepted, handed in again: %v", err)
 	}
@@ -120,17 +127,7 @@
 // Guards against a caller that waits in vain for the answer to the cancellation of a job whose queue was
 // removed: sent again, it finds the same.
 func TestCancellationInARemovedQueueIsAnswered(t *testing.T) {
-	c := newCluster(t)
-	c.prepareJobs(4)
-	x := delayJob(c, standingJob("00000000000000bb", 3))
-	if err := x.arrive(); err != nil {
-		t.Fatal(err)
-	}
-	without := watchQueues
-	without.Version, without.Queues = watchQueues.Version+1, nil
-	if _, err := x.r.PutConfig(PutConfig{Config: without}); err != nil {
-		t.Fatal(err)
-	}
+	x := acceptInRemovedQueue(t)
 	_, err := x.r.onCancelJob(CancelJob{JobCall{x.job.Host, x.job.Path}, x.r.dispatcher.stamp()})
 	if e, ok := refusal.Of(err); !ok || e.Code != refusal.NoRoute || e.Final {
 		t.Errorf("got %+v", err)
--- a/proof/simulation_delays_test.go
+++ b/proof/simulation_delays_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/control"
+	"github.com/waxwinghaven/waxwinghaven/entry"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
@@ -124,9 +125,9 @@
 		s.submitOnce(first, spec)
 		s.delays.loseNext(gatewayIP, control.PathSubmitJob)
 		s.submitOnce(second, spec)
-		s.cancelUntilAnswered(first)
+		cancelUntilAnswered(s.gateway, first, s.logf)
 		time.Sleep(6 * time.Second) // longer than a message is held up
-		s.cancelUntilAnswered(second)
+		cancelUntilAnswered(s.gateway, second, s.logf)
 	})
 }
 
@@ -149,10 +150,14 @@
 	}
 }
 
-func (s *simulation) cancelUntilAnswered(id string) {
+// rejectedThroughout reports whether each attempt to submit the job was rejected.
+func (j *submitted) rejectedThroughout() bool { return j.attempts > 0 && j.rejected == j.attempts }
+
+// cancelUntilAnswered cancels a job, with retries until the caller knows that it is over or unknown.
+func cancelUntilAnswered(gateway *entry.Jobs, id string, logf func(string, ...any)) {
 	for range 20 {
-		err := s.gateway.Cancel("a.example", "/q/"+id, 3*time.Second)
-		s.logf("cancelled %s: %v", id, err)
+		err := gateway.Cancel("a.example", "/q/"+id, 3*time.Second)
+		logf("cancelled %s: %v", id, err)
 		if err == nil || refusal.Is(err, refusal.NotFound) {
 			return
 		}
@@ -164,7 +169,7 @@
 func (s *simulation) checkRejected() error {
 	rejected := 0
 	for id, j := range s.jobs {
-		if j.attempts == 0 || j.rejected < j.attempts {
+		if !j.rejectedThroughout() {
 			continue
 		}
 		rejected++
--- a/proof/soak_relay_test.go
+++ b/proof/soak_relay_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -12,7 +13,6 @@
 
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
-	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/transport"
 )
 
@@ -95,7 +95,7 @@
 }
 
 // copy relays one direction of a connection, with delays, until its end.
-func (r *soakRelay) copy(to net.Conn, from interface{ Read([]byte) (int, error) }, sender, receiver string) {
+func (r *soakRelay) copy(to net.Conn, from io.Reader, sender, receiver string) {
 	b := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(b)
@@ -185,9 +185,9 @@
 		first := s.submitOnce(spec)
 		s.delays.loseNext(s.address(250), control.PathSubmitJob)
 		second := s.submitOnce(spec)
-		s.cancel(first)
+		cancelUntilAnswered(s.gateway, first, s.logf)
 		time.Sleep(6 * time.Second) // longer than a message is held up
-		s.cancel(second)
+		cancelUntilAnswered(s.gateway, second, s.logf)
 	}
 }
 
@@ -207,22 +207,11 @@
 	return id
 }
 
-func (s *soak) cancel(id string) {
-	for range 20 {
-		err := s.gateway.Cancel("a.example", "/q/"+id, 3*time.Second)
-		if err == nil || refusal.Is(err, refusal.NotFound) {
-			return
-		}
-		time.Sleep(300 * time.Millisecond)
-	}
-	s.logf("job %s could not be cancelled", id)
-}
-
 // checkRejected reports jobs that ran although each attempt to submit them was rejected.
 func (s *soak) checkRejected(record map[string][]recordedRun) (found []soakFinding) {
 	rejected := 0
 	for id, j := range s.jobs {
-		if j.attempts == 0 || j.rejected < j.attempts {
+		if !j.rejectedThroughout() {
 			continue
 		}
 		rejected++
