runner, losses: Single tasks over their target, the paces' rule, late readings and exceeded paces are logged

Each served task's time over its target is now logged and measured by itself, with the tail of its group and the number of readings in which the group hid it; losses adds these up. Changes of the rule for the paces, gaps of a second between readings and runs that work faster than asked have lines, the last two metrics. No decision changes.

The two tests of losses use the new lines and ask for the same times.

--- a/losses/account.go
+++ b/losses/account.go
@@ -72,8 +72,8 @@
 	percent int
 }
 
-// violationKey identifies a serving group: the served tasks of one job and image on one worker.
-type violationKey struct{ worker, job, image string }
+// violationKey identifies a served task on a worker.
+type violationKey struct{ worker, task string }
 
 // collector gathers the lines of jobs and runs.
 type collector struct {
@@ -140,9 +140,9 @@
 			s.paces = append(s.paces, pacePoint{x.Time, x.Percent})
 		}
 	case msgOverTarget:
-		c.open[violationKey{x.Worker, x.Job, x.Image}] = *x
+		c.open[violationKey{x.Worker, string(x.Task)}] = *x
 	case msgWithinTarget:
-		c.closeViolation(violationKey{x.Worker, x.Job, x.Image}, x.Time)
+		c.closeViolation(violationKey{x.Worker, string(x.Task)}, x.Time)
 	}
 }
 
@@ -166,22 +166,20 @@
 	return b
 }
 
-// closeViolation ends the open violation of a serving group, if there is one, and accounts
-// for it.
+// closeViolation ends the open violation of a served task, if there is one, and accounts for it.
 func (c *collector) closeViolation(key violationKey, at time.Time) {
 	s, open := c.open[key]
 	if !open {
 		return
 	}
 	delete(c.open, key)
-	tasks := time.Duration(max(s.Runs, 1))
 	for from := s.Time; from.Before(at); {
 		w := int(from.Sub(c.out.Start) / Window)
 		to := earliest(at, c.out.Start.Add(time.Duration(w+1)*Window))
-		c.out.OverTarget[w] += tasks * to.Sub(from)
+		c.out.OverTarget[w] += to.Sub(from)
 		from = to
 	}
-	j := c.jobs[key.job]
+	j := c.jobs[jobOf(key.task)]
 	if j == nil {
 		return
 	}
@@ -189,7 +187,7 @@
 	if s.Beside != "" {
 		cause = causeOverBeside + s.Beside
 	}
-	j.Lost[cause] += tasks * at.Sub(s.Time)
+	j.Lost[cause] += at.Sub(s.Time)
 }
 
 func kindOf(steps string) Kind {
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -104,13 +104,14 @@
 // Two standing tasks are over their target beside an image for three seconds, across the
 // border of two windows, and the worker of a third is lost for two seconds.
 func TestTimeOverTargetIsAttributedToTheImageBeside(t *testing.T) {
-	over := func(ms int, what, beside string) string {
-		return fmt.Sprintf(`{"msg":"runner: Served tasks are %s","job":"bb","image":"watch","runs":2,"beside":%q,"time":%q}`, what, beside, at(ms))
+	over := func(ms int, task, what string) string {
+		return fmt.Sprintf(`{"msg":"runner: A served task is %s","task":%q,"image":"watch","beside":"x","time":%q}`, what, task, at(ms))
 	}
 	a := read(t,
 		jobAccepted(0, "bb", "3x9000m standing image=watch target=50ms"),
 		start(0, "bb.0.0.0", 1), start(0, "bb.0.0.1", 1), start(0, "bb.0.0.2", 1),
-		over(1000, "over their target.", "x"), over(4000, "within their target again.", "x"),
+		over(1000, "bb.0.0.0", "over its target."), over(1000, "bb.0.0.1", "over its target."),
+		over(4000, "bb.0.0.0", "within its target again."), over(4000, "bb.0.0.1", "within its target again."),
 		end(5000, "bb.0.0.2", 1, "lapsed"), start(7000, "bb.0.0.2", 2))
 	j := a.Job("bb")
 	wantLost(t, j, causeOverBeside+"x", 6*time.Second)
@@ -154,16 +155,16 @@
 	}
 }
 
-// An agent dies while its served tasks are over their target, so the end of the violation is
+// An agent dies while its served task is over its target, so the end of the violation is
 // not logged. It must not count until the last line of the log, and must not end with the same
-// job's violation on another worker.
+// task's violation on another worker.
 func TestViolationWithoutALoggedEndCountsBriefly(t *testing.T) {
 	over := func(ms int, worker, what string) string {
-		return fmt.Sprintf(`{"msg":"runner: Served tasks are %s","worker":%q,"job":"bb","image":"watch","runs":1,"beside":"x","time":%q}`, what, worker, at(ms))
+		return fmt.Sprintf(`{"msg":"runner: A served task is %s","worker":%q,"task":"bb.0.0.0","image":"watch","beside":"x","time":%q}`, what, worker, at(ms))
 	}
 	a := read(t, jobAccepted(0, "bb", "2x9000m standing image=watch target=50ms"),
-		over(1000, "w1", "over their target."), over(2000, "w2", "over their target."),
-		over(4000, "w2", "within their target again."), jobAccepted(60_000, "cc", "1x1000m"))
+		over(1000, "w1", "over its target."), over(2000, "w2", "over its target."),
+		over(4000, "w2", "within its target again."), jobAccepted(60_000, "cc", "1x1000m"))
 	wantLost(t, a.Job("bb"), causeOverBeside+"x", unclosedLimit+2*time.Second)
 }
 
--- a/losses/parse.go
+++ b/losses/parse.go
@@ -35,7 +35,6 @@
 	Image   string    `json:"image"`
 	Worker  string    `json:"worker"`
 	Beside  string    `json:"beside"`
-	Runs    int       `json:"runs"`
 
 	// Latencies of the stages of a call, in milliseconds; see Path.
 	TookMS    *int64 `json:"took_ms"`
@@ -64,8 +63,8 @@
 	msgRunStarted   = "runner: Started a run."
 	msgRunEnded     = "runner: A run ended."
 	msgPaceSet      = "runner: Set a run's pace."
-	msgOverTarget   = "runner: Served tasks are over their target."
-	msgWithinTarget = "runner: Served tasks are within their target again."
+	msgOverTarget   = "runner: A served task is over its target."
+	msgWithinTarget = "runner: A served task is within its target again."
 )
 
 // maxLineLength bounds a log line, in bytes. A longer one is an error, since the rest of the
--- a/runner/degraded.go
+++ b/runner/degraded.go
@@ -39,6 +39,17 @@
 	releaseAll                // all may work: stopping them makes no difference
 )
 
+// String returns the command as it is logged.
+func (c command) String() string {
+	switch c {
+	case stopAll:
+		return "stop all"
+	case releaseAll:
+		return "release all"
+	}
+	return "steer"
+}
+
 // update processes the highest tail, as a fraction of its target.
 func (d *degradationDetector) update(now time.Time, worst float64, noFilling bool) command {
 	if worst <= overThreshold {
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -13,20 +13,7 @@
 func (s *session) pace(running []RunningRun) {
 	s.logReading(running)
 	s.setPaces(s.pacer.next(time.Now(), running, s.lookup))
-	for _, x := range s.pacer.takeViolations() {
-		s.logViolation(x)
-	}
-}
-
-// logViolation logs that serving tasks exceed their target or no longer do.
-func (s *session) logViolation(x violation) {
-	l := logrus.WithFields(logrus.Fields{"worker": s.worker, "job": x.group.job, "image": x.group.image, "runs": x.runs, "beside": x.culprit})
-	if !x.ended.IsZero() {
-		l.WithField("lasted_ms", x.ended.Sub(x.began).Milliseconds()).Info("runner: Served tasks are within their target again.")
-		return
-	}
-	own := math.Round(x.own*100) / 100
-	l.WithFields(logrus.Fields{"tail_ms": x.tailMS, "target_ms": x.target, "own_headroom": own}).Info("runner: Served tasks are over their target.")
+	s.logEvents(s.pacer.takeEvents())
 }
 
 // setPaces sends pace calls to the worker without waiting for the answers.
@@ -48,7 +35,7 @@
 		}
 		c.Target = s.target()
 		reply, err := s.r.worker.Pace(c)
-		l := logrus.WithFields(logrus.Fields{"task": c.Task.String(), "run": c.Run, "percent": c.Percent, "tail_of_target": s.pacer.worstTail()})
+		l := logrus.WithFields(logrus.Fields{"task": c.Task.String(), "run": c.Run, "percent": c.Percent, "tail_of_target": round(s.pacer.worstTail())})
 		if err != nil || reply.Verdict != VerdictDone {
 			s.pacer.failed(c)
 			if err == nil {
@@ -76,6 +63,9 @@
 	logrus.WithField("runs", rows).Debug("runner: Read the worker's runs.")
 }
 
+// round rounds a logged figure to hundredths.
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 // markSlowed excludes a slowed run from the statistics of how long similar runs take.
 func (s *session) markSlowed(c PaceCall) {
 	s.mu.Lock()
--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -43,20 +43,21 @@
 	lastStep  time.Time                      // when a reading last changed the pace
 	pace      map[string]int                 // by filling image; full pace if missing
 	slowSince map[string]time.Time           // since when an image's pace is at most stallPace
-	asked     map[runKey]int                 // last requested pace, or unconfirmed
+	asked     map[runKey]request             // last requested paces
 	costs     map[imagePair]learned.PairCost // as the leader sent them
 	trackers  map[servingGroup]*interference.Tracker
 	degradationDetector
-	violations        map[servingGroup]violation // serving groups over their target
-	changedViolations []violation                // began or ended and not yet taken, for the log
-	lastScan          scan                       // the last reading, and the runs started since
-	worstRatio        float64                    // result of worst for the last reading
-	readings          []learned.Reading
+	lastCommand command              // result of the last reading
+	violations  map[runKey]violation // serving runs over their target
+	events      events               // not yet taken, for the log
+	lastScan    scan                 // the last reading, and the runs started since
+	worstRatio  float64              // result of worst for the last reading
+	readings    []learned.Reading
 }
 
 func newPacer(without ablation.Set) *pacer {
-	return &pacer{without: without, begun: time.Now(), pace: make(map[string]int), slowSince: make(map[string]time.Time), asked: make(map[runKey]int),
-		costs: make(map[imagePair]learned.PairCost), trackers: make(map[servingGroup]*interference.Tracker), violations: make(map[servingGroup]violation)}
+	return &pacer{without: without, begun: time.Now(), pace: make(map[string]int), slowSince: make(map[string]time.Time), asked: make(map[runKey]request),
+		costs: make(map[imagePair]learned.PairCost), trackers: make(map[servingGroup]*interference.Tracker), violations: make(map[runKey]violation)}
 }
 
 // next processes a reading and returns the pace calls that follow from it.
@@ -65,14 +66,18 @@
 	defer p.mu.Unlock()
 	sc := newScan(running, lookup)
 	if now.Sub(p.lastStep) >= minReadingInterval && (!sc.repeats(&p.lastScan) || now.Sub(p.lastStep) > maxReadingInterval) {
+		if !p.lastStep.IsZero() {
+			p.events.intervals = append(p.events.intervals, now.Sub(p.lastStep))
+		}
 		p.lastStep = now
 		p.updateTrackers(now, sc)
 		p.recordReadings(now, sc)
-		p.changedViolations = append(p.changedViolations, p.updateViolations(now, sc)...)
+		p.events.violations = append(p.events.violations, p.updateViolations(now, sc)...)
+		p.events.exceeded = append(p.events.exceeded, p.findExceeded(now, sc)...)
 		p.step(now, sc)
 	}
 	p.lastScan = sc
-	return p.calls(sc)
+	return p.calls(now, sc)
 }
 
 // begin adds a filling run that has just been started, and returns the pace calls that follow.
@@ -90,7 +95,7 @@
 		p.pace = steer(p.models(p.lastScan), p.pace, p.lastScan.full, 0, lookAhead+now.Sub(p.lastStep))
 		p.updateSlow(now)
 	}
-	return p.calls(p.lastScan)
+	return p.calls(now, p.lastScan)
 }
 
 // recordReadings keeps a reading for the leader.
@@ -105,7 +110,7 @@
 		}
 		t := p.trackers[g]
 		p.readings = append(p.readings, learned.Reading{Image: g.image, Job: g.job, AtMS: now.Sub(p.begun).Milliseconds(),
-			Headroom: s.headroom(), Own: t.Own(), Rate: t.Rate(), SpareHeadroom: p.spareHeadroom(g, sc.full), Runs: len(s.tails), Fillers: fillers})
+			Headroom: s.headroom(), Own: t.Own(), Rate: t.Rate(), SpareHeadroom: p.spareHeadroom(g, sc.full), Runs: len(s.runs), Fillers: fillers})
 	}
 	if n := len(p.readings); n > maxReadings {
 		p.readings = p.readings[n-maxReadings:]
@@ -161,7 +166,13 @@
 	if p.without.Pace {
 		return
 	}
-	switch p.degradationDetector.update(now, p.worstRatio, p.noFillingAtWork(sc)) {
+	wasDegraded := p.degraded
+	c := p.degradationDetector.update(now, p.worstRatio, p.noFillingAtWork(sc))
+	if c != p.lastCommand || p.degraded != wasDegraded {
+		p.events.commands = append(p.events.commands, commandChange{p.lastCommand, c, p.degraded, p.worstRatio, sc.processors()})
+	}
+	p.lastCommand = c
+	switch c {
 	case releaseAll:
 		p.setAll(sc, fullPace)
 		p.readings = nil
@@ -225,32 +236,33 @@
 	return p.degraded
 }
 
+// request is a requested pace.
+type request struct {
+	percent int // or unconfirmed
+	at      time.Time
+}
+
 // calls returns the calls that give each filling run the pace of its image.
-func (p *pacer) calls(sc scan) []PaceCall {
+func (p *pacer) calls(now time.Time, sc scan) []PaceCall {
 	var calls []PaceCall
-	kept := make(map[runKey]int, len(sc.filling))
+	kept := make(map[runKey]request, len(sc.filling))
 	for _, x := range sc.filling {
 		key := runKey{x.Task, x.Run}
 		pace := p.paceOf(sc.images[key])
 		last, known := p.asked[key]
-		if (known && last != pace) || (!known && pace != fullPace) {
+		switch {
+		case !known && pace == fullPace:
+			last = request{pace, now}
+		case !known || last.percent != pace:
 			calls = append(calls, PaceCall{Task: x.Task, Run: x.Run, Percent: pace})
+			last = request{pace, now}
 		}
-		kept[key] = pace
+		kept[key] = last
 	}
 	p.asked = kept
 	return calls
 }
 
-// takeViolations returns the violations that began or ended since the last call.
-func (p *pacer) takeViolations() []violation {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := p.changedViolations
-	p.changedViolations = nil
-	return out
-}
-
 // worstTail returns the highest tail of the last reading as a fraction of its target.
 func (p *pacer) worstTail() float64 {
 	p.mu.Lock()
@@ -265,7 +277,7 @@
 func (p *pacer) failed(c PaceCall) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.asked[runKey{c.Task, c.Run}] = unconfirmed
+	p.asked[runKey{c.Task, c.Run}] = request{percent: unconfirmed}
 }
 
 // report returns the readings since the last report and the runs that are stalled, for the
@@ -289,8 +301,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[runKey]bool)
-	for key, pace := range p.asked {
-		if pace != fullPace {
+	for key, r := range p.asked {
+		if r.percent != fullPace {
 			out[key] = true
 		}
 	}
--- a/runner/violations.go
+++ b/runner/violations.go
@@ -6,50 +6,56 @@
 	"time"
 )
 
-// violation is a period in which the tails of a serving group exceeded their target.
+// violation is a period in which the tail of a serving run exceeded its target.
 type violation struct {
-	group   servingGroup
-	began   time.Time
-	ended   time.Time // zero while it lasts
-	runs    int
-	tailMS  float64 // at the beginning
-	target  int64   // ms
-	own     float64 // estimated headroom of the group without filling work
-	culprit string  // the image at work that takes most headroom, "" for none
+	run         runKey
+	image       string
+	began       time.Time
+	ended       time.Time // zero while it lasts
+	tailMS      float64   // at the beginning
+	groupTailMS float64   // tail of the run's serving group at the beginning
+	target      int64     // ms
+	own         float64   // estimated headroom of the group without filling work
+	culprit     string    // the image at work that takes most headroom, "" for none
+	readings    int
+	hidden      int // readings in which the tail of the serving group did not exceed the target
 }
 
 // updateViolations returns the violations that begin or end with a scan. They are logged, so
 // that an engineer can see how long users waited and which image was the likely cause.
 func (p *pacer) updateViolations(now time.Time, sc scan) []violation {
 	var out []violation
+	over := make(map[runKey]bool)
 	for _, g := range sc.groups() {
-		_, open := p.violations[g]
-		over := sc.serving[g].headroom() < 1
-		switch {
-		case over && !open:
-			v := violation{group: g, began: now, runs: len(sc.serving[g].tails), tailMS: sc.serving[g].tail(), target: sc.serving[g].targetMS,
-				own: p.trackers[g].Own(), culprit: p.findCulprit(g, sc)}
-			p.violations[g] = v
-			out = append(out, v)
-		case !over && open:
-			out = append(out, p.endViolation(now, g))
+		s := sc.serving[g]
+		for _, x := range s.runs {
+			if x.tailMS <= float64(s.targetMS) {
+				continue
+			}
+			over[x.key] = true
+			v, open := p.violations[x.key]
+			if !open {
+				v = violation{run: x.key, image: g.image, began: now, tailMS: x.tailMS, groupTailMS: s.tail(), target: s.targetMS,
+					own: p.trackers[g].Own(), culprit: p.findCulprit(g, sc)}
+				out = append(out, v)
+			}
+			v.readings++
+			if s.headroom() >= 1 {
+				v.hidden++
+			}
+			p.violations[x.key] = v
 		}
 	}
-	for g := range p.violations {
-		if _, there := sc.serving[g]; !there {
-			out = append(out, p.endViolation(now, g))
+	for key, v := range p.violations {
+		if !over[key] {
+			v.ended = now
+			delete(p.violations, key)
+			out = append(out, v)
 		}
 	}
 	return out
 }
 
-func (p *pacer) endViolation(now time.Time, g servingGroup) violation {
-	v := p.violations[g]
-	v.ended = now
-	delete(p.violations, g)
-	return v
-}
-
 // findCulprit returns the image at work that takes most of a group's headroom, "" for none.
 func (p *pacer) findCulprit(g servingGroup, sc scan) string {
 	m := p.model(g)
