runner: Three tests of served tasks that stay over their target beside filling work, red

The simulated worker has several watchers with loads of their own, readings with errors, and counts each watcher's time over its target on end.

--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -14,9 +14,9 @@
 // readingInterval is the time that one reading covers.
 const readingInterval = 500 * time.Millisecond
 
-// simulation is a worker with one watcher, a serving task, and renders of different images,
-// which are filling tasks. The watcher's tail is that of a queue: its headroom, target divided
-// by tail, decreases linearly with its own load and with what each render takes.
+// simulation is a worker with watchers, the serving tasks of one job, and renders of different
+// images, which are filling tasks. A watcher's tail is that of a queue: its headroom, target
+// divided by tail, decreases linearly with its own load and with what each render takes.
 type simulation struct {
 	t        *testing.T
 	p        *pacer
@@ -24,17 +24,22 @@
 	orders   map[jobs.Ref]jobs.Order
 	renders  []string
 	pace     map[string]int     // as the worker was told, by image
-	own      float64            // headroom of the watcher without renders
+	own      float64            // headroom of the watchers without renders
+	lower    []float64          // by how much each watcher's own headroom is lower than that; one entry for each
+	since    []time.Time        // since when each watcher has been over its target, zero if it isn't
+	longest  time.Duration      // for which a watcher was over its target on end
 	pressure map[string]float64 // headroom taken by each processor in use, by image
 	tail     float64            // ms; if above 0, the tail is fixed at this value
-	over     time.Duration      // how long the watcher was over its target
+	errors   []float64          // of the readings of tails, relative, in turn
+	reads    int
+	over     time.Duration // how long the first watcher was over its target
 }
 
 const renderProcessors = 8 // of each render
 
 func newSimulation(t *testing.T) *simulation {
 	s := &simulation{t: t, p: newPacer(ablation.Set{}), now: time.Unix(0, 0), orders: make(map[jobs.Ref]jobs.Order), pace: make(map[string]int),
-		own: 3, pressure: map[string]float64{"heavy": 0.2, "light": 0.005, "fresh": 0.2}}
+		own: 3, lower: []float64{0}, since: []time.Time{{}}, pressure: map[string]float64{"heavy": 0.2, "light": 0.005, "fresh": 0.2}}
 	s.orders[jobs.Ref{Job: "watch"}] = jobs.Order{TargetMS: 50, Image: "watch"}
 	for _, image := range []string{"heavy", "light", "fresh"} {
 		s.orders[jobs.Ref{Job: image}] = jobs.Order{Fills: true, Image: image, MilliCPU: renderProcessors * 1000}
@@ -51,9 +56,11 @@
 	}
 }
 
-// headroom returns the watcher's headroom at the current paces.
-func (s *simulation) headroom() float64 {
-	h := s.own
+// headroom returns the first watcher's headroom at the current paces.
+func (s *simulation) headroom() float64 { return s.headroomOf(0) }
+
+func (s *simulation) headroomOf(watcher int) float64 {
+	h := s.own - s.lower[watcher]
 	for _, image := range s.renders {
 		h -= s.pressure[image] * s.use(image)
 	}
@@ -73,21 +80,45 @@
 
 // readAfter lets time pass at the current paces, and then passes a reading to the pacer.
 func (s *simulation) readAfter(d time.Duration) {
-	s.now = s.now.Add(d)
-	tail := s.tail
-	if tail == 0 {
-		tail = 50 / s.headroom()
-	}
-	if tail > 50 {
-		s.over += d
+	var running []RunningRun
+	for i := range s.lower {
+		tail := s.tail
+		if tail == 0 {
+			tail = 50 / s.headroomOf(i)
+		}
+		s.count(i, tail > 50, d)
+		if len(s.errors) > 0 {
+			tail *= 1 + s.errors[s.reads%len(s.errors)]
+		}
+		running = append(running, RunningRun{Task: jobs.Ref{Job: "watch", Index: i}, Run: 1, Measured: tail})
 	}
-	running := []RunningRun{{Task: jobs.Ref{Job: "watch"}, Run: 1, Measured: tail}}
+	s.now, s.reads = s.now.Add(d), s.reads+1
 	for _, image := range s.renders {
 		running = append(running, RunningRun{Task: jobs.Ref{Job: image}, Run: 1, Measured: s.use(image) * milliPerProcessor})
 	}
 	s.apply(s.p.next(s.now, running, s.lookup))
 }
 
+// count adds a period in which a watcher was over its target, or was not.
+func (s *simulation) count(watcher int, over bool, d time.Duration) {
+	switch {
+	case !over:
+		s.since[watcher] = time.Time{}
+		return
+	case s.since[watcher].IsZero():
+		s.since[watcher] = s.now
+	}
+	s.longest = max(s.longest, s.now.Add(d).Sub(s.since[watcher]))
+	if watcher == 0 {
+		s.over += d
+	}
+}
+
+// addWatcher adds a watcher of the same job.
+func (s *simulation) addWatcher(lower float64) {
+	s.lower, s.since = append(s.lower, lower), append(s.since, time.Time{})
+}
+
 func (s *simulation) apply(calls []PaceCall) {
 	for _, c := range calls {
 		s.pace[c.Task.Job] = c.Percent
@@ -500,3 +531,63 @@
 		t.Errorf("reported %+v", e)
 	}
 }
+
+// harmTime is how long filling work may keep a served task over its target.
+const harmTime = 4 * time.Second
+
+// Guards against a served task that is over its target for as long as its neighbour isn't. The
+// second of two watchers has a higher load of its own.
+func TestTaskIsProtectedWhateverItsNeighbourReads(t *testing.T) {
+	for _, lower := range []float64{0.3, 0.6, 1.2} {
+		s := newSimulation(t)
+		s.learnCosts("heavy", "light")
+		s.own = 2.6
+		s.addWatcher(lower)
+		for range 20 {
+			s.read()
+		}
+		if s.longest >= harmTime {
+			t.Errorf("with %.1f less headroom the second watcher was over its target for %v on end, paces are %v", lower, s.longest, s.pace)
+		}
+	}
+}
+
+// Guards against a served task over its target for seconds since others of its job aren't. One
+// of six watchers after the other has a burst of load for five seconds, while the load of all is
+// such that the renders are just slowed.
+func TestBurstsOfSingleTasksAreSeen(t *testing.T) {
+	s := newSimulation(t)
+	s.learnCosts("heavy", "light")
+	s.own = 2.4
+	for range 5 {
+		s.addWatcher(0)
+	}
+	for i := range 120 { // a minute
+		clear(s.lower)
+		s.lower[i/10%6] = 0.9
+		s.read()
+		for k, since := range s.since {
+			if d := s.now.Sub(since); !since.IsZero() && d >= harmTime {
+				t.Fatalf("reading %d: watcher %d has been over its target for %v", i, k, d)
+			}
+		}
+	}
+}
+
+// Guards against filling runs that stay released beside a tail over its target without an end: a
+// degraded worker has nearly recovered, and its readings go to and fro over the target.
+func TestReleaseEndsWhereReadingsCrossTheTarget(t *testing.T) {
+	s := newSimulation(t)
+	s.learnCosts("heavy", "light")
+	s.own = 0.5
+	for !s.p.isDegraded() {
+		s.read()
+	}
+	s.own, s.errors, s.longest, s.since[0] = 2.63, []float64{0.05, -0.05}, 0, time.Time{}
+	for range 40 {
+		s.read()
+	}
+	if s.longest >= harmTime {
+		t.Errorf("the watcher was over its target for %v on end, paces are %v", s.longest, s.pace)
+	}
+}
