runner: Each served task counts in paces and spare headroom, not the median of its group alone

Callers of a served task waited for 4.5 s on end beside filling work (HARM), while the agent steered by the lower median of the tails of a job's tasks on the worker: of two the better one. Where the paces bind, its neighbour keeps 1.05 of headroom and the other task is over its target for as long as they bind.

The tracker of a group still follows the median, which tells best what filling work takes. Each task's shortfall against it is now added where paces are chosen and where the spare headroom for the leader is reckoned, decaying with 1.4 s (a task's deviation goes together with itself by 0.78 after 0.4 s, 0.53 after 0.8, 0.28 after 1.2, 0.12 after 1.6). A single task that is over for two seconds on end stops all filling runs; one that stays over for 1.8 s without any at work is so by itself and is left out for 1.5 s at a time, as a degraded worker is. The verdict on the worker and what is learned of pairs stay with the median.

--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -46,6 +46,7 @@
 	asked     map[runKey]request             // last requested paces
 	costs     map[imagePair]learned.PairCost // as the leader sent them
 	trackers  map[servingGroup]*interference.Tracker
+	tasks     map[runKey]*taskState // of the serving runs
 	degradationDetector
 	lastCommand command              // result of the last reading
 	violations  map[runKey]violation // serving runs over their target
@@ -57,7 +58,7 @@
 
 func newPacer(without ablation.Set) *pacer {
 	return &pacer{without: without, begun: time.Now(), pace: make(map[string]int), slowSince: make(map[string]time.Time), asked: make(map[runKey]request),
-		costs: make(map[imagePair]learned.PairCost), trackers: make(map[servingGroup]*interference.Tracker), violations: make(map[runKey]violation)}
+		costs: make(map[imagePair]learned.PairCost), trackers: make(map[servingGroup]*interference.Tracker), tasks: make(map[runKey]*taskState), violations: make(map[runKey]violation)}
 }
 
 // next processes a reading and returns the pace calls that follow from it.
@@ -71,6 +72,7 @@
 		}
 		p.lastStep = now
 		p.updateTrackers(now, sc)
+		p.updateTasks(sc)
 		p.recordReadings(now, sc)
 		p.events.violations = append(p.events.violations, p.updateViolations(now, sc)...)
 		p.events.exceeded = append(p.events.exceeded, p.findExceeded(now, sc)...)
@@ -91,7 +93,7 @@
 		return nil
 	}
 	p.lastScan.add(RunningRun{Task: key.task, Run: key.run}, o)
-	if len(p.lastScan.serving) > 0 && p.command(now) == steerAll && !p.without.PaceAtStart && !p.without.Pace {
+	if len(p.lastScan.serving) > 0 && p.lastCommand == steerAll && !p.without.PaceAtStart && !p.without.Pace {
 		p.pace = steer(p.models(p.lastScan), p.pace, p.lastScan.full, 0, lookAhead+now.Sub(p.lastStep))
 		p.updateSlow(now)
 	}
@@ -120,7 +122,7 @@
 // spareHeadroom returns the headroom of a serving group that filling work may take.
 func (p *pacer) spareHeadroom(g servingGroup, full map[string]float64) float64 {
 	prior := p.prior(g.image)
-	out := p.trackers[g].Expect(placementLookAhead, full, prior) - minHeadroom
+	out := p.model(g).expect(placementLookAhead, full) - minHeadroom
 	for filling, n := range full {
 		out += n * prior(filling).Mean
 	}
@@ -166,8 +168,11 @@
 	if p.without.Pace {
 		return
 	}
-	wasDegraded := p.degraded
-	c := p.degradationDetector.update(now, p.worstRatio, p.noFillingAtWork(sc))
+	wasDegraded, noFilling := p.degraded, p.noFillingAtWork(sc)
+	c := p.degradationDetector.update(now, p.worstRatio, noFilling)
+	if forTasks := p.commandForTasks(now, sc, noFilling); c == steerAll {
+		c = forTasks
+	}
 	if c != p.lastCommand || p.degraded != wasDegraded {
 		p.events.commands = append(p.events.commands, commandChange{p.lastCommand, c, p.degraded, p.worstRatio, sc.processors()})
 	}
@@ -195,7 +200,9 @@
 }
 
 // model returns the model of a serving group that has a tracker.
-func (p *pacer) model(g servingGroup) groupModel { return groupModel{p.trackers[g], p.prior(g.image)} }
+func (p *pacer) model(g servingGroup) groupModel {
+	return groupModel{p.trackers[g], p.prior(g.image), p.largestShortfall(g)}
+}
 
 func (p *pacer) setAll(sc scan, pace int) {
 	p.pace = make(map[string]int, len(sc.full))
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -591,3 +591,22 @@
 		t.Errorf("the watcher was over its target for %v on end, paces are %v", s.longest, s.pace)
 	}
 }
+
+// Guards against filling runs that the leader places beside a served task which can't bear them,
+// since the agent reports what its neighbour can spare.
+func TestLeaderIsToldTheSpareHeadroomOfTheWorstTask(t *testing.T) {
+	spare := func(lower float64) float64 {
+		s := newSimulation(t)
+		s.learnCosts("light")
+		s.renders = []string{"light"}
+		s.addWatcher(lower)
+		for range 4 {
+			s.read()
+		}
+		readings, _ := s.p.report(s.now, func() map[runKey]string { return nil })
+		return readings[len(readings)-1].SpareHeadroom
+	}
+	if alike, worse := spare(0), spare(1.2); worse > alike-0.3 {
+		t.Errorf("the spare headroom beside two tasks that are alike is %.2f, with one that has 1.2 less it is %.2f", alike, worse)
+	}
+}
--- a/runner/steer.go
+++ b/runner/steer.go
@@ -31,14 +31,20 @@
 
 // groupModel predicts the headroom of a serving group beside filling work.
 type groupModel struct {
-	tracker *interference.Tracker
-	prior   func(filling string) interference.Estimate
+	tracker   *interference.Tracker
+	prior     func(filling string) interference.Estimate
+	shortfall float64 // the largest of the group's tasks
 }
 
-// keepsHeadroom reports whether the group keeps minHeadroom with these processors in use, some
-// time after the last reading.
+// expect returns the headroom that the group's worst task will have with these processors in
+// use, some time after the last reading.
+func (m groupModel) expect(ahead time.Duration, use map[string]float64) float64 {
+	return m.tracker.Expect(ahead, use, m.prior) - remainingShortfall(m.shortfall, ahead)
+}
+
+// keepsHeadroom reports whether all tasks of the group keep minHeadroom.
 func (m groupModel) keepsHeadroom(ahead time.Duration, use map[string]float64) bool {
-	return m.tracker.Expect(ahead, use, m.prior) >= minHeadroom
+	return m.expect(ahead, use) >= minHeadroom
 }
 
 func (m groupModel) pressure(filling string) float64 {
