runner: Filling runs are not released while a degraded worker's tails are within their target

Callers of a served task would wait without an end: on a worker that counts as degraded what fills is let go for 1.5 s at a time, but each reading within the target began that time anew, and between 0.9 and 1.0 of the target the verdict stayed.

A reading within the target now means that the paces are chosen as on any worker; the verdict, which keeps readings from the leader, ends as before at 0.9. Stopping makes no difference only while tails are too long.

--- a/runner/degraded.go
+++ b/runner/degraded.go
@@ -55,7 +55,7 @@
 	if worst <= overThreshold {
 		d.overSince, d.aloneSince = time.Time{}, time.Time{}
 		d.degraded = d.degraded && worst >= recoveredThreshold
-		return d.command(now)
+		return steerAll
 	}
 	if d.overSince.IsZero() {
 		d.overSince = now
