runner: One detector for workers and for single tasks whose tails are too long by themselves

The detector of single tasks repeated that of the worker, with other limits. Limits are now its parameters. No change of what is decided; all tests of the package pass.

--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -58,7 +58,8 @@
 
 func newPacer(without ablation.Set) *pacer {
 	return &pacer{without: without, begun: time.Now(), pace: make(map[string]int), slowSince: make(map[string]time.Time), asked: make(map[runKey]request),
-		costs: make(map[imagePair]learned.PairCost), trackers: make(map[servingGroup]*interference.Tracker), tasks: make(map[runKey]*taskState), violations: make(map[runKey]violation)}
+		costs: make(map[imagePair]learned.PairCost), trackers: make(map[servingGroup]*interference.Tracker), tasks: make(map[runKey]*taskState), violations: make(map[runKey]violation),
+		degradationDetector: degradationDetector{limits: groupLimits}}
 }
 
 // next processes a reading and returns the pace calls that follow from it.
--- a/runner/servedtasks.go
+++ b/runner/servedtasks.go
@@ -6,18 +6,9 @@
 	"time"
 )
 
-const (
-	// shortfallTime is the time constant with which a task's shortfall decays: a task's own
-	// burst of load lasts one to three seconds.
-	shortfallTime = 1400 * time.Millisecond
-	// stopAllForTaskAfter is how long a single task's tail may be continuously too long before
-	// all filling runs are stopped: two of the four seconds for which filling runs may keep it
-	// too long. Its burst of load has mostly passed by then.
-	stopAllForTaskAfter = 2 * time.Second
-	// withinThreshold is the tail, as a fraction of its target, from which a single task counts
-	// as within its target again. Single readings err by a twentieth.
-	withinThreshold = 0.97
-)
+// shortfallTime is the time constant with which a task's shortfall decays: a task's own burst of
+// load lasts one to three seconds.
+const shortfallTime = 1400 * time.Millisecond
 
 // taskState is what is known of one serving task beyond its serving group. The group's tracker
 // follows the median of the tails, which tells best what filling work takes; but each task has
@@ -26,43 +17,7 @@
 	group servingGroup
 	// shortfall is by how much the task's headroom is below its group's.
 	shortfall float64
-	detector  taskDetector
-}
-
-// taskDetector tells what to do about a single task whose tail is too long.
-type taskDetector struct {
-	overSince  time.Time // since when its tail is continuously too long, zero if it isn't
-	aloneSince time.Time // since when, within that time, no filling run is at work
-	ownDoing   bool      // its tail stayed too long without any filling run at work
-}
-
-// update processes the task's tail, as a fraction of its target.
-func (d *taskDetector) update(now time.Time, ratio float64, noFilling bool) command {
-	switch {
-	case ratio <= withinThreshold:
-		*d = taskDetector{}
-		return steerAll
-	case ratio > overThreshold && d.overSince.IsZero():
-		d.overSince = now
-	case d.overSince.IsZero():
-		return steerAll
-	}
-	switch {
-	case !noFilling:
-		d.aloneSince = time.Time{}
-	case d.aloneSince.IsZero():
-		d.aloneSince = now
-	case now.Sub(d.aloneSince) >= degradedAfter:
-		*d = taskDetector{overSince: now, ownDoing: true}
-	}
-	over := now.Sub(d.overSince)
-	switch {
-	case d.ownDoing && over < maxReleaseTime:
-		return releaseAll
-	case !d.ownDoing && over < stopAllForTaskAfter:
-		return steerAll
-	}
-	return stopAll
+	detector  degradationDetector
 }
 
 // updateTasks compares the serving tasks of a scan with their groups.
@@ -73,7 +28,7 @@
 			there[x.key] = true
 			t := p.tasks[x.key]
 			if t == nil {
-				t = &taskState{group: g}
+				t = &taskState{group: g, detector: degradationDetector{limits: taskLimits}}
 				p.tasks[x.key] = t
 			}
 			t.shortfall = max(0, s.headroom()-float64(s.targetMS)/x.tailMS)
