runner: A run started while all filling runs are stopped does not start to work

While everything that fills is stopped for the sake of a served task, a run of an image without a pace of its own started at full pace, and kept it until the next reading, up to 0.8 s later. It is now stopped with its start, as the others are.

TestARenderStartedWhileAllAreStoppedDoesNotWork failed before (pace 100).

--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -94,8 +94,13 @@
 		return nil
 	}
 	p.lastScan.add(RunningRun{Task: key.task, Run: key.run}, o)
-	if len(p.lastScan.serving) > 0 && p.lastCommand == steerAll && !p.without.PaceAtStart && !p.without.Pace {
-		p.pace = steer(p.models(p.lastScan), p.pace, p.lastScan.full, 0, lookAhead+now.Sub(p.lastStep))
+	if len(p.lastScan.serving) > 0 && !p.without.PaceAtStart && !p.without.Pace {
+		switch p.lastCommand {
+		case steerAll:
+			p.pace = steer(p.models(p.lastScan), p.pace, p.lastScan.full, 0, lookAhead+now.Sub(p.lastStep))
+		case stopAll:
+			p.setAll(p.lastScan, 0)
+		}
 		p.updateSlow(now)
 	}
 	return p.calls(now, p.lastScan)
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -610,3 +610,17 @@
 		t.Errorf("the spare headroom beside two tasks that are alike is %.2f, with one that has 1.2 less it is %.2f", alike, worse)
 	}
 }
+
+// Guards against a run that starts at full pace while all others are stopped for the sake of a
+// served task.
+func TestARenderStartedWhileAllAreStoppedDoesNotWork(t *testing.T) {
+	s := newSimulation(t)
+	s.tail = 60
+	for !s.allStopped() {
+		s.read()
+	}
+	s.begin("fresh")
+	if s.pace["fresh"] != 0 {
+		t.Errorf("its pace is %d", s.pace["fresh"])
+	}
+}
