runner: A pace that isn't kept is requested again

The worker's readings show the processors that a run uses. Where these exceed its pace by over a fifth, 0.75 s after the call, the pace is requested again. TestExceededPaceIsSetAgain failed before.

--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -76,7 +76,7 @@
 		p.updateTasks(sc)
 		p.recordReadings(now, sc)
 		p.events.violations = append(p.events.violations, p.updateViolations(now, sc)...)
-		p.events.exceeded = append(p.events.exceeded, p.findExceeded(now, sc)...)
+		p.checkPaces(now, sc)
 		p.step(now, sc)
 	}
 	p.lastScan = sc
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -624,3 +624,22 @@
 		t.Errorf("its pace is %d", s.pace["fresh"])
 	}
 }
+
+// Guards against a run that works on at full pace for good: a pace call that went unanswered was
+// carried out after a newer one.
+func TestExceededPaceIsSetAgain(t *testing.T) {
+	s := newSimulation(t)
+	s.learnCosts("heavy", "light")
+	s.tail = 300
+	for range 3 {
+		s.read()
+	}
+	if s.pace["heavy"] != 0 {
+		t.Fatalf("paces are %v", s.pace)
+	}
+	s.pace["heavy"] = fullPace
+	s.read()
+	if s.pace["heavy"] != 0 {
+		t.Errorf("paces are %v", s.pace)
+	}
+}
--- a/runner/pacerevents.go
+++ b/runner/pacerevents.go
@@ -42,21 +42,21 @@
 	lateReading = time.Second
 )
 
-// findExceeded returns the filling runs that work faster than requested.
-func (p *pacer) findExceeded(now time.Time, sc scan) []exceededPace {
-	var out []exceededPace
+// checkPaces requests the pace again of filling runs that work faster than requested: a call that
+// went unanswered may have been carried out after a newer one.
+func (p *pacer) checkPaces(now time.Time, sc scan) {
 	for _, x := range sc.filling {
 		key := runKey{x.Task, x.Run}
 		r, known := p.asked[key]
 		need := float64(sc.need[key])
-		if !known || r.percent == unconfirmed || now.Sub(r.at) < paceSettleTime || need <= 0 {
+		if !known || r.percent == unconfirmed || r.percent == fullPace || now.Sub(r.at) < paceSettleTime || need <= 0 {
 			continue
 		}
-		if used := x.Measured / need * fullPace; r.percent < fullPace && used > float64(r.percent+paceTolerance) {
-			out = append(out, exceededPace{key, r.percent, used})
+		if used := x.Measured / need * fullPace; used > float64(r.percent+paceTolerance) {
+			p.events.exceeded = append(p.events.exceeded, exceededPace{key, r.percent, used})
+			p.asked[key] = request{percent: unconfirmed}
 		}
 	}
-	return out
 }
 
 // takeEvents returns the events since the last call.
