runner: A worker does not count as degraded while a filling run's pace is unconfirmed

The verdict that tails are too long by themselves rests on what was asked: a run whose pace calls get no answer counted as stopped, and after 1.8 s everything was released for what that run may have done. TestWorkerIsNotDegradedWhileAPaceIsUnconfirmed failed before.

--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -217,13 +217,19 @@
 	}
 }
 
-// noFillingAtWork reports whether no filling image has a pace above 0.
+// noFillingAtWork reports whether no filling image has a pace above 0, and no run's pace is
+// unconfirmed.
 func (p *pacer) noFillingAtWork(sc scan) bool {
 	for image := range sc.full {
 		if p.paceOf(image) > 0 {
 			return false
 		}
 	}
+	for _, x := range sc.filling {
+		if p.asked[runKey{x.Task, x.Run}].percent == unconfirmed {
+			return false
+		}
+	}
 	return true
 }
 
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -643,3 +643,19 @@
 		t.Errorf("paces are %v", s.pace)
 	}
 }
+
+// Guards against filling runs that are released since a worker counts as degraded, while one that
+// was to stop works on: its pace calls get no answer.
+func TestWorkerIsNotDegradedWhileAPaceIsUnconfirmed(t *testing.T) {
+	s := newSimulation(t)
+	s.learnCosts("heavy", "light")
+	s.tail = 300
+	for range 12 {
+		s.read()
+		s.pace["heavy"] = fullPace
+		s.p.failed(PaceCall{Task: jobs.Ref{Job: "heavy"}, Run: 1})
+	}
+	if s.p.isDegraded() {
+		t.Error("the worker counts as degraded")
+	}
+}
