standin, proof: Workers with tails, and a simulation of served tasks beside filling work

The stand-in worker reported no tails and ignored paces, so neither the simulation nor the soak could show a served task over its target. Its served runs now have a headroom that swings, bursts of load of single tasks, and what filling runs beside them take at their pace; it keeps the longest time for which filling work alone kept one over its target.

--- a/standin/runs.go
+++ b/standin/runs.go
@@ -21,7 +21,9 @@
 // fencing token and simulates their work by letting time pass. A task's payload sets its
 // behaviour as a URL query: "ms=300" runs for 300 ms, "fails=2" fails in its first two runs,
 // "lasts=1" runs until it is stopped, "crash=0.3" crashes the worker if the task is number 3 of
-// step 0, "cpu=500" uses 500 thousandths of a processor.
+// step 0, "cpu=500" uses 500 thousandths of a processor, "serves=50&own=2.5" has a tail with a
+// target of 50 ms, and "takes=0.02" interferes with such runs. A pace changes what a run uses and
+// takes from others, not how long it runs.
 type Runs struct {
 	// OnCrash is called after the worker has crashed. It may be nil.
 	OnCrash func()
@@ -43,6 +45,8 @@
 	capacities    []capacity    // oldest first, empty for no limit
 	longestLease  time.Duration // the longest lease that it accepts
 	overcommitted []RunInterval
+	tailsUntil    time.Time     // up to when tails and uses have been simulated
+	longestOver   time.Duration // for which filling work kept a served run over its target
 }
 
 // capacity is the worker's processors, in thousandths, from a point in time on.
@@ -67,6 +71,7 @@
 	started     time.Time
 	work        time.Duration // 0 for a run that goes on until it is stopped
 	resumedFrom time.Duration // work done before the checkpoint that it resumed from
+	interference
 }
 
 // RunInterval is the record of one run on the worker.
@@ -85,7 +90,7 @@
 
 // NewRuns returns a worker. The name of the incarnation must be unique.
 func NewRuns(worker string) *Runs {
-	return &Runs{worker: worker, started: time.Now(), running: make(map[runID]*activeRun), fences: make(map[jobs.Ref]uint32), changed: make(chan struct{}), longestLease: defaultLongestLease}
+	return &Runs{worker: worker, started: time.Now(), tailsUntil: time.Now(), running: make(map[runID]*activeRun), fences: make(map[jobs.Ref]uint32), changed: make(chan struct{}), longestLease: defaultLongestLease}
 }
 
 // SetLongestLease sets the longest lease that the worker accepts.
@@ -143,7 +148,9 @@
 
 func (w *Runs) used() (sum int64) {
 	for _, r := range w.running {
-		sum += r.milliCPU
+		if r.takes == 0 { // filling runs use what is left
+			sum += r.milliCPU
+		}
 	}
 	return sum
 }
@@ -280,8 +287,11 @@
 	if err != nil {
 		params = nil
 	}
-	number := func(key string) int { n, _ := strconv.Atoi(params.Get(key)); return n } // 0 if missing
-	run := &activeRun{started: time.Now(), work: defaultRunTime, milliCPU: int64(number("cpu"))}
+	number := func(key string) int { n, _ := strconv.Atoi(params.Get(key)); return n }               // 0 if missing
+	figure := func(key string) float64 { f, _ := strconv.ParseFloat(params.Get(key), 64); return f } // 0 if missing
+	w.advance()
+	run := &activeRun{started: time.Now(), work: defaultRunTime, milliCPU: int64(number("cpu")),
+		interference: interference{targetMS: figure("serves"), own: figure("own"), takes: figure("takes"), pace: fullPace, nextPace: fullPace}}
 	if ms := number("ms"); ms > 0 {
 		run.work = time.Duration(ms) * time.Millisecond
 	}
@@ -327,6 +337,7 @@
 	if run == nil {
 		return
 	}
+	w.advance()
 	delete(w.running, id)
 	w.fences[id.task] = max(w.fences[id.task], id.run)
 	w.lastNumber++
@@ -372,15 +383,18 @@
 	return r, nil
 }
 
-// Pace implements runner.Worker. It has no effect: the stand-in's tasks do not interfere with
-// others.
+// Pace implements runner.Worker.
 func (w *Runs) Pace(c runner.PaceCall) (runner.Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.crashed {
 		return runner.Reply{}, runner.ErrClosed
 	}
-	r, _ := w.check(c.Target)
+	r, ok := w.check(c.Target)
+	if ok {
+		w.advance()
+		w.setPace(c)
+	}
 	return r, nil
 }
 
@@ -416,9 +430,10 @@
 		return runner.HoldReply{}, runner.ErrClosed
 	}
 	w.expire()
+	w.advance()
 	out := runner.HoldReply{Reply: runner.Reply{ClockMS: w.clock()}, Finished: append([]runner.FinishedRun{}, w.finished...)}
 	for id, run := range w.running {
-		out.Running = append(out.Running, runner.RunningRun{Task: id.task, Run: id.run, Percent: run.percent()})
+		out.Running = append(out.Running, runner.RunningRun{Task: id.task, Run: id.run, Percent: run.percent(), Measured: run.measured()})
 	}
 	return out, nil
 }
