--- a/proof/simulation_events_test.go
+++ b/proof/simulation_events_test.go
@@ -472,3 +472,13 @@
 	}
 	return w.Host.Hold(c)
 }
+
+func (w *lateWorker) Pace(c runner.PaceCall) (runner.Reply, error) {
+	if v, err := w.checkIncarnation(c.Target); v != runner.VerdictDone || err != nil {
+		return runner.Reply{Verdict: v}, err
+	}
+	if w.maybeDelay(lateOrderOdds, &c.Target, func() { w.Host.Pace(c) }) {
+		return runner.Reply{}, errNoAnswer
+	}
+	return w.Host.Pace(c)
+}
--- a/runner/degraded.go
+++ b/runner/degraded.go
@@ -9,9 +9,10 @@
 // second is one of the four for which filling runs may keep a tail too long.
 var groupLimits = &overLimits{within: overThreshold, recovered: 0.9, stopAfter: time.Second}
 
-// taskLimits apply to a single task. Its own burst of load has mostly passed within two seconds,
-// and its single readings err by a twentieth.
-var taskLimits = &overLimits{within: 0.97, recovered: 0.97, stopAfter: 2 * time.Second}
+// taskLimits apply to a single task. Its own burst of load has often passed within 1.5 s, and its
+// single readings err by a twentieth. A stop shows up to a second later, another one if its call is
+// lost.
+var taskLimits = &overLimits{within: 0.97, recovered: 0.97, stopAfter: 1500 * time.Millisecond}
 
 const (
 	// degradedAfter is how long a tail must be continuously too long, without any filling run
