runner: A task's usual shortfall is learned, so that one that is slower for good is steered, not stopped for

A shortfall was expected to decay to nothing. A task whose own load is higher than its group's for good was therefore over its target until everything stopped for it, again and again, 1.5 s at a time. Each task's mean shortfall is now learned over 10 s and what is above or below it decays.

No such task was seen on the deployments (deviations go to and fro within 2.4 s).

--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -68,12 +68,14 @@
 	defer p.mu.Unlock()
 	sc := newScan(running, lookup)
 	if now.Sub(p.lastStep) >= minReadingInterval && (!sc.repeats(&p.lastScan) || now.Sub(p.lastStep) > maxReadingInterval) {
+		interval := time.Duration(0)
 		if !p.lastStep.IsZero() {
-			p.events.intervals = append(p.events.intervals, now.Sub(p.lastStep))
+			interval = now.Sub(p.lastStep)
+			p.events.intervals = append(p.events.intervals, interval)
 		}
 		p.lastStep = now
 		p.updateTrackers(now, sc)
-		p.updateTasks(sc)
+		p.updateTasks(sc, interval)
 		p.recordReadings(now, sc)
 		p.events.violations = append(p.events.violations, p.updateViolations(now, sc)...)
 		p.checkPaces(now, sc)
@@ -97,7 +99,7 @@
 	if len(p.lastScan.serving) > 0 && !p.without.PaceAtStart && !p.without.Pace {
 		switch p.lastCommand {
 		case steerAll:
-			p.pace = steer(p.models(p.lastScan), p.pace, p.lastScan.full, 0, lookAhead+now.Sub(p.lastStep))
+			p.pace = steer(p.models(p.lastScan, lookAhead+now.Sub(p.lastStep)), p.pace, p.lastScan.full, 0)
 		case stopAll:
 			p.setAll(p.lastScan, 0)
 		}
@@ -128,7 +130,7 @@
 // spareHeadroom returns the headroom of a serving group that filling work may take.
 func (p *pacer) spareHeadroom(g servingGroup, full map[string]float64) float64 {
 	prior := p.prior(g.image)
-	out := p.model(g).expect(placementLookAhead, full) - minHeadroom
+	out := p.model(g, placementLookAhead).expect(full) - minHeadroom
 	for filling, n := range full {
 		out += n * prior(filling).Mean
 	}
@@ -190,24 +192,25 @@
 	case stopAll:
 		p.setAll(sc, 0)
 	case steerAll:
-		p.pace = steer(p.models(sc), p.pace, sc.full, raiseStep, lookAhead)
+		p.pace = steer(p.models(sc, lookAhead), p.pace, sc.full, raiseStep)
 	}
 	p.updateSlow(now)
 }
 
-func (p *pacer) models(sc scan) []groupModel {
+// models returns the models of the serving groups some time after the last reading.
+func (p *pacer) models(sc scan, ahead time.Duration) []groupModel {
 	var out []groupModel
 	for _, g := range sc.groups() {
 		if p.trackers[g] != nil {
-			out = append(out, p.model(g))
+			out = append(out, p.model(g, ahead))
 		}
 	}
 	return out
 }
 
 // model returns the model of a serving group that has a tracker.
-func (p *pacer) model(g servingGroup) groupModel {
-	return groupModel{p.trackers[g], p.prior(g.image), p.largestShortfall(g)}
+func (p *pacer) model(g servingGroup, ahead time.Duration) groupModel {
+	return groupModel{p.trackers[g], p.prior(g.image), ahead, p.largestShortfall(g, ahead)}
 }
 
 func (p *pacer) setAll(sc scan, pace int) {
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -659,3 +659,27 @@
 		t.Error("the worker counts as degraded")
 	}
 }
+
+// Guards against a served task that is over its target again and again, until everything is
+// stopped for it: its own load is higher than that of the others of its job for good.
+func TestLastinglySlowerTaskIsSteered(t *testing.T) {
+	for _, lower := range []float64{0.3, 0.6, 1.2} {
+		s := newSimulation(t)
+		s.learnCosts("heavy", "light")
+		s.own = 2.6
+		s.addWatcher(lower)
+		for range 80 {
+			s.read()
+		}
+		s.longest = 0
+		for range 40 {
+			s.read()
+		}
+		if s.longest > 0 {
+			t.Errorf("with %.1f less headroom the second watcher was still over its target after 40 s, for %v", lower, s.longest)
+		}
+		if s.pace["heavy"] == 0 || s.pace["light"] != fullPace {
+			t.Errorf("with %.1f less headroom paces are %v", lower, s.pace)
+		}
+	}
+}
--- a/runner/servedtasks.go
+++ b/runner/servedtasks.go
@@ -6,22 +6,41 @@
 	"time"
 )
 
-// shortfallTime is the time constant with which a task's shortfall decays: a task's own burst of
-// load lasts one to three seconds.
-const shortfallTime = 1400 * time.Millisecond
+const (
+	// shortfallTime is the time constant with which a task's shortfall returns to its usual one: a
+	// task's own burst of load lasts one to three seconds.
+	shortfallTime = 1400 * time.Millisecond
+	// usualTime is the time constant with which the usual shortfall is learned: over several
+	// bursts.
+	usualTime = 10 * time.Second
+)
 
 // taskState is what is known of one serving task beyond its serving group. The group's tracker
 // follows the median of the tails, which tells best what filling work takes; but each task has
 // bursts of load of its own, and the target holds for each.
 type taskState struct {
 	group servingGroup
-	// shortfall is by how much the task's headroom is below its group's.
-	shortfall float64
-	detector  degradationDetector
+	// shortfall is by how much the task's headroom is below its group's, negative if it is above,
+	// and usual its mean.
+	shortfall, usual float64
+	detector         degradationDetector
+}
+
+// read takes in the shortfall in a reading, some time after the last one.
+func (t *taskState) read(shortfall float64, over time.Duration) {
+	t.shortfall = shortfall
+	t.usual += (shortfall - t.usual) * (1 - math.Exp(-over.Seconds()/usualTime.Seconds()))
 }
 
-// updateTasks compares the serving tasks of a scan with their groups.
-func (p *pacer) updateTasks(sc scan) {
+// expect returns the shortfall expected some time after the last reading.
+func (t *taskState) expect(ahead time.Duration) float64 {
+	remains := math.Exp(-ahead.Seconds() / shortfallTime.Seconds())
+	return max(0, t.usual+(t.shortfall-t.usual)*remains)
+}
+
+// updateTasks compares the serving tasks of a scan, some time after the last one, with their
+// groups.
+func (p *pacer) updateTasks(sc scan, over time.Duration) {
 	there := make(map[runKey]bool)
 	for g, s := range sc.serving {
 		for _, x := range s.runs {
@@ -31,7 +50,7 @@
 				t = &taskState{group: g, detector: degradationDetector{limits: taskLimits}}
 				p.tasks[x.key] = t
 			}
-			t.shortfall = max(0, s.headroom()-float64(s.targetMS)/x.tailMS)
+			t.read(s.headroom()-float64(s.targetMS)/x.tailMS, over)
 		}
 	}
 	maps.DeleteFunc(p.tasks, func(key runKey, _ *taskState) bool { return !there[key] })
@@ -47,24 +66,19 @@
 			case stopAll:
 				out = stopAll
 			case releaseAll:
-				t.shortfall = 0 // slowing filling runs down makes no difference to it
+				t.shortfall, t.usual = 0, 0 // slowing filling runs down makes no difference to it
 			}
 		}
 	}
 	return out
 }
 
-// largestShortfall returns the largest shortfall of a serving group's tasks.
-func (p *pacer) largestShortfall(g servingGroup) (largest float64) {
+// largestShortfall returns the largest shortfall expected of a serving group's tasks.
+func (p *pacer) largestShortfall(g servingGroup, ahead time.Duration) (largest float64) {
 	for _, t := range p.tasks {
 		if t.group == g {
-			largest = max(largest, t.shortfall)
+			largest = max(largest, t.expect(ahead))
 		}
 	}
 	return largest
 }
-
-// remainingShortfall returns what is expected to remain of a shortfall after some time.
-func remainingShortfall(shortfall float64, after time.Duration) float64 {
-	return shortfall * math.Exp(-after.Seconds()/shortfallTime.Seconds())
-}
--- a/runner/steer.go
+++ b/runner/steer.go
@@ -29,23 +29,22 @@
 	lookAhead = 550 * time.Millisecond
 )
 
-// groupModel predicts the headroom of a serving group beside filling work.
+// groupModel predicts the headroom of a serving group beside filling work some time after the
+// last reading.
 type groupModel struct {
 	tracker   *interference.Tracker
 	prior     func(filling string) interference.Estimate
-	shortfall float64 // the largest of the group's tasks
+	ahead     time.Duration
+	shortfall float64 // the largest that is then expected of the group's tasks
 }
 
-// expect returns the headroom that the group's worst task will have with these processors in
-// use, some time after the last reading.
-func (m groupModel) expect(ahead time.Duration, use map[string]float64) float64 {
-	return m.tracker.Expect(ahead, use, m.prior) - remainingShortfall(m.shortfall, ahead)
+// expect returns the headroom that the group's worst task will have with these processors in use.
+func (m groupModel) expect(use map[string]float64) float64 {
+	return m.tracker.Expect(m.ahead, use, m.prior) - m.shortfall
 }
 
 // keepsHeadroom reports whether all tasks of the group keep minHeadroom.
-func (m groupModel) keepsHeadroom(ahead time.Duration, use map[string]float64) bool {
-	return m.expect(ahead, use) >= minHeadroom
-}
+func (m groupModel) keepsHeadroom(use map[string]float64) bool { return m.expect(use) >= minHeadroom }
 
 func (m groupModel) pressure(filling string) float64 {
 	if v, ok := m.tracker.Pressure(filling); ok {
@@ -56,9 +55,9 @@
 
 // steer returns the pace of each filling image, as high as each serving group is expected to
 // tolerate. The images that take most headroom per processor are slowed first, so that the
-// least work is lost. paces are the current paces, full the processors in use at full pace,
-// raise the largest increase of a pace, and ahead the time since the last reading.
-func steer(models []groupModel, paces map[string]int, full map[string]float64, raise int, ahead time.Duration) map[string]int {
+// least work is lost. paces are the current paces, full the processors in use at full pace, and
+// raise the largest increase of a pace.
+func steer(models []groupModel, paces map[string]int, full map[string]float64, raise int) map[string]int {
 	out := make(map[string]int, len(full))
 	use := make(map[string]float64, len(full))
 	for image, n := range full {
@@ -71,7 +70,7 @@
 	}
 	for _, m := range models {
 		for _, image := range m.byPressure(full) {
-			for out[image] > 0 && !m.keepsHeadroom(ahead, use) {
+			for out[image] > 0 && !m.keepsHeadroom(use) {
 				out[image] = max(0, (out[image]-1)/paceStep*paceStep)
 				use[image] = full[image] * float64(out[image]) / fullPace
 			}
--- a/runner/violations.go
+++ b/runner/violations.go
@@ -58,7 +58,7 @@
 
 // findCulprit returns the image at work that takes most of a group's headroom, "" for none.
 func (p *pacer) findCulprit(g servingGroup, sc scan) string {
-	m := p.model(g)
+	m := p.model(g, 0)
 	most, image := 0.0, ""
 	for _, filling := range slices.Sorted(maps.Keys(sc.use)) {
 		if taken := sc.use[filling] * m.pressure(filling); taken > most {
