--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -23,12 +23,6 @@
 	// continue; with a longer one, serving tasks stay over their target for longer.
 	stallPace = 50
 	stallTime = 800 * time.Millisecond
-	// placementLookAhead is how far ahead the spare headroom of serving groups is predicted
-	// for the leader. A renewal is up to 0.7 s old when a task is placed by it, and the task
-	// starts about 30 ms later.
-	placementLookAhead = 1000 * time.Millisecond
-	// maxReadings bounds the number of readings kept for the leader.
-	maxReadings = 16
 )
 
 type imagePair struct{ serving, filling string }
@@ -108,35 +102,6 @@
 	return p.calls(now, p.lastScan)
 }
 
-// recordReadings keeps a reading for the leader.
-func (p *pacer) recordReadings(now time.Time, sc scan) {
-	if p.degraded {
-		return
-	}
-	fillers := maps.Clone(sc.use) // begin changes sc before the readings are sent
-	for g, s := range sc.serving {
-		if len(sc.use) == 0 && s.headroom() < minHeadroom {
-			continue // the worker is degraded; the leader would learn this as the image's own headroom
-		}
-		t := p.trackers[g]
-		p.readings = append(p.readings, learned.Reading{Image: g.image, Job: g.job, AtMS: now.Sub(p.begun).Milliseconds(),
-			Headroom: s.headroom(), Own: t.Own(), Rate: t.Rate(), SpareHeadroom: p.spareHeadroom(g, sc.full), Runs: len(s.runs), Fillers: fillers})
-	}
-	if n := len(p.readings); n > maxReadings {
-		p.readings = p.readings[n-maxReadings:]
-	}
-}
-
-// spareHeadroom returns the headroom of a serving group that filling work may take.
-func (p *pacer) spareHeadroom(g servingGroup, full map[string]float64) float64 {
-	prior := p.prior(g.image)
-	out := p.model(g, placementLookAhead).expect(full) - minHeadroom
-	for filling, n := range full {
-		out += n * prior(filling).Mean
-	}
-	return out
-}
-
 // updateTrackers passes a reading to the trackers.
 func (p *pacer) updateTrackers(now time.Time, sc scan) {
 	for g, s := range sc.serving {
@@ -302,22 +267,6 @@
 	p.asked[runKey{c.Task, c.Run}] = request{percent: unconfirmed}
 }
 
-// report returns the readings since the last report and the runs that are stalled, for the
-// leader.
-func (p *pacer) report(now time.Time, images func() map[runKey]string) ([]learned.Reading, []jobs.Stop) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	readings := p.readings
-	p.readings = nil
-	var stalled []jobs.Stop
-	for key, image := range images() {
-		if since, slow := p.slowSince[image]; slow && now.Sub(since) >= stallTime {
-			stalled = append(stalled, jobs.Stop{Task: key.task, Run: key.run})
-		}
-	}
-	return readings, stalled
-}
-
 // slowedRuns returns the runs whose requested pace is below full pace or unconfirmed.
 func (p *pacer) slowedRuns() map[runKey]bool {
 	p.mu.Lock()
@@ -330,25 +279,3 @@
 	}
 	return out
 }
-
-// known returns the measured costs of pairs of images.
-func (p *pacer) known() []learned.PairCost {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]learned.PairCost, 0, len(p.costs))
-	for _, c := range p.costs {
-		if c.Seen > 0 { // otherwise it is derived from other pairs
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// learn stores the costs of pairs of images that the leader has sent.
-func (p *pacer) learn(costs []learned.PairCost) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range costs {
-		p.costs[imagePair{c.Serving, c.Filling}] = c
-	}
-}
--- a/runner/pacer_test.go
+++ b/runner/pacer_test.go
@@ -535,14 +535,20 @@
 // harmTime is how long filling work may keep a served task over its target.
 const harmTime = 4 * time.Second
 
+// newUnevenSimulation returns a worker with two watchers, the second with less headroom of its own.
+func newUnevenSimulation(t *testing.T, lower float64) *simulation {
+	s := newSimulation(t)
+	s.learnCosts("heavy", "light")
+	s.own = 2.6
+	s.addWatcher(lower)
+	return s
+}
+
 // Guards against a served task that is over its target for as long as its neighbour isn't. The
 // second of two watchers has a higher load of its own.
 func TestTaskIsProtectedWhateverItsNeighbourReads(t *testing.T) {
 	for _, lower := range []float64{0.3, 0.6, 1.2} {
-		s := newSimulation(t)
-		s.learnCosts("heavy", "light")
-		s.own = 2.6
-		s.addWatcher(lower)
+		s := newUnevenSimulation(t, lower)
 		for range 20 {
 			s.read()
 		}
@@ -664,10 +670,7 @@
 // stopped for it: its own load is higher than that of the others of its job for good.
 func TestLastinglySlowerTaskIsSteered(t *testing.T) {
 	for _, lower := range []float64{0.3, 0.6, 1.2} {
-		s := newSimulation(t)
-		s.learnCosts("heavy", "light")
-		s.own = 2.6
-		s.addWatcher(lower)
+		s := newUnevenSimulation(t, lower)
 		for range 80 {
 			s.read()
 		}
