--- a/control/finalrefusal.go
+++ b/control/finalrefusal.go
@@ -66,14 +66,22 @@
 // this one, and a refusal of this one would say that the job never runs. Messages about the job that
 // were sent before are not taken any more.
 func (d *dispatcher) withdraw(c *SubmitJob) (refused bool) {
+	return d.refuseUnlessAccepted(c.key(), c.Host, c.Path, 1, func(now time.Time) {
+		d.messages.refuse(c.key(), now)
+		d.release(c)
+	})
+}
+
+// refuseUnlessAccepted calls refuse, which refuses a job, unless it was accepted, may have been, or
+// more than so many submissions of it are in flight. It reports whether it did.
+func (d *dispatcher) refuseUnlessAccepted(key, host, path string, inFlight int, refuse func(now time.Time)) (refused bool) {
 	d.r.machine.Read(func(s *State) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if d.inFlight[c.key()] > 1 || d.uncertain[c.key()] || s.hasJob(c.Host, c.Path) {
+		if d.inFlight[key] > inFlight || d.uncertain[key] || s.hasJob(host, path) {
 			return
 		}
-		d.messages.refuse(c.key(), time.Now())
-		d.release(c)
+		refuse(time.Now())
 		refused = true
 	})
 	return refused
@@ -165,18 +173,10 @@
 
 // refuseCancel remembers that there is no such job, unless one was accepted or may be.
 func (d *dispatcher) refuseCancel(c *CancelJob) (refused bool) {
-	d.r.machine.Read(func(s *State) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.inFlight[c.key()] > 0 || d.uncertain[c.key()] || s.hasJob(c.Host, c.Path) {
-			return
-		}
-		now := time.Now()
+	return d.refuseUnlessAccepted(c.key(), c.Host, c.Path, 0, func(now time.Time) {
 		d.messages.refuse(cancelPrefix+c.key(), now)
 		d.messages.refuse(c.key(), now)
-		refused = true
 	})
-	return refused
 }
 
 func (d *dispatcher) hasJob(host, path string) (known bool) {
