runner: Lines about paces tell the highest tail of a task, not of a group

A pace of 0 was logged beside a tail of 0.74 of the target when it was set for a single task. Only what is logged changes. The test of single tasks' violations asks for it and failed before.

--- a/runner/pacer.go
+++ b/runner/pacer.go
@@ -46,7 +46,7 @@
 	violations  map[runKey]violation // serving runs over their target
 	events      events               // not yet taken, for the log
 	lastScan    scan                 // the last reading, and the runs started since
-	worstRatio  float64              // result of worst for the last reading
+	worstRatio  float64              // result of worstTask for the last reading
 	readings    []learned.Reading
 }
 
@@ -137,12 +137,12 @@
 
 // step sets the pace of each filling image.
 func (p *pacer) step(now time.Time, sc scan) {
-	p.worstRatio = sc.worst()
+	p.worstRatio = sc.worstTask()
 	if p.without.Pace {
 		return
 	}
 	wasDegraded, noFilling := p.degraded, p.noFillingAtWork(sc)
-	c := p.degradationDetector.update(now, p.worstRatio, noFilling)
+	c := p.degradationDetector.update(now, sc.worst(), noFilling)
 	if forTasks := p.commandForTasks(now, sc, noFilling); c == steerAll {
 		c = forTasks
 	}
@@ -250,7 +250,7 @@
 	return calls
 }
 
-// worstTail returns the highest tail of the last reading as a fraction of its target.
+// worstTail returns the highest tail of a task in the last reading as a fraction of its target.
 func (p *pacer) worstTail() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/runner/pacerevents_test.go
+++ b/runner/pacerevents_test.go
@@ -40,6 +40,9 @@
 			{Task: jobs.Ref{Job: "watch"}, Run: 1, Measured: 70 + float64(i)}, {Task: jobs.Ref{Job: "watch", Index: 1}, Run: 1, Measured: 30},
 			{Task: jobs.Ref{Job: "heavy"}, Run: 1, Measured: s.use("heavy") * milliPerProcessor}}, s.lookup))
 	}
+	if tail := s.p.worstTail(); tail < 1.4 {
+		t.Errorf("the log of paces tells a tail of %.2f of the target", tail)
+	}
 	reported := s.p.takeEvents().violations
 	if len(reported) != 1 || reported[0].run.task.Index != 0 || reported[0].groupTailMS != 30 || reported[0].culprit != "heavy" {
 		t.Fatalf("reported %+v", reported)
--- a/runner/scan.go
+++ b/runner/scan.go
@@ -83,7 +83,7 @@
 	return sum
 }
 
-// worst returns the highest tail as a fraction of its target, 0 without serving runs.
+// worst returns the highest tail of a group as a fraction of its target, 0 without serving runs.
 func (sc *scan) worst() float64 {
 	worst := 0.0
 	for _, s := range sc.serving {
@@ -92,6 +92,18 @@
 	return worst
 }
 
+// worstTask returns the highest tail of a single run as a fraction of its target, 0 without serving
+// runs.
+func (sc *scan) worstTask() float64 {
+	worst := 0.0
+	for _, s := range sc.serving {
+		for _, x := range s.runs {
+			worst = max(worst, x.tailMS/float64(s.targetMS))
+		}
+	}
+	return worst
+}
+
 // groups returns the serving groups in a fixed order.
 func (sc *scan) groups() []servingGroup {
 	return slices.SortedFunc(maps.Keys(sc.serving), func(a, b servingGroup) int {
