--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -24,6 +25,7 @@
 // shape is what the cases' deployments differ in. Everything else is as on nmdag-vault.
 type shape struct {
 	workers int
+	explore bool
 	kindB   int // how many of them, the last ones, are of kind b; the others are of kind a
 }
 
@@ -41,6 +43,9 @@
 	machines  *machines
 	client    *client
 	operator  *operator
+	explore   *explorer // nil but for explorations
+	named     map[string]*exec.Cmd
+	mu        sync.Mutex
 }
 
 // Offsets of the ports from the first one.
@@ -78,7 +83,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{rec: rec, dir: dir, daemon: daemon, gangs: newGangs()}
+	c := &cluster{rec: rec, dir: dir, daemon: daemon, gangs: newGangs(), named: make(map[string]*exec.Cmd)}
+	if sh.explore {
+		c.explore = newExplorer(c)
+	}
 	if err := c.pickAddresses(sh); err != nil {
 		return c, err
 	}
@@ -190,7 +198,13 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	out, err := os.Create(filepath.Join(c.dir, name+".log"))
+	return c.launch(name)
+}
+
+// launch starts a daemon with the settings that were written for it.
+func (c *cluster) launch(name string) error {
+	path := filepath.Join(c.dir, name+".toml")
+	out, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
@@ -201,7 +215,10 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	c.mu.Lock()
 	c.processes = append(c.processes, cmd)
+	c.named[name] = cmd
+	c.mu.Unlock()
 	c.rec.log("rig", "started %s, process %d", name, cmd.Process.Pid)
 	return nil
 }
@@ -221,6 +238,8 @@
 
 // stop ends all processes and removes the folder. Logs are kept if RIG_KEEP is set.
 func (c *cluster) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, w := range c.workers {
 		w.close()
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -33,6 +33,8 @@
 	"gang-failures":   {shape{workers: 11}, playGangFailures},
 	"wave-together":   {shape{workers: 11, kindB: 2}, playWaveTogether},
 	"wave-standstill": {shape{workers: 11, kindB: 3}, playWaveStandstill},
+	"flap":            {shape{workers: 11}, playFlap},
+	"explore":         {shape{workers: 6, kindB: 2, explore: true}, playExplore},
 }
 
 func main() {
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -76,6 +76,7 @@
 	ends     []endRow
 	number   uint64
 	changed  chan struct{}
+	lapsedAt time.Time // when the lease was last found to have ended
 }
 
 // activeRun is a run on a worker.
@@ -86,12 +87,15 @@
 	started time.Time
 	working bool
 	timers  []*time.Timer
+	saved   string // checkpoint that it resumed from
+	done    time.Duration
 }
 
 type endRow struct {
 	number     uint64
 	name       runName
 	how, saved string
+	at         time.Time
 }
 
 func newWorker(c *cluster, i int, kind string) (*worker, error) {
@@ -292,7 +296,7 @@
 func (l *life) admit(token uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if token < l.token {
+	if l.over || token < l.token {
 		return false
 	}
 	l.token = token
@@ -317,10 +321,18 @@
 
 // extend extends the lease; it never shortens it. The caller holds the lock.
 func (l *life) extend(deadlineMS int64) {
+	l.noteLapse()
 	l.leaseEnd = max(l.leaseEnd, min(deadlineMS, l.clock()+longestLease.Milliseconds()))
 	time.AfterFunc(time.Duration(l.leaseEnd-l.clock()+1)*time.Millisecond, l.lapse)
 }
 
+// noteLapse notes if the lease has ended. The caller holds the lock.
+func (l *life) noteLapse() {
+	if l.clock() >= l.leaseEnd {
+		l.lapsedAt = time.Now()
+	}
+}
+
 // lapse ends everything if the lease has ended.
 func (l *life) lapse() {
 	l.mu.Lock()
@@ -328,6 +340,7 @@
 		l.mu.Unlock()
 		return
 	}
+	l.noteLapse()
 	var all []*activeRun
 	for _, r := range l.runs {
 		all = append(all, r)
@@ -352,13 +365,16 @@
 	l.mu.Lock()
 	reason, begun := "", (*activeRun)(nil)
 	switch {
-	case b.DeadlineMs <= l.clock():
+	case l.over || b.DeadlineMs <= l.clock():
 		reason = "late"
 	case l.runs[name] != nil:
 	case b.Run <= l.fences[task]:
 		reason = "old"
 	default:
-		begun = &activeRun{name: name, life: l, phase: ph, started: time.Now()}
+		begun = &activeRun{name: name, life: l, phase: ph, started: time.Now(), saved: b.Checkpoint}
+		if x := l.w.c.explore; x != nil {
+			x.started(l, begun, b)
+		}
 		l.runs[name] = begun
 	}
 	if reason != "late" {
@@ -405,12 +421,15 @@
 	r.working, r.started = true, time.Now()
 	l.mu.Unlock()
 	failing, standstill := l.w.mode()
+	if x := l.w.c.explore; x != nil && x.failsByItself(r.name) {
+		failing = true
+	}
 	switch {
 	case failing:
 		l.after(r, failTime, func() { l.end(r, howFailed) })
 	case standstill || r.phase.work == 0:
 	default:
-		l.after(r, r.phase.work, func() { l.end(r, howDone) })
+		l.after(r, r.phase.work-r.done, func() { l.end(r, howDone) })
 	}
 }
 
@@ -429,7 +448,11 @@
 	}
 	l.remove(r)
 	l.number++
-	l.ends = append(l.ends, endRow{number: l.number, name: r.name, how: how})
+	row := endRow{number: l.number, name: r.name, how: how, at: time.Now()}
+	if x := l.w.c.explore; x != nil {
+		row.saved = x.ended(l, r, how)
+	}
+	l.ends = append(l.ends, row)
 	close(l.changed)
 	l.changed = make(chan struct{})
 	l.mu.Unlock()
@@ -488,10 +511,14 @@
 
 func (l *life) hold(b *callBody) (status int, fields map[string]any) {
 	l.mu.Lock()
+	l.noteLapse()
 	if b.DeadlineMs > 0 {
 		l.extend(b.DeadlineMs)
 	}
 	for len(l.ends) > 0 && l.ends[0].number <= b.AckCursor {
+		if x := l.w.c.explore; x != nil {
+			x.acked(l, l.ends[0])
+		}
 		l.ends = l.ends[1:]
 	}
 	changed, listed := l.changed, len(l.ends)
@@ -553,6 +580,9 @@
 	close(l.stopBeat)
 	l.server.Close()
 	for _, r := range all {
+		if x := l.w.c.explore; x != nil {
+			x.ended(l, r, howDown)
+		}
 		l.w.c.rec.log(l.w.machine, "%s run %d ended: %s", r.name.task, r.name.run, howDown)
 		l.endOthers(r, howDown)
 	}
