--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -170,9 +170,13 @@
 }
 
 func (o *operator) sendConfig(version int, within time.Duration) error {
-	body := fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r-3hwrr6x","Host":%q,"PathPrefix":%q,"Type":"unsafe","TimeoutMs":3000,"TargetLatencyMs":1000,"Priority":0,"Service":%q,"MaxAttempts":%d,"SlackFactor":2.0}],`+
+	advice := ""
+	if o.c.advisor != nil {
+		advice = fmt.Sprintf(`,"Advisor":{"DecisionMs":%d,"PerWorkerMs":%d,"ValidMs":%d}`, adviceDecision.Milliseconds(), advicePerWorker.Milliseconds(), ticketValid.Milliseconds())
+	}
+	body := fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r-3hwrr6x","Host":%q,"PathPrefix":%q,"Type":"unsafe","TimeoutMs":3000,"TargetLatencyMs":1000,"Priority":0,"Service":%q,"MaxAttempts":%d,"SlackFactor":2.0%s}],`+
 		`"Services":[{"Name":%q,"HealthPath":"/healthz","MaxConnections":64,"Protocol":"h1","Tls":false,"RejectsOverload":true,"Standby":false}],`+
-		`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, host, prefix, service, attempts, service)
+		`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, host, prefix, service, attempts, advice, service)
 	_, err := o.call(http.MethodPut, "/waxwinghaven/config", body, within)
 	o.c.rec.log("operator", "PUT config %d: acknowledged %v", version, err == nil)
 	return err
--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -26,7 +26,8 @@
 type shape struct {
 	workers int
 	explore bool
-	kindB   int // how many of them, the last ones, are of kind b; the others are of kind a
+	advised bool // the queue has an advisor
+	kindB   int  // how many of them, the last ones, are of kind b; the others are of kind a
 }
 
 // cluster is a small deployment: three control replicas, one entry, and an agent with a worker on
@@ -43,6 +44,8 @@
 	machines  *machines
 	client    *client
 	operator  *operator
+	advisor   *advisor  // nil if the queue has none
+	sameID    bool      // a worker keeps its id when it starts again
 	explore   *explorer // nil but for explorations
 	named     map[string]*exec.Cmd
 	mu        sync.Mutex
@@ -56,6 +59,7 @@
 	portInternal        // first of the internal ports
 	portMetrics         // second of the internal ports
 	portWorker          // the worker's own interface
+	portAdvisor         // the advisor
 	portMachines        // the platform's interface for machines
 	portCount
 )
@@ -85,6 +89,7 @@
 	}
 	c := &cluster{rec: rec, dir: dir, daemon: daemon, gangs: newGangs(), named: make(map[string]*exec.Cmd)}
 	if sh.explore {
+		c.sameID = os.Getenv("SAMEID") != ""
 		c.explore = newExplorer(c)
 	}
 	if err := c.pickAddresses(sh); err != nil {
@@ -94,6 +99,9 @@
 	if c.machines, err = newMachines(c); err != nil {
 		return c, err
 	}
+	if sh.advised {
+		c.advisor = newAdvisor(c)
+	}
 	for i := range controls {
 		if err := c.startControl(i); err != nil {
 			return c, err
@@ -107,12 +115,7 @@
 		if i >= sh.workers-sh.kindB {
 			kind = "b"
 		}
-		w, err := newWorker(c, i, kind)
-		if err != nil {
-			return c, err
-		}
-		c.workers = append(c.workers, w)
-		if err := c.startAgent(i); err != nil {
+		if err := c.addWorker(kind); err != nil {
 			return c, err
 		}
 	}
@@ -122,6 +125,27 @@
 	return c, c.awaitWorkers()
 }
 
+// addWorker adds a side machine, with a worker and its agent.
+func (c *cluster) addWorker(kind string) error {
+	i := len(c.workers)
+	w, err := newWorker(c, i, kind)
+	if err != nil {
+		return err
+	}
+	c.workers = append(c.workers, w)
+	return c.startAgent(i)
+}
+
+// addWorkers adds empty workers. Only the case itself may use the list of workers meanwhile.
+func (c *cluster) addWorkers(n int) error {
+	for range n {
+		if err := c.addWorker("a"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // pickAddresses draws loopback addresses and ports that are free.
 func (c *cluster) pickAddresses(sh shape) error {
 	for range 50 {
@@ -139,7 +163,7 @@
 	for i := range controls {
 		hosts = append(hosts, hostControl+i)
 	}
-	for i := range sh.workers {
+	for i := range sh.workers + addedWorkers {
 		hosts = append(hosts, hostSide+i)
 	}
 	for _, h := range hosts {
@@ -173,9 +197,13 @@
 
 func (c *cluster) startControl(i int) error {
 	name, host := fmt.Sprintf("core-%s-1", zoneName(i)), hostControl+i
+	advisorAddr := ""
+	if c.advisor != nil {
+		advisorAddr = c.addr(hostPlatform, portAdvisor)
+	}
 	text := c.settings(name, i, host, 280, false) + fmt.Sprintf("[control]\nport = %d\noperator_port = %d\ndata_folder = %q\nlease = \"5s\"\nlongest_lease = \"6000ms\"\ntick = \"30ms\"\nsnapshot_entries = 5000\n"+
-		"bear_losses = 1\nform_from_seeds = true\ndata_centres = [\"hall-a\",\"hall-b\",\"hall-c\",\"hall-d\"]\nconcurrent_sync = true\n[platform]\noperators = %q\nmachines = %q\nadvisor = \"\"\nmachine_lease = \"3000ms\"\nupkeep_time = \"2s\"\n",
-		c.port+portInternal, c.port+portMetrics, filepath.Join(c.dir, name), c.addr(host, portControl), c.addr(hostPlatform, portMachines))
+		"bear_losses = 1\nform_from_seeds = true\ndata_centres = [\"hall-a\",\"hall-b\",\"hall-c\",\"hall-d\"]\nconcurrent_sync = true\n[platform]\noperators = %q\nmachines = %q\nadvisor = %q\nmachine_lease = \"3000ms\"\nupkeep_time = \"2s\"\n",
+		c.port+portInternal, c.port+portMetrics, filepath.Join(c.dir, name), c.addr(host, portControl), c.addr(hostPlatform, portMachines), advisorAddr)
 	return c.start(name, text)
 }
 
--- a/review/rig2/explore.go
+++ b/review/rig2/explore.go
@@ -493,6 +493,21 @@
 				w.boot()
 			}
 		})
+	case "lateflap":
+		c.rec.log("rig", "%s late and flaps", w.machine)
+		w.setLate(0.5)
+		go func() {
+			for range 3 {
+				time.Sleep(time.Duration(300+rand.Intn(1200)) * time.Millisecond)
+				w.takeDown()
+				time.Sleep(time.Duration(50+rand.Intn(900)) * time.Millisecond)
+				if w.current() == nil {
+					w.boot()
+				}
+			}
+			time.Sleep(time.Second)
+			w.setLate(0)
+		}()
 	case "late":
 		c.rec.log("rig", "%s late", w.machine)
 		w.setLate(0.5)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -34,6 +34,7 @@
 	"wave-together":   {shape{workers: 11, kindB: 2}, playWaveTogether},
 	"wave-standstill": {shape{workers: 11, kindB: 3}, playWaveStandstill},
 	"flap":            {shape{workers: 11}, playFlap},
+	"advice":          {shape{workers: 32, advised: os.Getenv("ADVISOR") != "0"}, playAdvice},
 	"explore":         {shape{workers: 6, kindB: 2, explore: true}, playExplore},
 }
 
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -110,7 +110,11 @@
 	if err != nil {
 		return err
 	}
-	l := &life{w: w, id: fmt.Sprintf("i-%08x", rand.Uint32()), began: time.Now(), stopBeat: make(chan struct{}),
+	id := fmt.Sprintf("i-%08x", rand.Uint32())
+	if w.c.sameID {
+		id = "i-" + w.machine
+	}
+	l := &life{w: w, id: id, began: time.Now(), stopBeat: make(chan struct{}),
 		runs: make(map[runName]*activeRun), fences: make(map[taskName]uint32), changed: make(chan struct{})}
 	l.server = &http.Server{Handler: http.HandlerFunc(l.serve)}
 	w.mu.Lock()
@@ -173,7 +177,7 @@
 func (w *worker) isLate(path string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return (path == "/waxwinghaven/run-start" || path == "/waxwinghaven/run-stop") && rand.Float64() < w.lateShare
+	return (w.c.sameID || path == "/waxwinghaven/run-start" || path == "/waxwinghaven/run-stop") && rand.Float64() < w.lateShare
 }
 
 // noteStop tells of a stop of a task that is at work.
@@ -223,8 +227,12 @@
 	sequence := l.sequence
 	l.mu.Unlock()
 	w := l.w
-	body := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":8,"State":"ready","ColdRemainingMs":0,"Capacity":{"Cpu":%d,"MemMb":%d,"Gpu":0},"Labels":[%q,%q],"ClockMs":%d,"Sequence":%d}`,
-		service, w.c.addr(w.host, portWorker), w.zone, w.cpu, w.memMB, w.labels[0], w.labels[1], l.clock(), sequence)
+	born := ""
+	if w.c.sameID {
+		born = fmt.Sprintf(`"born":%d,`, l.began.UnixMilli())
+	}
+	body := fmt.Sprintf(`{%s"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":8,"State":"ready","ColdRemainingMs":0,"Capacity":{"Cpu":%d,"MemMb":%d,"Gpu":0},"Labels":[%q,%q],"ClockMs":%d,"Sequence":%d}`,
+		born, service, w.c.addr(w.host, portWorker), w.zone, w.cpu, w.memMB, w.labels[0], w.labels[1], l.clock(), sequence)
 	req, err := http.NewRequest(http.MethodPut, "http://"+w.c.addr(w.host, portControl)+"/waxwinghaven/instances/"+l.id, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return
@@ -249,6 +257,7 @@
 	DeadlineMs   int64
 	FencingToken uint64
 	Checkpoint   string
+	Ticket       string
 	AckCursor    uint64
 	WaitMs       int64
 	Percent      int
@@ -266,7 +275,7 @@
 	}
 	if l.w.isLate(r.URL.Path) {
 		l.w.c.rec.log(l.w.machine, "unanswered: %s %s run %d", r.URL.Path, b.Task, b.Run)
-		time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() { l.carryOut(r.URL.Path, &b) })
+		time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() { l.carryOutLate(r.URL.Path, &b) })
 		<-r.Context().Done()
 		return
 	}
@@ -274,6 +283,15 @@
 	l.answer(rw, status, fields)
 }
 
+// carryOutLate carries out a call that went unanswered. An incarnation that has the same id as the
+// one that the call was for takes it for its own.
+func (l *life) carryOutLate(path string, b *callBody) {
+	if now := l.w.current(); l.w.c.sameID && now != nil {
+		l = now
+	}
+	l.carryOut(path, b)
+}
+
 // carryOut carries a call out and returns the response.
 func (l *life) carryOut(path string, b *callBody) (status int, fields map[string]any) {
 	if !l.admit(b.FencingToken) {
@@ -370,6 +388,8 @@
 	case l.runs[name] != nil:
 	case b.Run <= l.fences[task]:
 		reason = "old"
+	case l.w.c.advisor != nil && !l.w.c.advisor.admits(b.Ticket, task, l.id):
+		reason = "ticket"
 	default:
 		begun = &activeRun{name: name, life: l, phase: ph, started: time.Now(), saved: b.Checkpoint}
 		if x := l.w.c.explore; x != nil {
@@ -538,7 +558,11 @@
 		finished = append(finished, []any{e.number, e.name.task.String(), e.name.run, e.how, e.saved})
 	}
 	l.mu.Unlock()
-	return http.StatusOK, map[string]any{"Running": running, "Finished": finished}
+	fields = map[string]any{"Running": running, "Finished": finished}
+	if l.w.c.sameID {
+		fields["born"] = l.began.UnixMilli()
+	}
+	return http.StatusOK, fields
 }
 
 // percent returns a run's progress. One that lasts is at work, at 100, after its startup. The
