review: Case 4, a completed task runs again on a worker's second successor

An order that went unanswered is carried out after the worker has restarted twice under its id; the guard had ended with the first successor.

--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -26,6 +26,7 @@
 type shape struct {
 	workers int
 	explore bool
+	sameID  bool // a worker keeps its id when it starts again
 	advised bool // the queue has an advisor
 	kindB   int  // how many of them, the last ones, are of kind b; the others are of kind a
 }
@@ -89,7 +90,7 @@
 	}
 	c := &cluster{rec: rec, dir: dir, daemon: daemon, gangs: newGangs(), named: make(map[string]*exec.Cmd)}
 	if sh.explore {
-		c.sameID = os.Getenv("SAMEID") != ""
+		c.sameID = sh.sameID || os.Getenv("SAMEID") != ""
 		c.explore = newExplorer(c)
 	}
 	if err := c.pickAddresses(sh); err != nil {
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -54,17 +54,20 @@
 	failing, standstill bool
 	// lateShare of the orders gets no answer and is carried out 2 to 12 s later.
 	lateShare float64
+	nextLate  time.Duration // see setNextLate
 	// onStop is called for a stop of a task that is at work.
 	onStop func(*worker, taskName)
 }
 
 // life is one incarnation of a worker.
 type life struct {
-	w        *worker
-	id       string
-	began    time.Time
-	server   *http.Server
-	stopBeat chan struct{}
+	w     *worker
+	id    string
+	began time.Time
+	// firstBeat is when its first heartbeat is due.
+	firstBeat time.Duration
+	server    *http.Server
+	stopBeat  chan struct{}
 
 	mu       sync.Mutex
 	over     bool
@@ -104,8 +107,11 @@
 	return w, w.boot()
 }
 
-// boot starts a new incarnation.
-func (w *worker) boot() error {
+// boot starts a new incarnation, which sends a heartbeat at once.
+func (w *worker) boot() error { return w.bootWith(0) }
+
+// bootWith starts a new incarnation whose first heartbeat is due after a time.
+func (w *worker) bootWith(firstBeat time.Duration) error {
 	ln, err := net.Listen("tcp4", w.c.addr(w.host, portWorker))
 	if err != nil {
 		return err
@@ -114,7 +120,7 @@
 	if w.c.sameID {
 		id = "i-" + w.machine
 	}
-	l := &life{w: w, id: id, began: time.Now(), stopBeat: make(chan struct{}),
+	l := &life{w: w, id: id, began: time.Now(), firstBeat: firstBeat, stopBeat: make(chan struct{}),
 		runs: make(map[runName]*activeRun), fences: make(map[taskName]uint32), changed: make(chan struct{})}
 	l.server = &http.Server{Handler: http.HandlerFunc(l.serve)}
 	w.mu.Lock()
@@ -173,11 +179,27 @@
 	w.lateShare = share
 }
 
-// isLate draws whether an order goes unanswered.
-func (w *worker) isLate(path string) bool {
+// setNextLate lets the next start go unanswered and be carried out after a time.
+func (w *worker) setNextLate(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return (w.c.sameID || path == "/waxwinghaven/run-start" || path == "/waxwinghaven/run-stop") && rand.Float64() < w.lateShare
+	w.nextLate = d
+}
+
+// lateness returns after which time an order is carried out that goes unanswered, 0 for one that is
+// answered.
+func (w *worker) lateness(path string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	start := path == "/waxwinghaven/run-start"
+	if d := w.nextLate; start && d > 0 {
+		w.nextLate = 0
+		return d
+	}
+	if (start || path == "/waxwinghaven/run-stop" || w.c.sameID) && rand.Float64() < w.lateShare {
+		return 2*time.Second + rand.N(10*time.Second)
+	}
+	return 0
 }
 
 // noteStop tells of a stop of a task that is at work.
@@ -211,6 +233,11 @@
 func (l *life) clock() int64 { return time.Since(l.began).Milliseconds() + 1 }
 
 func (l *life) sendHeartbeats() {
+	select {
+	case <-l.stopBeat:
+		return
+	case <-time.After(l.firstBeat):
+	}
 	for {
 		l.sendHeartbeat()
 		select {
@@ -273,9 +300,9 @@
 		l.answer(rw, http.StatusMisdirectedRequest, nil)
 		return
 	}
-	if l.w.isLate(r.URL.Path) {
+	if delay := l.w.lateness(r.URL.Path); delay > 0 {
 		l.w.c.rec.log(l.w.machine, "unanswered: %s %s run %d", r.URL.Path, b.Task, b.Run)
-		time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() { l.carryOutLate(r.URL.Path, &b) })
+		time.AfterFunc(delay, func() { l.carryOutLate(r.URL.Path, &b) })
 		<-r.Context().Done()
 		return
 	}
