--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -18,7 +18,7 @@
 	zones    = 4
 	rackSize = 3 // workers a rack
 	// startTime bounds the time until the system has formed and knows its workers.
-	startTime = 30 * time.Second
+	startTime = 12 * time.Second
 	graceTime = 6 * time.Second
 )
 
--- a/review/rig2/explore.go
+++ b/review/rig2/explore.go
@@ -18,21 +18,22 @@
 	c   *cluster
 	rng *rand.Rand
 
-	mu       sync.Mutex
-	jobs     map[string]*exploredJob
-	tasks    map[taskName]*taskHistory
-	saved    map[string]savedPoint
-	nSaved   int
-	broken   []string
-	settling bool
+	mu     sync.Mutex
+	jobs   map[string]*exploredJob
+	tasks  map[taskName]*taskHistory
+	saved  map[string]savedPoint
+	nSaved int
+	broken []string
 }
 
+// savedPoint is what a checkpoint stands for.
 type savedPoint struct {
 	group taskName
 	index int
 	done  time.Duration
 }
 
+// exploredJob is a job with what its client has been told of it.
 type exploredJob struct {
 	*job
 	spec        string
@@ -45,9 +46,9 @@
 	cancelSent  bool
 	shown       string
 	shownAt     time.Time
-	rejected    bool
 }
 
+// exploredStep is a step as it was drawn.
 type exploredStep struct {
 	count       int
 	cpu         int64
@@ -62,20 +63,22 @@
 	poison      bool
 }
 
+// taskHistory holds all runs of a task, on all workers.
 type taskHistory struct {
 	runs []*exploredRun
 }
 
+// exploredRun is one run, with when its end was taken note of.
 type exploredRun struct {
-	run    uint32
-	life   *life
-	start  time.Time
-	end    time.Time
-	how    string
-	noted  time.Time
-	rstart string
+	run   uint32
+	life  *life
+	start time.Time
+	end   time.Time
+	how   string
+	noted time.Time
 }
 
+// newExplorer returns an explorer with the seed in SEED, or a new one.
 func newExplorer(c *cluster) *explorer {
 	seed := time.Now().UnixNano()
 	if s := os.Getenv("SEED"); s != "" {
@@ -84,12 +87,14 @@
 	return &explorer{c: c, rng: rand.New(rand.NewSource(seed)), jobs: make(map[string]*exploredJob), tasks: make(map[taskName]*taskHistory), saved: make(map[string]savedPoint)}
 }
 
+// breakRule notes that a rule was broken. The caller holds the lock.
 func (x *explorer) breakRule(format string, args ...any) {
 	msg := fmt.Sprintf(format, args...)
 	x.broken = append(x.broken, msg)
 	x.c.rec.log("ORACLE", "%s", msg)
 }
 
+// failsByItself reports whether a run fails by its own fault.
 func (x *explorer) failsByItself(n runName) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -97,6 +102,7 @@
 	return j != nil && j.steps[n.task.step].poison
 }
 
+// history returns the runs of a task. The caller holds the lock.
 func (x *explorer) history(t taskName) *taskHistory {
 	h := x.tasks[t]
 	if h == nil {
@@ -186,9 +192,10 @@
 	if used > l.w.cpu {
 		x.breakRule("LIMIT: %s run %d brings %s to %d of %d", t, r.name.run, l.w.machine, used, l.w.cpu)
 	}
-	h.runs = append(h.runs, &exploredRun{run: r.name.run, life: l, start: now, rstart: b.Checkpoint})
+	h.runs = append(h.runs, &exploredRun{run: r.name.run, life: l, start: now})
 }
 
+// isDone reports whether a task has ended done, for a gang through any member.
 func (x *explorer) isDone(j *exploredJob, t taskName) bool {
 	for i := range j.steps[t.step].count {
 		o := t
@@ -205,6 +212,7 @@
 	return false
 }
 
+// find returns a run on one life of a worker.
 func (x *explorer) find(l *life, n runName) *exploredRun {
 	for _, o := range x.history(n.task).runs {
 		if o.run == n.run && o.life == l {
@@ -352,6 +360,7 @@
 	return j
 }
 
+// runJob hands a job in, and cancels it or asks for its state until it has ended.
 func (x *explorer) runJob(j *exploredJob, cancelAfter time.Duration) {
 	if err := x.c.client.submit(j.job, 25*time.Second); err != nil {
 		return
@@ -394,6 +403,7 @@
 	}
 }
 
+// note judges what the client is told of a job.
 func (x *explorer) note(j *exploredJob, status int, body string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -532,6 +542,7 @@
 	}
 }
 
+// kill ends a process, and starts it again after a time.
 func (x *explorer) kill(name string, down time.Duration) {
 	c := x.c
 	c.mu.Lock()
@@ -551,15 +562,13 @@
 			os.WriteFile(path, []byte(strings.Replace(string(b), "form_from_seeds = true", "form_from_seeds = false", 1)), 0o600)
 		}
 		time.Sleep(down)
-		x.mu.Lock()
-		over := x.settling && false
-		x.mu.Unlock()
-		if !over {
-			c.launch(name)
+		if err := c.launch(name); err != nil {
+			c.rec.log("rig", "%s does not start: %v", name, err)
 		}
 	}()
 }
 
+// freeze stops a process for a time.
 func (x *explorer) freeze(name string, d time.Duration) {
 	c := x.c
 	c.mu.Lock()
@@ -573,6 +582,9 @@
 	time.AfterFunc(d, func() { p.Process.Signal(syscall.SIGCONT) })
 }
 
+// playExplore plays random jobs beside random faults for 50 s, and judges all of them. KINDS lists the
+// faults to draw from, GAP is their mean distance in milliseconds, and with SAMEID set workers keep
+// their ids.
 func playExplore(c *cluster, trouble bool) (string, error) {
 	x := c.explore
 	kinds := os.Getenv("KINDS")
@@ -617,7 +629,7 @@
 		counts[j.shown]++
 		if j.accepted && !j.cancelSent && j.shown != "completed" && j.shown != "failed" {
 			open++
-			x.breakRule("STUCK: job %s %s is shown as %q: %s", j.id, j.body, j.shown, "")
+			x.breakRule("STUCK: job %s %s is shown as %q", j.id, j.body, j.shown)
 		}
 	}
 	fmt.Println(counts, "open", open)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,8 +20,12 @@
 	exitNotRun = 2
 )
 
-// maxCaseTime bounds a case, the start and the end of the processes included.
-const maxCaseTime = 110 * time.Second
+// maxCaseTime bounds the play of a case, and maxExploreTime that of an exploration. The start and the
+// end of the processes take a few seconds more.
+const (
+	maxCaseTime    = 80 * time.Second
+	maxExploreTime = 110 * time.Second
+)
 
 // scenario plays a case and returns how the rule was broken, "" if it held.
 type scenario func(c *cluster, trouble bool) (broken string, err error)
@@ -81,9 +85,13 @@
 		done <- result{broken, err}
 	}()
 	var r result
+	limit := maxCaseTime
+	if sh.explore {
+		limit = maxExploreTime
+	}
 	select {
 	case r = <-done:
-	case <-time.After(maxCaseTime):
+	case <-time.After(limit):
 		r.err = errors.New("the case took too long")
 	}
 	switch {
