--- a/advice/table.go
+++ b/advice/table.go
@@ -26,6 +26,9 @@
 type Question struct {
 	Step    jobs.GroupKey
 	Workers []string
+	// Unasked is the number of candidates that the advisor has not been asked about, neither before
+	// nor by this question.
+	Unasked int
 }
 
 // Table is the advice table of one leader. It is not replicated: a new leader starts empty.
@@ -93,7 +96,8 @@
 	}
 	ask := append(expired, unknown...)
 	o.pending = true
-	return &Question{Step: step, Workers: ask[:min(len(ask), max(minAsked, need), maxAsked)]}
+	n := min(len(ask), max(minAsked, need), maxAsked)
+	return &Question{Step: step, Workers: ask[:n], Unasked: min(len(ask)-n, len(unknown))}
 }
 
 // Answer records the tickets of the workers that may run the step; the others in the
--- a/control/advisor.go
+++ b/control/advisor.go
@@ -90,7 +90,7 @@
 		valid = a.Valid
 	}
 	adviceSeconds.UpdateDuration(sent)
-	l := logrus.WithFields(logrus.Fields{"job": q.Step.Job, "occurrence": q.Step.Occurrence, "step": q.Step.Step, "asked": len(q.Workers), "allowed": len(a.Tickets)})
+	l := logrus.WithFields(logrus.Fields{"job": q.Step.Job, "occurrence": q.Step.Occurrence, "step": q.Step.Step, "asked": len(q.Workers), "allowed": len(a.Tickets), "unasked": q.Unasked})
 	r.d.mu.Lock()
 	if err != nil {
 		adviceUnanswered.Inc()
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -32,6 +32,7 @@
 var (
 	dispatchSeconds     = metrics.NewHistogram(`waxwinghaven_dispatch_pass_seconds`)
 	placedTotal         = metrics.NewCounter(`waxwinghaven_tasks_placed_total`)
+	workersIsolated     = metrics.NewGauge(`waxwinghaven_workers_isolated`, nil)
 	staleTotal          = metrics.NewCounter(`waxwinghaven_placements_stale_total`)
 	copiesTotal         = metrics.NewCounter(`waxwinghaven_copies_placed_total`)
 	workersLost         = metrics.NewCounter(`waxwinghaven_workers_lost_total`)
@@ -181,6 +182,7 @@
 	}
 	begun := time.Now()
 	var plan jobs.Plan
+	var report dispatch.Report
 	d.r.machine.Read(func(s *State) {
 		waiting := d.trackWaiting(s.Jobs.Ready(), begun)
 		in := d.input(s)
@@ -197,10 +199,11 @@
 			}
 			return 0
 		}
-		plan = dispatch.Plan(in)
+		plan, report = dispatch.PlanAndReport(in)
 		d.waits.fill(s.Jobs, &plan, begun)
 	})
 	dispatchSeconds.UpdateDuration(begun)
+	workersIsolated.Set(float64(report.Isolated))
 	d.advice.wake()
 	if plan.Empty() {
 		return
--- a/control/utilisation.go
+++ b/control/utilisation.go
@@ -37,7 +37,7 @@
 		}
 	})
 	logrus.WithFields(logrus.Fields{"workers": workers, "draining": draining, "serving_workers": serving, "milli_cpu": capacity,
-		"held": held, "serving": servingCPU, "filling": filling, "live_jobs": live, "waiting_steps": groups, "waiting_tasks": waitingTasks}).
+		"held": held, "serving": servingCPU, "filling": filling, "live_jobs": live, "waiting_steps": groups, "waiting_tasks": waitingTasks, "isolated": int(workersIsolated.Get())}).
 		Info("control: How full the workers are.")
 	d.costs.Expire(time.Now())
 	d.costs.LogPairs()
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -156,12 +156,25 @@
 	isolated bool
 }
 
+// Report tells operators what a pass has found.
+type Report struct {
+	// Isolated is the number of workers on which nothing else may start at the end of the pass,
+	// because of a suspect that runs alone. Only passes with waiting tasks count it.
+	Isolated int
+}
+
 // Plan returns the placements, copies and stops of one pass.
 func Plan(in Input) jobs.Plan {
+	plan, _ := PlanAndReport(in)
+	return plan
+}
+
+// PlanAndReport is Plan with a report of the pass.
+func PlanAndReport(in Input) (jobs.Plan, Report) {
 	p := &planner{in: in, plan: jobs.Plan{AtMS: in.NowMS}, moved: make(map[jobs.GroupKey]int)}
 	requests, overrunning := p.requests(), p.overrunning()
 	if len(requests) == 0 && len(overrunning) == 0 && !in.Regroup && len(in.Stalled) == 0 && len(in.Stuck) == 0 && len(p.workersToEvacuate()) == 0 {
-		return p.plan
+		return p.plan, Report{}
 	}
 	p.collectCandidates()
 	p.suspects = in.Jobs.Suspects()
@@ -181,7 +194,18 @@
 		p.place(r)
 	}
 	p.placeCopies(overrunning)
-	return p.plan
+	return p.plan, p.report()
+}
+
+func (p *planner) report() (r Report) {
+	for _, list := range p.workers {
+		for _, c := range list {
+			if c.isolated {
+				r.Isolated++
+			}
+		}
+	}
+	return r
 }
 
 func (p *planner) collectCandidates() {
