dispatch: An attempt to place a gang gives back all that it has marked

A strongly suspected gang isolates each worker that its members are assigned to. An assignment that is given up (a rack that can't hold all, or fewer members than a gang needs) gave back the room and not the marks, so the first passes over the racks left all workers isolated for the rest of the pass: for the attempt across racks, and for each later request. The next pass did the same.

An assignment remembers the marks of each worker before its task, and undo restores them in reverse. All who give up an attempt go through it. The marks are restored, not cleared: a worker may be isolated for another suspect.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -149,10 +149,15 @@
 	owned      bool
 	// standingCPU is what standing tasks hold.
 	standingCPU int64
-	// suspects counts the suspects started on the worker recently or in this pass. isolated says
-	// that the worker runs, or is reserved for, a suspect that runs alone: nothing else starts
-	// there.
+	marks
+}
+
+// marks are what suspects mean for other tasks on a worker.
+type marks struct {
+	// suspects counts the suspects started on the worker recently or in this pass.
 	suspects int
+	// isolated says that the worker runs, or is reserved for, a suspect that runs alone: nothing
+	// else starts there.
 	isolated bool
 }
 
@@ -239,7 +244,7 @@
 	running := r.group.Job().Active() > 0
 	f := p.assignByRack(r, running)
 	if len(f.pl.Indexes) < p.minPlaced(r, running) {
-		f.release(r.group.Step())
+		f.undo(r.group.Step())
 		return
 	}
 	if len(f.pl.Indexes) > 0 {
@@ -252,11 +257,25 @@
 type groupAssignment struct {
 	pl         jobs.Placement
 	candidates []*candidate // by task
+	before     []marks      // of the candidate, by task
+}
+
+// assign adds the k-th task of a request on a worker.
+func (f *groupAssignment) assign(c *candidate, r request, k int) {
+	f.candidates = append(f.candidates, c)
+	f.before = append(f.before, c.marks)
+	f.pl.Indexes = append(f.pl.Indexes, k)
+	f.pl.Workers = append(f.pl.Workers, c.worker.ID)
+	c.reserve(r.group.Step())
+	c.markPlaced(r, k)
 }
 
-func (f *groupAssignment) release(st *jobs.Step) {
-	for _, c := range f.candidates {
+// undo gives back all that the assignment has taken. Marks are restored, not derived again: a
+// worker may have been isolated before, for another suspect.
+func (f *groupAssignment) undo(st *jobs.Step) {
+	for i, c := range slices.Backward(f.candidates) {
 		c.release(st)
+		c.marks = f.before[i]
 	}
 }
 
@@ -279,12 +298,8 @@
 		if c == nil {
 			break // the tasks of a step are identical: the next would not fit either
 		}
-		c.reserve(r.group.Step())
-		p.markPlaced(c, r, i)
+		f.assign(c, r, i)
 		onWorker[c.worker.ID]++
-		f.candidates = append(f.candidates, c)
-		f.pl.Indexes = append(f.pl.Indexes, i)
-		f.pl.Workers = append(f.pl.Workers, c.worker.ID)
 		p.addTicket(&f.pl, r, c)
 		if identical {
 			best.updateBest()
--- a/dispatch/racks.go
+++ b/dispatch/racks.go
@@ -21,7 +21,7 @@
 		if len(f.candidates) == r.group.Waiting() {
 			return f
 		}
-		f.release(r.group.Step())
+		f.undo(r.group.Step())
 	}
 	if r.waited < rackWait {
 		return groupAssignment{}
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -170,9 +170,9 @@
 	return wait
 }
 
-// markPlaced records that the k-th task of a request was placed on a worker. Nothing else starts
-// beside a gang that is strongly suspected.
-func (p *planner) markPlaced(c *candidate, r request, k int) {
+// markPlaced records that the k-th task of a request was assigned to the worker. Nothing else
+// starts beside a gang that is strongly suspected.
+func (c *candidate) markPlaced(r request, k int) {
 	if r.group.SuspicionLevel(k) == jobs.NoSuspicion {
 		return
 	}
