advice, dispatch: Only a worker that can take a task now counts with its ticket

The planner and the advice table had two meanings of "can take a task". The table counted each worker with a valid ticket as room, also one that already has as many tasks of the step as it may, or is full. When these tickets ran out, they were renewed before anything new was asked about, and cut at thirty; so with thirty such workers an added one was never reached.

The request for advice tells workers that can take a task now, by the planner's own rule, from the others. Only the former's tickets count towards the need, and questions about them go first, whichever step they are for; tickets of full workers are fetched ahead after that, as many as the step needs. A third of each question is kept for unknown workers, so each has its turn even if the rule of the planner and the request should differ again.

--- a/advice/table.go
+++ b/advice/table.go
@@ -15,6 +15,10 @@
 	minAsked = 30
 	// maxAsked bounds the workers in a question; the advisor accepts a hundred.
 	maxAsked = 100
+	// unknownShare is the part of a question that is kept for workers that the advisor was not asked
+	// about yet, as long as there are any: whatever becomes of the known ones, each worker is asked
+	// about after a bounded number of questions.
+	unknownShare = 1.0 / 3
 	// retryAfter is the pause after a question that was not answered or was refused.
 	retryAfter = 200 * time.Millisecond
 	// usableShare is the part of a ticket's validity during which it is handed out. The rest
@@ -70,33 +74,55 @@
 	return ""
 }
 
-// Question returns the next question for a step that needs the given number of workers.
-// Candidates are ordered best first; those with a valid ticket count towards the need.
-// Workers that may run the step but have no valid ticket any more are asked about first. It
-// returns nil if there is nothing to ask now.
-func (b *Table) Question(step jobs.GroupKey, need int, candidates []string, now time.Time) *Question {
+// Question returns the next question for a step that needs the given number of workers, nil if
+// there is nothing to ask now. Open are the workers that can take a task now if the advisor allows
+// it, the best first; only a valid ticket of one of them counts towards the need. Those that are
+// known to be allowed go before unknown ones, up to the unknowns' share.
+func (b *Table) Question(step jobs.GroupKey, need int, open []string, now time.Time) *Question {
+	return b.question(step, need-b.valid(step, open, now), open, now)
+}
+
+// Prefetch is like Question, but asks about workers without capacity, so that a ticket is there
+// when one of them has some again.
+func (b *Table) Prefetch(step jobs.GroupKey, need int, open, full []string, now time.Time) *Question {
+	return b.question(step, need-b.valid(step, open, now)-b.valid(step, full, now), full, now)
+}
+
+// valid counts the workers with a valid ticket for a step.
+func (b *Table) valid(step jobs.GroupKey, workers []string, now time.Time) (n int) {
+	for _, w := range workers {
+		if b.Ticket(step, w, now) != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// question returns a question about the candidates without a valid ticket, unless the step is being
+// asked about or needs no more tickets.
+func (b *Table) question(step jobs.GroupKey, need int, candidates []string, now time.Time) *Question {
 	o := b.adviceFor(step)
-	if o.pending || now.Before(o.retryAt) {
+	if o.pending || now.Before(o.retryAt) || need <= 0 {
 		return nil
 	}
 	var expired, unknown []string
 	for _, w := range candidates {
 		allowed, known := o.allowed[w]
 		switch {
-		case b.Ticket(step, w, now) != "":
-			need--
-		case allowed:
-			expired = append(expired, w)
 		case !known:
 			unknown = append(unknown, w)
+		case allowed && b.Ticket(step, w, now) == "":
+			expired = append(expired, w)
 		}
 	}
-	if need <= 0 || len(expired)+len(unknown) == 0 {
+	size := min(max(minAsked, need), maxAsked)
+	kept := min(len(unknown), int(unknownShare*float64(size)))
+	ask := append(expired[:min(len(expired), size-kept)], unknown...)
+	if len(ask) == 0 {
 		return nil
 	}
-	ask := append(expired, unknown...)
 	o.pending = true
-	n := min(len(ask), max(minAsked, need), maxAsked)
+	n := min(len(ask), size)
 	return &Question{Step: step, Workers: ask[:n], Unasked: min(len(ask)-n, len(unknown))}
 }
 
--- a/advice/table_test.go
+++ b/advice/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,3 +79,68 @@
 		t.Fatal("a closed step is kept")
 	}
 }
+
+// Guards against workers that can take no task of a step and fill the questions as soon as their
+// tickets have run out, so that one that is added is never asked about.
+func TestAnAddedWorkerIsAskedAboutWhereTheOthersAreFull(t *testing.T) {
+	b, now := NewTable(), time.Now()
+	all, tickets := workers(40), make(map[string]string)
+	for _, w := range all {
+		tickets[w] = "t"
+	}
+	for q := b.Question(step, 42, all, now); q != nil; q = b.Question(step, 42, all, now) {
+		b.Answer(q, tickets, now, time.Second)
+	}
+	for _, later := range []time.Time{now, now.Add(2 * time.Second)} { // tickets valid, and expired
+		q := b.Question(step, 2, []string{"added"}, later)
+		if q == nil || len(q.Workers) != 1 || q.Workers[0] != "added" {
+			t.Fatalf("the question for a step that all other workers are full for: %+v", q)
+		}
+		b.Unanswered(q, later)
+		b.adviceFor(step).retryAt = later
+	}
+}
+
+// Guards against known workers that fill each question: whatever becomes of them, every unknown
+// worker must have its turn.
+func TestEachUnknownWorkerHasItsTurn(t *testing.T) {
+	b, now := NewTable(), time.Now()
+	known, tickets := workers(60), make(map[string]string)
+	for _, w := range known {
+		tickets[w] = "t"
+	}
+	for q := b.Question(step, 60, known, now); q != nil; q = b.Question(step, 60, known, now) {
+		b.Answer(q, tickets, now, time.Second)
+	}
+	open := append(slices.Clone(known), "x1", "x2", "x3")
+	for range 5 { // the tickets run out before each question, and are of no use
+		now = now.Add(2 * time.Second)
+		q := b.Question(step, 100, open, now)
+		b.Answer(q, tickets, now, time.Second)
+	}
+	for _, w := range []string{"x1", "x2", "x3"} {
+		if _, asked := b.adviceFor(step).allowed[w]; !asked {
+			t.Errorf("the advisor was never asked about %s", w)
+		}
+	}
+}
+
+// Tickets for workers without capacity are requested before one of them has some, but not more than
+// the step needs.
+func TestTicketsOfFullWorkersAreFetchedAhead(t *testing.T) {
+	b, now := NewTable(), time.Now()
+	open, full := []string{"w00"}, workers(40)[1:]
+	q := b.Question(step, 2, open, now)
+	b.Answer(q, map[string]string{"w00": "t"}, now, time.Second)
+	if q := b.Question(step, 2, open, now); q != nil {
+		t.Fatalf("a worker without capacity counts as open: %+v", q)
+	}
+	q = b.Prefetch(step, 2, open, full, now)
+	if q == nil || len(q.Workers) != minAsked {
+		t.Fatalf("tickets fetched ahead: %+v", q)
+	}
+	b.Answer(q, map[string]string{"w01": "t"}, now, time.Second)
+	if q := b.Prefetch(step, 2, open, full, now); q != nil {
+		t.Fatalf("tickets are fetched beyond the need: %+v", q)
+	}
+}
--- a/control/advisor.go
+++ b/control/advisor.go
@@ -109,7 +109,8 @@
 }
 
 // next returns the most urgent question, the time limit for its answer and the default validity
-// of the tickets; q is nil if there is nothing to ask.
+// of the tickets; q is nil if there is nothing to ask. Workers that can take a task now go first,
+// whichever step they are for.
 func (r *adviceRequester) next() (q *advice.Question, limit, valid time.Duration) {
 	now := time.Now()
 	var requests []dispatch.AdviceRequest
@@ -118,14 +119,29 @@
 	})
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
+	w, q := r.choose(requests, now)
+	if q == nil {
+		return nil, 0, 0
+	}
+	limit = time.Duration(w.Advice.AnswerMS(len(q.Workers)))*time.Millisecond + adviceSlack
+	return q, limit, time.Duration(w.Advice.ValidMS) * time.Millisecond
+}
+
+// choose returns the question to ask next and the request that it is for, nil for none.
+func (r *adviceRequester) choose(requests []dispatch.AdviceRequest, now time.Time) (*dispatch.AdviceRequest, *advice.Question) {
+	for i := range requests {
+		w := &requests[i]
+		if q := r.table.Question(w.Step, w.Tasks, w.Open, now); q != nil {
+			return w, q
+		}
+	}
 	for i := range requests {
 		w := &requests[i]
-		if q = r.table.Question(w.Step, w.Tasks, w.Workers, now); q != nil {
-			limit = time.Duration(w.Advice.AnswerMS(len(q.Workers)))*time.Millisecond + adviceSlack
-			return q, limit, time.Duration(w.Advice.ValidMS) * time.Millisecond
+		if q := r.table.Prefetch(w.Step, w.Tasks, w.Open, w.Full, now); q != nil {
+			return w, q
 		}
 	}
-	return nil, 0, 0
+	return nil, nil
 }
 
 // ticket implements dispatch.Input.Ticket.
--- a/dispatch/advised.go
+++ b/dispatch/advised.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -12,8 +13,9 @@
 	Step jobs.GroupKey
 	// Tasks is the number of its tasks that wait.
 	Tasks int
-	// Workers are those that could run the step, the best first.
-	Workers []string
+	// Open are the workers that can take a task now if the advisor allows it, by the same rules as in
+	// a pass. Full are those that could if they had more capacity. Both have the best first.
+	Open, Full []string
 	// Advice holds the times that the queue's advisor takes to answer and that its answers are
 	// valid for.
 	Advice queues.Advice
@@ -33,49 +35,37 @@
 		}
 		if p.workers == nil {
 			p.collectCandidates()
+			p.suspects = in.Jobs.Suspects()
+			p.markSuspects()
 		}
-		out = append(out, AdviceRequest{Step: r.group.Key(), Tasks: r.group.Waiting(), Workers: p.candidates(r), Advice: *r.queue.Advice})
+		a := AdviceRequest{Step: r.group.Key(), Tasks: r.group.Waiting(), Advice: *r.queue.Advice}
+		a.Open, a.Full = p.candidates(r)
+		out = append(out, a)
 	}
 	return out
 }
 
-// candidates returns the workers that could run a step if the advisor allows it: those with
-// enough free capacity first, then by cost.
-func (p *planner) candidates(r request) []string {
-	type option struct {
-		id   string
-		full int
-		cost float64
-	}
+// candidates returns the workers that can take a task of a step now if the advisor allows it, and
+// those that could at another time, each by cost.
+func (p *planner) candidates(r request) (open, full []string) {
 	st := r.group.Step()
-	var options []option
+	onWorker, running := p.onWorker(r.group), r.group.Job().Active() > 0
+	costs := make(map[string]float64)
 	for _, c := range p.workers[r.queue.Service] {
 		if (st.Label != "" && !c.worker.HasLabel(st.Label)) || !st.Held().Fits(c.worker.Capacity) {
 			continue
 		}
-		o := option{id: c.worker.ID, cost: p.cost(c, st, nil)}
-		if !st.Held().Fits(c.free) {
-			o.full = 1
+		costs[c.worker.ID] = p.cost(c, st, nil)
+		if !c.isolated && p.takesIfAllowed(c, r, onWorker, running) {
+			open = append(open, c.worker.ID)
+		} else {
+			full = append(full, c.worker.ID)
 		}
-		options = append(options, o)
 	}
-	slices.SortStableFunc(options, func(a, b option) int {
-		if a.full != b.full {
-			return a.full - b.full
-		}
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return 0
-	})
-	out := make([]string, len(options))
-	for i, o := range options {
-		out[i] = o.id
-	}
-	return out
+	byCost := func(a, b string) int { return cmp.Compare(costs[a], costs[b]) }
+	slices.SortStableFunc(open, byCost)
+	slices.SortStableFunc(full, byCost)
+	return open, full
 }
 
 // ticketFor returns the ticket of a worker for a step, and whether the worker may run the step.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -412,12 +412,15 @@
 	return best
 }
 
-// takes reports whether a worker can run one more task of a step. onWorker is the number of the
+// takes reports whether a worker can take one more task of a step. onWorker is the number of the
 // group's runs by worker.
 func (p *planner) takes(c *candidate, r request, onWorker map[string]int, running bool) bool {
+	_, may := p.ticketFor(r, c.worker.ID)
+	return may && p.takesIfAllowed(c, r, onWorker, running)
+}
+
+// takesIfAllowed is takes for a worker that the queue's advisor allows.
+func (p *planner) takesIfAllowed(c *candidate, r request, onWorker map[string]int, running bool) bool {
 	st := r.group.Step()
-	if _, may := p.ticketFor(r, c.worker.ID); !may || !p.fits(c, r, running) {
-		return false
-	}
-	return st.MaxPerWorker == 0 || onWorker[c.worker.ID] < st.MaxPerWorker
+	return p.fits(c, r, running) && (st.MaxPerWorker == 0 || onWorker[c.worker.ID] < st.MaxPerWorker)
 }
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -45,6 +45,8 @@
 	t     testing.TB
 	index uint64
 	in    Input
+	// advisedJob is the job under test of a queue with an advisor.
+	advisedJob string
 }
 
 func newHarness(t testing.TB, workers int) *harness {
--- a/proof/crashing_test.go
+++ b/proof/crashing_test.go
@@ -108,13 +108,18 @@
 
 // submitJob submits a job in the background and returns its id.
 func (s *simulation) submitJob(payload string, steps ...jobs.Step) string {
+	return s.submitTo(plainPrefix, payload, steps...)
+}
+
+// submitTo is submitJob for the queue with a prefix.
+func (s *simulation) submitTo(prefix, payload string, steps ...jobs.Step) string {
 	for i := 1; i < len(steps); i++ {
 		steps[i].DependsOn = []int{i - 1}
 	}
 	spec := jobs.Spec{Payload: payload, Steps: steps}
 	s.mu.Lock()
 	id := fmt.Sprintf("%016x", len(s.jobs)+1)
-	s.jobs[id] = &submitted{spec: spec}
+	s.jobs[id] = &submitted{spec: spec, prefix: prefix}
 	s.mu.Unlock()
 	s.goCall(func() { s.submitUntilAccepted(id, spec) })
 	return id
@@ -122,7 +127,7 @@
 
 func (s *simulation) wantPhase(id string, want jobs.Phase) {
 	s.t.Helper()
-	a, err := s.gateway.LookUp("a.example", "/q/"+id, 3*time.Second)
+	a, err := s.gateway.LookUp("a.example", s.path(id), 3*time.Second)
 	if err != nil || a.Phase != want {
 		s.t.Errorf("job %s (%s) is %v (%v), want %v", id, s.jobs[id].spec.Payload, a.Phase, err, want)
 	}
--- a/proof/simulation_check_test.go
+++ b/proof/simulation_check_test.go
@@ -53,7 +53,7 @@
 const maxWronglyFailed = 1
 
 func (s *simulation) checkJob(id string, j *submitted) error {
-	a, err := s.gateway.LookUp("a.example", "/q/"+id, 3*time.Second)
+	a, err := s.gateway.LookUp("a.example", s.path(id), 3*time.Second)
 	switch {
 	case err != nil && j.accepted:
 		return fmt.Errorf("it was accepted and is unknown: %v", err)
--- a/proof/simulation_delays_test.go
+++ b/proof/simulation_delays_test.go
@@ -133,7 +133,7 @@
 
 // submitOnce submits a job with one call.
 func (s *simulation) submitOnce(id string, spec jobs.Spec) {
-	err := s.gateway.Submit("a.example", "/q/"+id, spec, 3*time.Second)
+	err := s.gateway.Submit("a.example", s.path(id), spec, 3*time.Second)
 	s.logf("job %s: %v", id, err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proof/simulation_events_test.go
+++ b/proof/simulation_events_test.go
@@ -24,7 +24,10 @@
 	v := s.sentVersion
 	s.mu.Unlock()
 	c := queues.Config{Version: v, Source: []byte(fmt.Sprint(v)), Services: []queues.Service{{Name: "vault"}},
-		Queues: []queues.Queue{{Name: "q", Host: "a.example", Prefix: "/q/", Service: "vault", TimeoutMS: 3000, TargetMS: 60_000, Slack: 50, MaxAttempts: 3}}}
+		Queues: []queues.Queue{{Name: "q", Host: "a.example", Prefix: plainPrefix, Service: "vault", TimeoutMS: 3000, TargetMS: 60_000, Slack: 50, MaxAttempts: 3}}}
+	if s.advice {
+		c.Queues = append(c.Queues, advisedQueue())
+	}
 	ctl := control.NewClient("operator", transport.NewClient(nil, "10.0.3.1"), controlAddresses, s.rng.Intn(fuzzReplicas))
 	s.goCall(func() {
 		err := ctl.Call(control.PathPutConfig, 2*time.Second, &control.PutConfig{Config: c}, nil)
@@ -99,7 +102,7 @@
 // submitUntilAccepted sends a job up to four times until it is accepted, as callers do.
 func (s *simulation) submitUntilAccepted(id string, spec jobs.Spec) {
 	for try := range 4 {
-		err := s.gateway.Submit("a.example", "/q/"+id, spec, 3*time.Second)
+		err := s.gateway.Submit("a.example", s.path(id), spec, 3*time.Second)
 		s.logf("job %s, try %d: %v", id, try, err)
 		if err == nil {
 			s.mu.Lock()
@@ -120,7 +123,7 @@
 	id := fmt.Sprintf("%016x", 1+s.rng.Intn(len(s.jobs)))
 	s.jobs[id].cancelled = true
 	s.goCall(func() {
-		err := s.gateway.Cancel("a.example", "/q/"+id, 3*time.Second)
+		err := s.gateway.Cancel("a.example", s.path(id), 3*time.Second)
 		s.logf("cancelled %s: %v", id, err)
 	})
 }
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -56,6 +56,8 @@
 	controls  [fuzzReplicas]*control.Replica // replicas running in these processes
 	agents    []*agentProcess
 	gateway   *entry.Jobs
+	advice    bool // there is a queue with an advisor
+	advisor   *advisor
 
 	mu           sync.Mutex
 	calls        sync.WaitGroup
@@ -95,6 +97,7 @@
 // submitted is the caller's view of its job.
 type submitted struct {
 	spec         jobs.Spec
+	prefix       string // of its queue, "" for the plain one
 	accepted     bool   // some submission was answered with success
 	attempts     int    // submissions that were answered, and those of them that were rejected,
 	rejected     int    // both only counted by submitOnce
@@ -150,6 +153,7 @@
 		s.t.Errorf("replica %d does not start: %v", i, err)
 		return
 	}
+	r.SetAdvisor(s.advisor)
 	p := s.start(r.Run)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,12 +211,29 @@
 
 // startAgents starts agents beside new workers.
 func (s *simulation) startAgents(n int) {
-	for i := range n {
+	for i := len(s.agents); n > 0; i, n = i+1, n-1 {
 		s.agents = append(s.agents, &agentProcess{host: standin.NewHost(fmt.Sprintf("w%d", i), restartDelay, fullCapacity)})
+		s.agents[i].host.SetAdmission(s.advisor.admits(s.isAdvised))
 		s.startAgent(i)
 	}
 }
 
+// plainPrefix is the prefix of the queue without an advisor.
+const plainPrefix = "/q/"
+
+// path returns the path of a job.
+func (s *simulation) path(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j := s.jobs[id]; j != nil && j.prefix != "" {
+		return j.prefix + id
+	}
+	return plainPrefix + id
+}
+
+// isAdvised reports whether a job is in the queue with an advisor.
+func (s *simulation) isAdvised(id string) bool { return s.path(id) == advisedPrefix+id }
+
 func (s *simulation) announce(i int) {
 	a := s.agents[i]
 	r := a.host.Current()
@@ -235,7 +256,7 @@
 const fullCapacity = 12_000
 
 func newSimulation(t *testing.T, ctx context.Context, seed int64, workers int, noDelays bool) *simulation {
-	s := &simulation{t: t, noDelays: noDelays, ownAgents: int(seed % 2 * fuzzWorkers), optional: optionalParts(seed), rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), synced: newSyncedFiles(t), dir: t.TempDir(), ctx: ctx, started: time.Now(), jobs: make(map[string]*submitted), dataCentres: make(map[string]*fuzzDataCentre)}
+	s := &simulation{t: t, noDelays: noDelays, ownAgents: int(seed % 2 * fuzzWorkers), optional: optionalParts(seed), rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), synced: newSyncedFiles(t), dir: t.TempDir(), ctx: ctx, started: time.Now(), jobs: make(map[string]*submitted), dataCentres: make(map[string]*fuzzDataCentre), advisor: newAdvisor()}
 	transport.SetNetwork(s.net)
 	quorum.ObserveSyncs(s.synced)
 	for i := range s.replicas {
--- a/standin/host.go
+++ b/standin/host.go
@@ -20,6 +20,7 @@
 	current      *Runs // nil between two incarnations
 	incarnations []*Runs
 	longestLease time.Duration // the longest lease that an incarnation accepts
+	admits       func(runner.StartCall) bool
 }
 
 // NewHost returns a host whose first incarnation is running. After a crash the next one starts
@@ -41,6 +42,17 @@
 	}
 }
 
+// SetAdmission makes a function decide whether the ticket of a start call is valid, for the current
+// incarnation and later ones.
+func (h *Host) SetAdmission(f func(runner.StartCall) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.admits = f
+	if h.current != nil {
+		h.current.setAdmission(f)
+	}
+}
+
 // Replace ends the current incarnation, if there is one, and starts the next.
 func (h *Host) Replace() *Runs {
 	h.mu.Lock()
@@ -48,6 +60,7 @@
 	r := NewRuns(fmt.Sprintf("%s-%d", h.name, len(h.incarnations)+1))
 	r.OnCrash = func() { h.crashed(r) }
 	r.SetLongestLease(h.longestLease)
+	r.setAdmission(h.admits)
 	if h.milliCPU > 0 {
 		r.SetCapacity(h.milliCPU)
 	}
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -29,8 +29,9 @@
 	OnCrash func()
 
 	mu            sync.Mutex
-	ticket        string // required of start calls, "" for none
-	worker        string // name of the incarnation
+	ticket        string                      // required of start calls, "" for none
+	admits        func(runner.StartCall) bool // decides on start calls in its place, nil for none
+	worker        string                      // name of the incarnation
 	started       time.Time
 	token         uint64
 	leaseEnd      int64
@@ -113,6 +114,21 @@
 	w.ticket = ticket
 }
 
+// setAdmission makes a function decide whether the ticket of a start call is valid.
+func (w *Runs) setAdmission(f func(runner.StartCall) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.admits = f
+}
+
+// admitted reports whether a start call carries a valid ticket.
+func (w *Runs) admitted(c runner.StartCall) bool {
+	if w.admits != nil {
+		return w.admits(c)
+	}
+	return c.Ticket == w.ticket
+}
+
 // Record returns all runs so far.
 func (w *Runs) Record() []RunInterval {
 	w.mu.Lock()
@@ -263,7 +279,7 @@
 	case w.running[id] != nil:
 	case c.Run <= w.fences[c.Task]:
 		r.Verdict = runner.VerdictOld
-	case c.Ticket != w.ticket:
+	case !w.admitted(c):
 		r.Verdict = runner.VerdictNoTicket
 	default:
 		w.startRun(id, c)
