control: The request for advice knows what a pass knows of workers and waits

Passes leave out workers that rejected a start, don't answer or fail their runs, and let a job that has waited start in spite of its interference; the request for advice was made from an input without these. A valid ticket of a worker that gets nothing new counted as capacity, so no other worker was asked about until it had run out, and after it had run out it was renewed.

Both now have one input (passInput).

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -184,21 +184,11 @@
 	var plan jobs.Plan
 	var report dispatch.Report
 	d.r.machine.Read(func(s *State) {
-		waiting := d.trackWaiting(s.Jobs.Ready(), begun)
-		in := d.input(s)
-		in.Avoided, in.Stalled = d.avoidedWorkers(begun, s.Jobs.Workers), d.recent(&d.stalledAt, begun)
-		in.Stuck = d.recent(&d.stuckAt, begun)
+		d.trackWaiting(s.Jobs.Ready(), begun)
+		in := d.passInput(s, begun)
+		d.trackOpen(&in, begun)
 		in.Copies = d.copiesDue(begun)
 		in.Regroup = d.regroupDue(begun)
-		in.Slowness = d.slowness
-		in.WaitTime = func(g *jobs.Group) time.Duration { return begun.Sub(waiting[g.Key()]) }
-		open := d.trackOpen(&in, len(waiting) > 0, begun)
-		in.WorkersUpFor = func(service string) time.Duration {
-			if since, is := open[service]; is {
-				return begun.Sub(since)
-			}
-			return 0
-		}
 		plan, report = dispatch.PlanAndReport(in)
 		d.waits.fill(s.Jobs, &plan, begun)
 	})
@@ -257,6 +247,33 @@
 		Ticket: d.advice.ticket, Leaving: s.Waves.Leaving(), Reserved: d.reservedCPU(), Disabled: d.r.without}
 }
 
+// passInput is input for a pass and for what must agree with it on the workers that can take a task.
+func (d *dispatcher) passInput(s *State, now time.Time) dispatch.Input {
+	in := d.input(s)
+	in.Avoided = d.avoidedWorkers(now, s.Jobs.Workers)
+	in.Stalled, in.Stuck = d.recent(&d.stalledAt, now), d.recent(&d.stuckAt, now)
+	in.Slowness = d.slowness
+	in.WaitTime = func(g *jobs.Group) time.Duration {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return timeSince(d.waitingSince, g.Key(), now)
+	}
+	in.WorkersUpFor = func(service string) time.Duration {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return timeSince(d.openSince, service, now)
+	}
+	return in
+}
+
+// timeSince returns the time since a recorded start, 0 if there is none.
+func timeSince[K comparable](starts map[K]time.Time, key K, now time.Time) time.Duration {
+	if since, known := starts[key]; known {
+		return now.Sub(since)
+	}
+	return 0
+}
+
 func (d *dispatcher) reservedCPU() map[string]int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -265,7 +282,7 @@
 
 // trackWaiting records since when each group has had startable tasks. The times are local to this
 // leader: a new leader starts over.
-func (d *dispatcher) trackWaiting(ready []*jobs.Group, now time.Time) map[jobs.GroupKey]time.Time {
+func (d *dispatcher) trackWaiting(ready []*jobs.Group, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	kept := make(map[jobs.GroupKey]time.Time, len(ready))
@@ -277,16 +294,15 @@
 		kept[g.Key()] = since
 	}
 	d.waitingSince = kept
-	return kept // never modified: the next pass creates a new map
 }
 
 // trackOpen records since when each service has had a worker that accepts tasks, while any task
 // waits.
-func (d *dispatcher) trackOpen(in *dispatch.Input, waiting bool, now time.Time) map[string]time.Time {
+func (d *dispatcher) trackOpen(in *dispatch.Input, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	kept := make(map[string]time.Time)
-	if waiting {
+	if len(d.waitingSince) > 0 {
 		for _, w := range in.Jobs.Workers {
 			if _, seen := kept[w.Service]; seen || !in.Accepts(w) {
 				continue
@@ -299,7 +315,6 @@
 		}
 	}
 	d.openSince = kept
-	return kept // never modified: the next pass creates a new map
 }
 
 // nowMS returns the time against which occurrences are due, in milliseconds since 1970.
