dispatch: A run is moved only if another worker takes it

A run is moved off a worker (maintenance, a data centre that is drained, a stall) if another one has capacity and headroom for it. The limit of its step on a worker, isolation, the advisor's word, and other runs of the step that are moved in the same pass didn't count. So a task was stopped although nobody could take it, and its caller went without it until the worker was back.

A move now asks for what a placement asks for (takes), and what is reserved for it counts in the step's limit for the rest of the pass.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -132,6 +132,8 @@
 	placed       int
 	copiesPlaced int
 	moved        map[jobs.GroupKey]int // standing tasks moved by this pass
+	// targets are the workers on which this pass has reserved capacity for runs that it moves.
+	targets map[jobs.GroupKey][]string
 	// suspects are the tasks under which workers crashed.
 	suspects []jobs.Ref
 }
@@ -176,7 +178,7 @@
 
 // PlanAndReport is Plan with a report of the pass.
 func PlanAndReport(in Input) (jobs.Plan, Report) {
-	p := &planner{in: in, plan: jobs.Plan{AtMS: in.NowMS}, moved: make(map[jobs.GroupKey]int)}
+	p := &planner{in: in, plan: jobs.Plan{AtMS: in.NowMS}, moved: make(map[jobs.GroupKey]int), targets: make(map[jobs.GroupKey][]string)}
 	requests, overrunning := p.requests(), p.overrunning()
 	if len(requests) == 0 && len(overrunning) == 0 && !in.Regroup && len(in.Stalled) == 0 && len(in.Stuck) == 0 && len(p.workersToEvacuate()) == 0 {
 		return p.plan, Report{}
@@ -327,9 +329,12 @@
 	})
 }
 
-// onWorker counts a group's runs by worker, copies included.
+// onWorker counts a group's runs by worker, copies and targets of moves included.
 func (p *planner) onWorker(g *jobs.Group) map[string]int {
 	out := make(map[string]int)
+	for _, worker := range p.targets[g.Key()] {
+		out[worker]++
+	}
 	for i := range g.Tasks {
 		for _, r := range g.Tasks[i].Runs() {
 			out[r.Worker]++
--- a/dispatch/regroup.go
+++ b/dispatch/regroup.go
@@ -123,6 +123,7 @@
 		return false
 	}
 	to.reserve(g.Step())
+	p.targets[ref.Group()] = append(p.targets[ref.Group()], to.worker.ID)
 	p.plan.Stops = append(p.plan.Stops, p.in.Jobs.RunOn(ref, from.worker.ID))
 	p.moved[ref.Group()]++
 	return true
--- a/dispatch/stalled.go
+++ b/dispatch/stalled.go
@@ -43,16 +43,18 @@
 	return true
 }
 
-// reserveTarget reserves capacity for a run on another worker where its interference stays within
-// bounds, and reports whether there is one.
+// reserveTarget reserves capacity for a run on another worker that takes it, and reports whether
+// there is one.
 func (p *planner) reserveTarget(g *jobs.Group, from string) bool {
 	q := p.in.Config.At(g.Job().Host, g.Job().Prefix)
 	if q == nil {
 		return false
 	}
+	onWorker := p.onWorker(g)
 	for _, c := range p.workers[q.Service] {
-		if c.worker.ID != from && p.fits(c, request{group: g, queue: q}, true) {
+		if c.worker.ID != from && !c.isolated && p.takes(c, request{group: g, queue: q}, onWorker, true) {
 			c.reserve(g.Step())
+			p.targets[g.Key()] = append(p.targets[g.Key()], c.worker.ID)
 			return true
 		}
 	}
