dispatch: Advice is requested for runs that need another worker, too

The advisor was asked only about steps with waiting tasks. A run that has to go on elsewhere (its worker leaves, it makes no progress) or be copied needs a ticket as well, and that of its own start has run out after two to three seconds. So a copy of an advised step was hardly ever placed: a run that stands still kept its job open. Runs on workers that leave were stopped first and waited for the advisor then.

Such steps are now among the requests, with the number of such runs and without the workers that these are on.

--- a/control/advisor.go
+++ b/control/advisor.go
@@ -115,7 +115,9 @@
 	now := time.Now()
 	var requests []dispatch.AdviceRequest
 	r.d.r.machine.Read(func(s *State) {
-		requests = dispatch.AdviceRequests(r.d.passInput(s, now))
+		in := r.d.passInput(s, now)
+		in.Copies = true
+		requests = dispatch.AdviceRequests(in)
 	})
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -118,6 +119,11 @@
 	Occurrence, Step int
 }
 
+// Compare orders keys by job, occurrence and step.
+func (k GroupKey) Compare(o GroupKey) int {
+	return cmp.Or(cmp.Compare(k.Job, o.Job), cmp.Compare(k.Occurrence, o.Occurrence), cmp.Compare(k.Step, o.Step))
+}
+
 // Group returns the key of the task's group.
 func (r Ref) Group() GroupKey { return GroupKey{r.Job, r.Occurrence, r.Step} }
 
