control: Each step has its turn at the advisor

The advisor takes one question at a time and the most urgent step's went first. A step that always has one more question (a gang wider than what tickets are valid for at a time, or one that finds few allowed among many workers) kept all others from their first question for as long as it waited.

Every second question is now about the step that was asked about least recently. The test has 300 workers, a gang of 301 and a job of one task: on the order before the second step isn't asked about within four questions, now it is.

--- a/advice/table.go
+++ b/advice/table.go
@@ -46,6 +46,7 @@
 	allowed map[string]bool   // by worker; whether it may run the step never changes
 	pending bool
 	retryAt time.Time // when it may be asked again
+	askedAt time.Time // of the newest question
 }
 
 // ticket permits a worker to run a step's tasks.
@@ -82,6 +83,14 @@
 	return b.question(step, need-b.valid(step, open, now), open, now)
 }
 
+// LastAsked returns when the newest question about a step was made, zero if there was none.
+func (b *Table) LastAsked(step jobs.GroupKey) time.Time {
+	if o := b.steps[step]; o != nil {
+		return o.askedAt
+	}
+	return time.Time{}
+}
+
 // Prefetch is like Question, but asks about workers without capacity, so that a ticket is there
 // when one of them has some again.
 func (b *Table) Prefetch(step jobs.GroupKey, need int, open, full []string, now time.Time) *Question {
@@ -121,7 +130,7 @@
 	if len(ask) == 0 {
 		return nil
 	}
-	o.pending = true
+	o.pending, o.askedAt = true, now
 	n := min(len(ask), size)
 	return &Question{Step: step, Workers: ask[:n], Unasked: min(len(ask)-n, len(unknown))}
 }
--- a/control/advisor.go
+++ b/control/advisor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -40,7 +41,9 @@
 	d       *dispatcher
 	advisor Advisor
 	wakeup  chan struct{}
-	table   *advice.Table // guarded by the dispatcher's lock
+	// byAge is set if the next question is about the step that was asked about least recently.
+	byAge bool
+	table *advice.Table // guarded by the dispatcher's lock
 }
 
 // SetAdvisor sets the advisor to query. It must be called before Run.
@@ -129,8 +132,15 @@
 	return q, limit, time.Duration(w.Advice.ValidMS) * time.Millisecond
 }
 
-// choose returns the question to ask next and the request that it is for, nil for none.
+// choose returns the question to ask next and the request that it is for, nil for none. Every
+// second question is about the step that was asked about least recently: an urgent step that needs
+// more tickets than it gets would otherwise keep all others waiting.
 func (r *adviceRequester) choose(requests []dispatch.AdviceRequest, now time.Time) (*dispatch.AdviceRequest, *advice.Question) {
+	if r.byAge = !r.byAge; !r.byAge {
+		slices.SortStableFunc(requests, func(a, b dispatch.AdviceRequest) int {
+			return r.table.LastAsked(a.Step).Compare(r.table.LastAsked(b.Step))
+		})
+	}
 	for i := range requests {
 		w := &requests[i]
 		if q := r.table.Question(w.Step, w.Tasks, w.Open, now); q != nil {
--- a/control/advisor_test.go
+++ b/control/advisor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/advice"
@@ -70,3 +71,29 @@
 		t.Fatalf("the question when the only worker with a ticket does not answer: %+v", q)
 	}
 }
+
+// Guards against an urgent step that always has one more question, since the tickets that it gets
+// are of no use to it, and keeps the advisor from all other steps.
+func TestEachStepHasItsTurnAtTheAdvisor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var workers []string
+		for i := range 300 {
+			workers = append(workers, fmt.Sprintf("w%03d", i))
+		}
+		x := newAdvisedSite(t, workers...)
+		// Wider than what the tickets are valid for at a time: they run out before the last is issued.
+		x.submit(1, jobs.Step{Count: 301, Need: resource.Vector{MilliCPU: 10_000}, Gang: true})
+		late := x.submit(2, jobs.Step{Count: 1, Need: resource.Vector{MilliCPU: 1000}})
+		for range 4 {
+			q := x.answer()
+			if q == nil {
+				t.Fatal("nothing is asked")
+			}
+			if q.Step == late {
+				return
+			}
+			time.Sleep(time.Second)
+		}
+		t.Error("the second step was not asked about within four questions")
+	})
+}
