dispatch: Suspected gangs in turn keep others waiting for a bounded time

A strongly suspected gang isolates every worker that it starts on for 0.6 s, and no share bounds it as it does single suspects. Several gangs that run everywhere, suspected of the same crashes, started one after the other; neither the last of them nor any job of lower priority had a run meanwhile.

The test has eight such gangs on four workers: a job of lower priority waited for 4.85 s, though callers may wait for three with free capacity. A gang that has waited for isolationWait now starts without isolating its workers, as a single suspect does by then, unless one more crash may end it.

--- a/dispatch/gangs_test.go
+++ b/dispatch/gangs_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,9 +17,14 @@
 
 // suspectGang makes a gang a strong suspect that has waited for longer than a rack is waited for.
 func (s *harness) suspectGang(job string) {
+	s.makeSuspect(job)
+	s.in.WaitTime = func(*jobs.Group) time.Duration { return rackWait + time.Millisecond }
+}
+
+// makeSuspect makes a gang a strong suspect.
+func (s *harness) makeSuspect(job string) {
 	s.Jobs[job].Groups[0].Suspected = &jobs.Suspicion{Crashes: 2, Odds: 200_000}
 	s.Rebuild()
-	s.in.WaitTime = func(*jobs.Group) time.Duration { return rackWait + time.Millisecond }
 }
 
 // Guards against racks that are tried for a suspected gang, are too small for it and stay isolated:
@@ -73,3 +79,46 @@
 		t.Errorf("the suspect runs on %v, others on %v", s.runsByWorker(isolated), s.runsByWorker(other))
 	}
 }
+
+// Guards against suspected gangs that start one after the other, each alone on all workers, while
+// everybody else waits for longer than callers may with free capacity.
+func TestSuspectedGangsInTurnDoNotKeepOthersWaiting(t *testing.T) {
+	const passMS, gangs = 50, 8
+	s := newHarness(t, 4)
+	s.in.NowMS = 10_000
+	since := s.in.NowMS
+	s.in.WaitTime = func(*jobs.Group) time.Duration { return ms(float64(s.in.NowMS - since)) }
+	for n := range gangs {
+		s.makeSuspect(s.submit(n, "/titles/", since, gang(8, 500)))
+	}
+	low := s.submit(gangs, "/renders/", since, task(2, 500, 300))
+	for s.runsOf(low) == 0 && s.in.NowMS-since < 10_000 {
+		s.pass()
+		s.in.NowMS += passMS
+	}
+	if waited := ms(float64(s.in.NowMS - since)); waited > 3*time.Second {
+		t.Errorf("a job waited for %v behind %d suspected gangs", waited, gangs)
+	}
+	if alone := s.gangsStartedAlone(since, gangs); alone < 3 {
+		t.Errorf("only %d gangs started alone", alone)
+	}
+}
+
+// gangsStartedAlone counts the first gangs of which each started isolationTime after the one before.
+func (s *harness) gangsStartedAlone(sinceMS int64, gangs int) (n int) {
+	for ; n < gangs; n++ {
+		r := s.Jobs[fmt.Sprintf("%016x", n)].Groups[0].Tasks[0].Placed
+		if r == nil || r.AtMS < sinceMS+int64(n)*isolationTime.Milliseconds() {
+			return n
+		}
+	}
+	return n
+}
+
+// runsOf returns the number of a job's runs.
+func (s *harness) runsOf(job string) (n int) {
+	for _, runs := range s.runsByWorker(job) {
+		n += runs
+	}
+	return n
+}
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -95,7 +95,13 @@
 	if g.Tasks[k].Done || g.Tasks[k].Placed != nil || g.Step().Gang || g.SuspicionLevel(k) != jobs.Isolate {
 		return false
 	}
-	return r.placeableFor <= isolationWait || g.MustIsolate(k)
+	return r.mayWaitForIsolation(k)
+}
+
+// mayWaitForIsolation reports whether the k-th task of a request, a strong suspect, starts isolated
+// rather than at once.
+func (r *request) mayWaitForIsolation(k int) bool {
+	return r.placeableFor <= isolationWait || r.group.MustIsolate(k)
 }
 
 // placeIsolatedSuspects places the tasks that need isolation on workers where nothing started
@@ -171,13 +177,14 @@
 }
 
 // markPlaced records that the k-th task of a request was assigned to the worker. Nothing else
-// starts beside a gang that is strongly suspected.
+// starts beside a gang that is strongly suspected, unless the gang has waited for too long itself:
+// after several in turn, each on all workers, others would wait for longer still.
 func (c *candidate) markPlaced(r request, k int) {
 	if r.group.SuspicionLevel(k) == jobs.NoSuspicion {
 		return
 	}
 	c.suspects++
-	c.isolated = c.isolated || (r.group.Step().Gang && r.group.SuspicionLevel(k) == jobs.Isolate)
+	c.isolated = c.isolated || (r.group.Step().Gang && r.group.SuspicionLevel(k) == jobs.Isolate && r.mayWaitForIsolation(k))
 }
 
 // suspicionCost returns the additional cost of a suspect's placement on a worker.
