runner: A guard goes on until a later session has fenced its own incarnation

The guard of a session ended with the first successor that it had fenced. What follows that one is fenced by its own session, which begins with its first heartbeat; if it is replaced before, nobody probed the address, while calls of the first session could still arrive.

Only a later session that has fenced its incarnation ends the guard, or 15 s after the end of its own session, longer than any call is delayed. Weighed: asking with a long wait instead of 40 times a second; a call that is not answered at once would leave a gap of its length.

TestEachIncarnationIsFencedUntilOneHasASession starts the late run on the code before, and doesn't now.

--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -39,6 +39,7 @@
 	lostHolds      []HoldCall    // lists that were lost
 	tokensToIgnore int           // calls for another incarnation whose tokens are ignored
 	holdsToDrop    int           // lists to leave unanswered, each until its call times out
+	holds          int           // lists that were requested
 	starts         []StartCall
 	figures        map[string]float64 // figures of the runs, by job
 	paces          []receivedPace
@@ -178,6 +179,7 @@
 
 func (w *fakeWorker) Hold(c HoldCall) (HoldReply, error) {
 	w.mu.Lock()
+	w.holds++
 	if err := w.connectErr; err != nil {
 		w.mu.Unlock()
 		return HoldReply{}, err
@@ -227,6 +229,13 @@
 	return out, nil
 }
 
+// holdCount returns the number of lists that were requested.
+func (w *fakeWorker) holdCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holds
+}
+
 func (w *fakeWorker) Pace(c PaceCall) (Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/runner/guard.go
+++ b/runner/guard.go
@@ -20,17 +20,19 @@
 	guardInterval = 25 * time.Millisecond
 	// maxGuardCalls is the number of probes in flight when none is answered.
 	maxGuardCalls = int(CallTimeout / guardInterval)
-	// guardTimeout is how long an unresponsive address is probed, far longer than a call is
-	// delayed.
+	// guardTimeout is how long an unresponsive address is probed, and any address after the
+	// session's end: far longer than a call is delayed.
 	guardTimeout = 15 * time.Second
 	// listSlack is how long after its deadline a list counts as unanswered, and the interval
 	// at which guard checks whether a probe is needed.
 	listSlack = 50 * time.Millisecond
 )
 
-// guard fences the incarnation that follows the session's. It outlives the session, since
-// ending a session may wait for the control for seconds, and returns once the successor is
-// fenced by it or by the next session.
+// guard fences the incarnations that follow the session's. It outlives the session, since
+// ending a session may wait for the control for seconds, and returns once a later session has
+// fenced its incarnation, or no call of the session can arrive any more. It goes on after it has
+// fenced a successor: that one may be replaced as well before its first heartbeat begins the next
+// session.
 func (s *session) guard(ctx context.Context) {
 	defer s.guardDone.Store(true)
 	if s.announced().UniqueID {
@@ -38,7 +40,7 @@
 	}
 	calls := make(chan struct{}, maxGuardCalls)
 	s.identityKnownAt.Store(s.age())
-	pause := listSlack
+	pause, endedAt := listSlack, int64(0)
 	for !s.guardDone.Load() {
 		select {
 		case <-ctx.Done():
@@ -55,7 +57,10 @@
 			s.identityKnownAt.Store(s.age())
 			continue
 		}
-		if s.age()-s.identityKnownAt.Load() > int64(guardTimeout) {
+		if endedAt == 0 && s.ctx.Err() != nil {
+			endedAt = s.age()
+		}
+		if age := s.age(); age-s.identityKnownAt.Load() > int64(guardTimeout) || (endedAt != 0 && age-endedAt > int64(guardTimeout)) {
 			return
 		}
 		select {
@@ -118,7 +123,7 @@
 // been answered without regard to its token.
 func (s *session) successorAnswered(to Target, known bool) {
 	if known && to.Token > s.r.maxStartToken.Load() {
-		if !s.guardDone.Swap(true) {
+		if !s.successorFenced.Swap(true) {
 			logrus.WithFields(logrus.Fields{"worker": s.worker, "life": s.id, "token": to.Token}).Info("runner: The successor of this incarnation is fenced.")
 		}
 		return
--- a/runner/guard_test.go
+++ b/runner/guard_test.go
@@ -144,6 +144,37 @@
 	})
 }
 
+// Guards against late starts on the second successor of a worker: the first one was fenced, and was
+// replaced before its first heartbeat began a session that would fence the next.
+func TestEachIncarnationIsFencedUntilOneHasASession(t *testing.T) {
+	withBench(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		b.stopUnansweredStart()
+		for _, name := range []string{"w2", "w3", "w4"} {
+			b.worker.failCalls(ErrClosed)
+			time.Sleep(200 * time.Millisecond)
+			b.worker.restartWithSameID(name)
+			time.Sleep(300 * time.Millisecond)
+		}
+		b.wantFenced()
+	})
+}
+
+// Guards against a guard that goes on probing when no call of its session can arrive any more.
+func TestGuardEndsWithTheCallsOfItsSession(t *testing.T) {
+	withBench(t, func(t *testing.T, b *bench) {
+		time.Sleep(time.Second)
+		s := b.session()
+		b.worker.restartWithSameID("w2")
+		time.Sleep(guardTimeout + time.Second)
+		before := b.worker.holdCount()
+		time.Sleep(time.Second)
+		if n := b.worker.holdCount() - before; !s.guardDone.Load() || n > 0 {
+			t.Errorf("%d probes in a second, long after the session's end", n)
+		}
+	})
+}
+
 // Guards against late starts that cannot be fenced while the control is unreachable, because
 // they were sent with the highest token that the agent had.
 func TestNothingIsStartedWithoutATokenInReserve(t *testing.T) {
--- a/runner/session.go
+++ b/runner/session.go
@@ -98,12 +98,14 @@
 	// listDeadline is when the list that holdLoop waits for counts as unanswered, 0 while it
 	// waits for none, and identityKnownAt when it was last known which incarnation is at the
 	// address, both as the session's age. fenced says that the incarnation has seen the
-	// session's token, successorKnown that another incarnation has answered, and guardDone
-	// that this one is fenced, too. probeRequests triggers an immediate probe.
+	// session's token, successorKnown that another incarnation has answered, successorFenced
+	// that this one is fenced, too, and guardDone that a later session has fenced its own.
+	// probeRequests triggers an immediate probe.
 	listDeadline    atomic.Int64
 	identityKnownAt atomic.Int64
 	fenced          atomic.Bool
 	successorKnown  atomic.Bool
+	successorFenced atomic.Bool
 	guardDone       atomic.Bool
 	probeRequests   chan struct{}
 	reserveUsed     chan struct{} // signalled when the reserve token is taken
