proof, standin: A simulation with gangs, racks, suspects, advised queues and added workers

It also checked only that all jobs end at last, not how long one waits.

TestSimulatedGangsAndAdvisedQueuesDoNotStandStill has 33 workers on racks of three, a queue of lower priority and one whose advisor allows three workers of four for a step; it draws gangs (rack-sensitive, with limits, some that crash their workers), standing tasks for each worker and a few more, crashes under gangs, added workers, restarts of agents and faults of replicas. Once all is calm it reports a job of which nothing has run for 3 s although there is capacity for it twice over and under half of all is in use, as the users' rule says.

--- a/standin/host.go
+++ b/standin/host.go
@@ -21,6 +21,7 @@
 	incarnations []*Runs
 	longestLease time.Duration // the longest lease that an incarnation accepts
 	admits       func(runner.StartCall) bool
+	gangs        *Gangs
 }
 
 // NewHost returns a host whose first incarnation is running. After a crash the next one starts
@@ -42,6 +43,16 @@
 	}
 }
 
+// SetGangs sets the gangs that the runs of the current incarnation and later ones belong to.
+func (h *Host) SetGangs(g *Gangs) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gangs = g
+	if h.current != nil {
+		h.current.setGangs(g)
+	}
+}
+
 // SetAdmission makes a function decide whether the ticket of a start call is valid, for the current
 // incarnation and later ones.
 func (h *Host) SetAdmission(f func(runner.StartCall) bool) {
@@ -61,6 +72,7 @@
 	r.OnCrash = func() { h.crashed(r) }
 	r.SetLongestLease(h.longestLease)
 	r.setAdmission(h.admits)
+	r.setGangs(h.gangs)
 	if h.milliCPU > 0 {
 		r.SetCapacity(h.milliCPU)
 	}
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -20,7 +20,7 @@
 // Runs is a stand-in for a worker that runs callers' tasks. It starts them under a lease and a
 // fencing token and simulates their work by letting time pass. A task's payload sets its
 // behaviour as a URL query: "ms=300" runs for 300 ms, "fails=2" fails in its first two runs,
-// "lasts=1" runs until it is stopped, "crash=0.3" crashes the worker if the task is number 3 of
+// "lasts=1" runs until it is stopped, "gang=6" works as one of a gang of six, "crash=0.3" crashes the worker if the task is number 3 of
 // step 0, "cpu=500" uses 500 thousandths of a processor, "serves=50&own=2.5" has a tail with a
 // target of 50 ms, and "takes=0.02" interferes with such runs. A pace changes what a run uses and
 // takes from others, not how long it runs.
@@ -29,6 +29,7 @@
 	OnCrash func()
 
 	mu            sync.Mutex
+	gangs         *Gangs                      // of this worker and others, nil for none
 	ticket        string                      // required of start calls, "" for none
 	admits        func(runner.StartCall) bool // decides on start calls in its place, nil for none
 	worker        string                      // name of the incarnation
@@ -71,6 +72,7 @@
 	milliCPU    int64
 	started     time.Time
 	work        time.Duration // 0 for a run that goes on until it is stopped
+	inGang      bool
 	resumedFrom time.Duration // work done before the checkpoint that it resumed from
 	interference
 }
@@ -114,6 +116,13 @@
 	w.ticket = ticket
 }
 
+// setGangs sets the gangs that the worker's runs belong to.
+func (w *Runs) setGangs(g *Gangs) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gangs = g
+}
+
 // setAdmission makes a function decide whether the ticket of a start call is valid.
 func (w *Runs) setAdmission(f func(runner.StartCall) bool) {
 	w.mu.Lock()
@@ -333,18 +342,25 @@
 	if int(id.run) <= number("fails") {
 		how = jobs.OutcomeFailed
 	}
+	if size := number("gang"); size > 0 && w.gangs != nil {
+		run.inGang = true
+		w.gangs.join(id, w, size, run.work, how)
+		return
+	}
 	time.AfterFunc(run.work-run.resumedFrom, func() { w.endRun(id, how) })
 }
 
 // endRun ends a run that has finished its work or has been stopped.
-func (w *Runs) endRun(id runID, o jobs.Outcome) {
+func (w *Runs) endRun(id runID, o jobs.Outcome) { w.endRunAs(id, o, o.String()) }
+
+func (w *Runs) endRunAs(id runID, o jobs.Outcome, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.crashed {
 		return
 	}
 	w.expire()
-	w.finish(id, o, o.String(), time.Now())
+	w.finish(id, o, how, time.Now())
 }
 
 // finish records the end of a running run and adds it to the unacknowledged ends.
@@ -353,6 +369,9 @@
 	if run == nil {
 		return
 	}
+	if run.inGang {
+		w.gangs.left(id)
+	}
 	w.advance()
 	delete(w.running, id)
 	w.fences[id.task] = max(w.fences[id.task], id.run)
