jobs: A failed run of a gang counts once, however many members fail in it

A gang's run is one attempt of the gang. Its newest counted run is kept in the log's state; a state of before has none, so its next failed run counts. While replicas of both versions serve, they can differ in such a job until the older ones are replaced.

The test was red before: "run 2: 0 of 3 members were placed, the job is failed".

--- a/jobs/run.go
+++ b/jobs/run.go
@@ -269,7 +269,7 @@
 	case e.Outcome == OutcomeDone:
 		s.advanceJob(g)
 	case e.Outcome == OutcomeFailed && !g.Step().Standing && !t.Done:
-		s.countFailure(g, t, rules, index)
+		s.countFailure(g, t, e.Run, rules, index)
 	}
 	return Ended{}
 }
@@ -361,10 +361,15 @@
 	}
 }
 
-// countFailure counts a failed run, for a gang as a whole, and fails the job at the limit.
-func (s *State) countFailure(g *Group, t *Task, rules Rules, index uint64) {
+// countFailure counts a failed run and fails the job at the limit. A run of a gang counts once,
+// however many of its members fail.
+func (s *State) countFailure(g *Group, t *Task, run uint32, rules Rules, index uint64) {
 	n := 0
 	if g.Step().Gang {
+		if run <= g.FailedRun {
+			return
+		}
+		g.FailedRun = run
 		g.Failures++
 		n = g.Failures
 	} else {
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -439,6 +439,26 @@
 	}
 }
 
+// Guards against a gang that is given up after its first run because several of its members failed
+// in it, as they do together on a worker that fails all that it starts.
+func TestAFailedRunOfAGangCountsOnce(t *testing.T) {
+	w := newFixture(t, "w1", "w2")
+	gang := step(3, 1000)
+	gang.Gang = true
+	w.submit(idA, gang)
+	for run := uint32(1); run <= 3; run++ {
+		if placed, _ := w.ApplyPlan(Plan{Placements: []Placement{{Job: idA, Indexes: []int{0, 1, 2}, Workers: []string{"w1", "w1", "w2"}}}}, rules, w.next()); placed != 3 {
+			t.Fatalf("run %d: %d of 3 members were placed, the job is %v", run, placed, w.phase(idA))
+		}
+		for k, worker := range []string{"w1", "w1", "w2"} {
+			w.end(worker, Ref{idA, 0, 0, k}, run, OutcomeFailed, "")
+		}
+	}
+	if w.phase(idA) != Failed {
+		t.Errorf("the job is %v after three failed runs, want %v", w.phase(idA), Failed)
+	}
+}
+
 // A filling task takes no CPU from a worker's capacity, but its memory counts.
 func TestFillingTasksTakeMemoryOnly(t *testing.T) {
 	w := newFixture(t, "w1")
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -169,8 +169,10 @@
 // Group is one step of one occurrence.
 type Group struct {
 	Tasks []Task `msgpack:"t"`
-	// Failures counts the failed runs of a gang as a whole.
-	Failures int `msgpack:"f,omitempty"`
+	// Failures counts the failed runs of a gang as a whole, and FailedRun is the newest one that was
+	// counted: several members of one run may fail.
+	Failures  int    `msgpack:"f,omitempty"`
+	FailedRun uint32 `msgpack:"n,omitempty"`
 	// Suspected is the crash history of a gang as a whole, nil for none.
 	Suspected *Suspicion `msgpack:"x,omitempty"`
 
