upkeep, dispatch: Machines go down together only if their tasks may

Each machine was asked about as if it were the only one that goes down. It is now asked about together with those that were ordered before and are not back, whose runs may still count as running, and those of the same decision. An order that is repeated is not held back by later ones. Moves between pools ask the same way.

--- a/control/waves.go
+++ b/control/waves.go
@@ -215,7 +215,7 @@
 	w.r.machine.Read(func(s *State) {
 		d = upkeep.Next(upkeep.Input{State: s.Waves, Machines: list, NowMS: now, Upkeep: w.upkeepTime(),
 			Empty:   func(worker string) bool { return len(s.Jobs.RunsOn(worker)) == 0 },
-			MayStop: func(worker string) bool { return dispatch.MayStop(s.Jobs, worker, now) }})
+			MayStop: func(workers ...string) bool { return dispatch.MayStop(s.Jobs, workers, now) }})
 	})
 	return d
 }
@@ -374,7 +374,7 @@
 	may = true
 	for _, x := range list {
 		if x.Name == machine && x.Worker != "" {
-			w.r.machine.Read(func(s *State) { may = dispatch.MayStop(s.Jobs, x.Worker, now) })
+			w.r.machine.Read(func(s *State) { may = dispatch.MayStop(s.Jobs, append(s.Waves.Ordered(), x.Worker), now) })
 		}
 	}
 	return may
--- a/dispatch/availability_test.go
+++ b/dispatch/availability_test.go
@@ -34,7 +34,7 @@
 	if len(plan.Stops) != 1 {
 		t.Fatalf("%d tasks were moved together", len(plan.Stops))
 	}
-	if MayStop(s.State, from, s.in.NowMS) {
+	if MayStop(s.State, []string{from}, s.in.NowMS) {
 		t.Fatal("a worker with both of two tasks may be stopped")
 	}
 	s.index++
@@ -49,15 +49,33 @@
 	if at := g.Tasks[st.Task.Index].Placed; at == nil || at.Worker == from {
 		t.Fatalf("the moved task is at %+v", at)
 	}
-	if n := stops(); n != 0 || MayStop(s.State, from, s.in.NowMS) {
+	if n := stops(); n != 0 || MayStop(s.State, []string{from}, s.in.NowMS) {
 		t.Fatalf("%d more tasks were moved while one starts, or the worker may be stopped", n)
 	}
 	s.in.NowMS += settleTime.Milliseconds()
-	if n := stops(); n != 1 || !MayStop(s.State, from, s.in.NowMS) {
+	if n := stops(); n != 1 || !MayStop(s.State, []string{from}, s.in.NowMS) {
 		t.Fatalf("%d tasks were moved once the other is running again, want 1, or the worker may not be stopped", n)
 	}
 	s.ApplyCancel(job, s.index+1)
-	if !MayStop(s.State, from, 0) {
+	if !MayStop(s.State, []string{from}, 0) {
 		t.Fatal("a cancelled job's tasks keep their worker from being stopped")
 	}
 }
+
+// Guards against stopping two workers that each run one task of a step of which one may be
+// unavailable: each of them alone may be stopped.
+func TestWorkersAreStoppedTogetherOnlyIfTheirTasksMay(t *testing.T) {
+	s := newHarness(t, 2)
+	st := oneEach(2)
+	st.MaxUnavailable = 1
+	job := s.submit(1, "/titles/", 0, st)
+	s.place(job, "w0", 0)
+	s.place(job, "w1", 1)
+	s.in.NowMS += settleTime.Milliseconds()
+	if !MayStop(s.State, []string{"w0"}, s.in.NowMS) || !MayStop(s.State, []string{"w1"}, s.in.NowMS) {
+		t.Error("a worker alone may not be stopped")
+	}
+	if MayStop(s.State, []string{"w0", "w1"}, s.in.NowMS) {
+		t.Error("both workers may be stopped together")
+	}
+}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -80,7 +80,7 @@
 	g := p.in.Jobs.Group(ref)
 	return func(s *jobs.Step) bool {
 		if limitsUnavailable(s) {
-			return unavailable(g, p.in.NowMS, "")+p.moved[ref.Group()] < s.MaxUnavailable
+			return unavailable(g, p.in.NowMS)+p.moved[ref.Group()] < s.MaxUnavailable
 		}
 		return s.Standing || (s.Checkpointing && p.in.Leaving[worker])
 	}
--- a/upkeep/next.go
+++ b/upkeep/next.go
@@ -1,6 +1,9 @@
 package upkeep
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Machine is a machine as the platform lists it.
 type Machine struct {
@@ -21,17 +24,20 @@
 	NowMS    int64
 	// Upkeep is how long a machine is down for its upkeep.
 	Upkeep time.Duration
-	// Empty reports whether nothing runs on a worker. Spared reports whether a worker may be
-	// stopped now: it may not while this would make more standing tasks of a step unavailable
+	// Empty reports whether nothing runs on a worker. MayStop reports whether workers may be down
+	// together: they may not while this would make more standing tasks of a step unavailable
 	// than its caller allows.
 	Empty   func(worker string) bool
-	MayStop func(worker string) bool
+	MayStop func(workers ...string) bool
 }
 
 // Decision is what to commit, and the orders to send to the platform after the commit.
 type Decision struct {
 	Marks  []Mark
 	Orders []Order
+	// down are the workers whose machines were or are ordered to go down. Their runs may still count
+	// as running.
+	down []string
 }
 
 // Order tells the platform to take a machine down for a wave.
@@ -59,7 +65,7 @@
 
 // Next decides on the next marks and orders of every wave that has not finished.
 func Next(in Input) Decision {
-	var d Decision
+	d := Decision{down: in.State.Ordered()}
 	listed := make(map[string]*Machine, len(in.Machines))
 	for i := range in.Machines {
 		listed[in.Machines[i].Name] = &in.Machines[i]
@@ -91,7 +97,8 @@
 			// The worker has restarted. It has to be emptied of the tasks that it was
 			// given since.
 			mark(p.Phase, m.Worker)
-		case p.Phase == Emptying && in.readyToStop(r, p):
+		case p.Phase == Emptying && in.readyToStop(r, p, d.down):
+			d.down = append(d.down, p.Worker)
 			mark(Ordered, "")
 			d.Orders = append(d.Orders, Order{r.Wave.Number, p.Machine})
 		case p.Phase == Ordered && in.mayStop(p.Worker):
@@ -108,17 +115,18 @@
 	return time.Duration(in.NowMS-p.SinceMS) * time.Millisecond
 }
 
-// mayStop reports whether a worker may be stopped now.
+// mayStop reports whether the order to stop a worker may be sent again.
 func (in *Input) mayStop(worker string) bool {
 	return worker == "" || in.Empty(worker) || in.MayStop(worker)
 }
 
-// readyToStop reports whether a machine that is being emptied can go down.
-func (in *Input) readyToStop(r *WaveProgress, p *Progress) bool {
+// readyToStop reports whether a machine that is being emptied can go down beside those that are
+// ordered to.
+func (in *Input) readyToStop(r *WaveProgress, p *Progress, down []string) bool {
 	if p.Worker == "" || in.Empty(p.Worker) {
 		return true
 	}
-	return in.timeInPhase(p) >= in.drainTime(r, p.SinceMS) && in.MayStop(p.Worker)
+	return in.timeInPhase(p) >= in.drainTime(r, p.SinceMS) && in.MayStop(append(slices.Clone(down), p.Worker)...)
 }
 
 // drainTime returns how long a machine may take to become empty without delaying the wave: its share
--- a/upkeep/state.go
+++ b/upkeep/state.go
@@ -130,6 +130,18 @@
 	return out
 }
 
+// Ordered returns the workers on machines that were ordered to go down and are not noted as back.
+func (s *State) Ordered() (out []string) {
+	for _, n := range s.numbers() {
+		for i := range s.Waves[n].Machines {
+			if p := &s.Waves[n].Machines[i]; p.Worker != "" && (p.Phase == Ordered || p.Phase == Down) {
+				out = append(out, p.Worker)
+			}
+		}
+	}
+	return out
+}
+
 // StoppedForUpkeep reports whether a worker was stopped, or is about to be stopped, for an upkeep.
 func (s *State) StoppedForUpkeep(worker string) bool {
 	for _, r := range s.Waves {
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -20,6 +20,7 @@
 	restarts  int
 	busy      map[string]bool // workers with running tasks
 	pinned    map[string]bool // workers that may not be stopped
+	together  int             // number of workers that may be stopped together, 0 for any
 	downs     map[string]int  // number of times that a machine went down
 }
 
@@ -50,8 +51,10 @@
 
 func (f *fleet) input() Input {
 	return Input{State: f.state, Machines: f.listed, NowMS: f.nowMS, Upkeep: 2 * time.Second,
-		Empty:   func(w string) bool { return !f.busy[w] },
-		MayStop: func(w string) bool { return !f.pinned[w] }}
+		Empty: func(w string) bool { return !f.busy[w] },
+		MayStop: func(workers ...string) bool {
+			return !slices.ContainsFunc(workers, func(w string) bool { return f.pinned[w] }) && (f.together == 0 || len(workers) <= f.together)
+		}}
 }
 
 // tick advances the time and makes one decision. The platform carries its orders out if executed is
@@ -265,3 +268,33 @@
 		t.Errorf("workers are %v, want %v", got, want)
 	}
 }
+
+// tickRecording records the machines that are ordered to go down.
+func (f *fleet) tickRecording(ordered map[string]bool, executed bool) {
+	for _, o := range f.tick(100, executed, false).Orders {
+		ordered[o.Machine] = true
+	}
+}
+
+// Guards against two machines that go down together although each runs one task of a step of which
+// one may be unavailable: by one decision, or by the next one while the first order is under way.
+func TestMachinesGoDownTogetherOnlyIfTheirTasksMay(t *testing.T) {
+	for _, executed := range []bool{true, false} {
+		f := newFleet(t, 3)
+		f.together = 1
+		for i := range 3 {
+			f.busy[fmt.Sprintf("w%d", i)] = true
+		}
+		f.start(Wave{Number: 1, Machines: f.names(), DurationMS: 10_000, MaxConcurrent: 2})
+		ordered := make(map[string]bool)
+		for ticks := 0; ticks < 100 && len(ordered) == 0; ticks++ {
+			f.tickRecording(ordered, executed)
+		}
+		for range 10 { // the first machine is not back by then
+			f.tickRecording(ordered, false)
+		}
+		if len(ordered) != 1 {
+			t.Errorf("executed %v: %d machines were ordered to go down together, want 1", executed, len(ordered))
+		}
+	}
+}
