proof: A simulation of workers that restart again before their first heartbeat

This one takes workers that keep their ids down and up two or three times, each time for less than until their first heartbeat, while one start in eight goes unanswered and is carried out later.

--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -92,6 +92,8 @@
 	sequence uint64
 	outages  []span // when it was down or isolated
 	isolated bool
+	// quietUntil is when the worker sends its first heartbeat.
+	quietUntil time.Time
 }
 
 // span is a period of time. The end of one that is not over lies far in the future.
@@ -241,7 +243,7 @@
 func (s *simulation) announce(i int) {
 	a := s.agents[i]
 	r := a.host.Current()
-	if r == nil {
+	if r == nil || time.Now().Before(a.quietUntil) {
 		return
 	}
 	if a.worker != r.Name() {
