--- a/advice/table_test.go
+++ b/advice/table_test.go
@@ -115,7 +115,7 @@
 	open := append(slices.Clone(known), "x1", "x2", "x3")
 	for range 5 { // the tickets run out before each question, and are of no use
 		now = now.Add(2 * time.Second)
-		q := b.Question(step, 100, open, now)
+		q := b.Question(step, 2, open, now)
 		b.Answer(q, tickets, now, time.Second)
 	}
 	for _, w := range []string{"x1", "x2", "x3"} {
--- a/dispatch/gangs_test.go
+++ b/dispatch/gangs_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// Guards against an attempt that is given up and takes with it what other suspects had marked before.
+func TestUndoRestoresTheMarksOfBefore(t *testing.T) {
+	s := newHarness(t, 1)
+	job := s.submit(1, "/titles/", 0, gang(3, 500))
+	s.makeSuspect(job)
+	p := &planner{in: s.in}
+	p.collectCandidates()
+	c, before := p.workers["vault"][0], marks{suspects: 2}
+	c.marks = before
+	f := p.assign(p.requests()[0], false, nil)
+	if len(f.candidates) != 3 || c.suspects != 5 || !c.isolated {
+		t.Fatalf("the attempt placed %d members and left %+v", len(f.candidates), c.marks)
+	}
+	free := c.free
+	f.undo(&s.Jobs[job].Spec.Steps[0])
+	if c.marks != before || c.free.MilliCPU != free.MilliCPU+3*500 {
+		t.Errorf("after the attempt was given up: %+v, %+v free", c.marks, c.free)
+	}
+}
+
 // Guards against suspected gangs that start one after the other, each alone on all workers, while
 // everybody else waits for longer than callers may with free capacity.
 func TestSuspectedGangsInTurnDoNotKeepOthersWaiting(t *testing.T) {
