control: A test of machine moves resends as callers do when the leader changes

TestMoveIsRefusedWhileItsStandingTasksRun is in KNOWN-RED.txt: on starved processors the leader may change between its calls, and it took "unknown-outcome: the leader changed" for a failure of the product. Its calls are idempotent and are sent again to whoever leads until they have a clear answer. What it asks for is unchanged: the move is refused while the standing tasks run, accepted once they are gone, and refused for an unknown machine. It reads the placed tasks at a replica whether it leads or not.

--- a/control/waves_test.go
+++ b/control/waves_test.go
@@ -97,31 +97,55 @@
 	c.prepareJobs(4)
 	job := standingJob("00000000000000aa", 2)
 	job.Spec.Steps[0].Count, job.Spec.Steps[0].Need.MilliCPU, job.Spec.Steps[0].MaxUnavailable = 2, 1000, 1
-	l := c.leader()
-	if _, err := c.replicas[l].onSubmitJob(job); err != nil {
+	if err := c.untilAnswered(func(l int) error { _, err := c.replicas[l].onSubmitJob(job); return err }); err != nil {
 		t.Fatal(err)
 	}
 	c.wait("its tasks are placed", func() bool {
 		runs := 0
-		c.replicas[l].machine.Read(func(s *State) { runs = len(s.Jobs.RunsOn("w")) })
+		c.replicas[0].machine.Read(func(s *State) { runs = len(s.Jobs.RunsOn("w")) })
 		return runs == 2
 	})
-	move := MachineMove{Machine: "m0", Pool: "other"}
-	if _, err := c.replicas[(l+1)%3].MoveMachine(move); !refusal.Is(err, refusal.Conflict) {
+	moveTo := func(pool, machine string) error {
+		return c.untilAnswered(func(l int) error {
+			_, err := c.replicas[(l+1)%3].MoveMachine(MachineMove{Machine: machine, Pool: pool})
+			return err
+		})
+	}
+	if err := moveTo("other", "m0"); !refusal.Is(err, refusal.Conflict) {
 		t.Fatalf("with standing tasks on it: %v", err)
 	}
-	if _, err := c.replicas[l].onCancelJob(CancelJob{JobCall: JobCall{job.Host, job.Path}}); err != nil {
+	cancel := CancelJob{JobCall: JobCall{job.Host, job.Path}}
+	if err := c.untilAnswered(func(l int) error { _, err := c.replicas[l].onCancelJob(cancel); return err }); err != nil {
 		t.Fatal(err)
 	}
-	c.wait("the move is accepted", func() bool { _, err := c.replicas[(l+1)%3].MoveMachine(move); return err == nil })
+	c.wait("the move is accepted", func() bool { return moveTo("other", "m0") == nil })
 	if list, _ := p.List(context.Background()); list[0].Pool != "other" {
 		t.Errorf("the machines are %+v", list)
 	}
-	if _, err := c.replicas[l].MoveMachine(MachineMove{Machine: "m9", Pool: "other"}); !refusal.Is(err, refusal.NotFound) {
+	if err := moveTo("other", "m9"); !refusal.Is(err, refusal.NotFound) {
 		t.Errorf("an unknown machine: %v", err)
 	}
 }
 
+// untilAnswered makes a call, which must be idempotent, again as callers do while the outcome is
+// unknown or there is no leader that may answer, and returns its answer.
+func (c *cluster) untilAnswered(call func(leader int) error) (err error) {
+	c.wait("a clear answer", func() bool {
+		l := c.leader()
+		if l < 0 {
+			return false
+		}
+		err = call(l)
+		for _, code := range []refusal.Code{refusal.UnknownOutcome, refusal.NotLeader, refusal.NoQuorum, refusal.Unreachable} {
+			if refusal.Is(err, code) {
+				return false
+			}
+		}
+		return true
+	})
+	return err
+}
+
 // Guards against a wave that stalls or repeats work when its leader is partitioned, the answers
 // to two orders are lost and another replica leads. Every machine must go down exactly once, no
 // token may be used by two leaders, and the wave must be reported as completed only then, at any
