--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -178,6 +178,7 @@
 // dispatch makes a plan and commits it.
 func (d *dispatcher) dispatch() {
 	if !d.leads() {
+		workersIsolated.Set(0)
 		return
 	}
 	begun := time.Now()
