control: Without an advised queue no request for advice is prepared

The input of a pass was made a second time after each pass, for nothing where no queue has an advisor: it lists the workers to avoid and takes the dispatcher's lock. No decision changes.

--- a/control/advisor.go
+++ b/control/advisor.go
@@ -118,6 +118,9 @@
 	now := time.Now()
 	var requests []dispatch.AdviceRequest
 	r.d.r.machine.Read(func(s *State) {
+		if !s.Queues.Config.Advised() {
+			return // after each pass of most deployments
+		}
 		in := r.d.passInput(s, now)
 		in.Copies = true
 		requests = dispatch.AdviceRequests(in)
