dispatch: Candidates are collected with the marks of suspects in one place

Plan and the request for advice each collected the candidates and then marked those with recent suspects; a third caller would have had to know. No behaviour changes: the tests of dispatch and the simulation of gangs and advice pass.

--- a/dispatch/advised.go
+++ b/dispatch/advised.go
@@ -51,8 +51,6 @@
 func (p *planner) adviceRequest(r request, waiting int, from []string) AdviceRequest {
 	if p.workers == nil {
 		p.collectCandidates()
-		p.suspects = p.in.Jobs.Suspects()
-		p.markSuspects()
 	}
 	a := AdviceRequest{Step: r.group.Key(), Tasks: waiting + len(from), Advice: *r.queue.Advice}
 	a.Open, a.Full = p.candidates(r)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -184,8 +184,6 @@
 		return p.plan, Report{}
 	}
 	p.collectCandidates()
-	p.suspects = in.Jobs.Suspects()
-	p.markSuspects()
 	if !in.Disabled.Leaving {
 		p.evacuate()
 	}
@@ -215,6 +213,8 @@
 	return r
 }
 
+// collectCandidates lists the workers that accept tasks, with the marks of the suspects that started
+// on them recently.
 func (p *planner) collectCandidates() {
 	p.workers = make(map[string][]*candidate)
 	p.underused = make(map[string]bool)
@@ -240,6 +240,8 @@
 	for service, total := range capacity {
 		p.underused[service] = float64(used[service]) < lowUtilization*float64(total)
 	}
+	p.suspects = p.in.Jobs.Suspects()
+	p.markSuspects()
 }
 
 func (p *planner) place(r request) {
