standin, advice: One check of tickets, and one set-up of answered questions

The stand-in worker checked a fixed ticket and a function side by side; SetTicket sets the function now.

--- a/advice/table_test.go
+++ b/advice/table_test.go
@@ -80,17 +80,25 @@
 	}
 }
 
-// Guards against workers that can take no task of a step and fill the questions as soon as their
-// tickets have run out, so that one that is added is never asked about.
-func TestAnAddedWorkerIsAskedAboutWhereTheOthersAreFull(t *testing.T) {
-	b, now := NewTable(), time.Now()
-	all, tickets := workers(40), make(map[string]string)
-	for _, w := range all {
+// allowAll answers all questions about workers with tickets that are valid for a second, and returns
+// these.
+func allowAll(b *Table, need int, workers []string, now time.Time) map[string]string {
+	tickets := make(map[string]string)
+	for _, w := range workers {
 		tickets[w] = "t"
 	}
-	for q := b.Question(step, 42, all, now); q != nil; q = b.Question(step, 42, all, now) {
+	for q := b.Question(step, need, workers, now); q != nil; q = b.Question(step, need, workers, now) {
 		b.Answer(q, tickets, now, time.Second)
 	}
+	return tickets
+}
+
+// Guards against workers that can take no task of a step and fill the questions as soon as their
+// tickets have run out, so that one that is added is never asked about.
+func TestAnAddedWorkerIsAskedAboutWhereTheOthersAreFull(t *testing.T) {
+	b, now := NewTable(), time.Now()
+	all := workers(40)
+	allowAll(b, 42, all, now)
 	for _, later := range []time.Time{now, now.Add(2 * time.Second)} { // tickets valid, and expired
 		q := b.Question(step, 2, []string{"added"}, later)
 		if q == nil || len(q.Workers) != 1 || q.Workers[0] != "added" {
@@ -105,13 +113,8 @@
 // worker must have its turn.
 func TestEachUnknownWorkerHasItsTurn(t *testing.T) {
 	b, now := NewTable(), time.Now()
-	known, tickets := workers(60), make(map[string]string)
-	for _, w := range known {
-		tickets[w] = "t"
-	}
-	for q := b.Question(step, 60, known, now); q != nil; q = b.Question(step, 60, known, now) {
-		b.Answer(q, tickets, now, time.Second)
-	}
+	known := workers(60)
+	tickets := allowAll(b, 60, known, now)
 	open := append(slices.Clone(known), "x1", "x2", "x3")
 	for range 5 { // the tickets run out before each question, and are of no use
 		now = now.Add(2 * time.Second)
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -30,8 +30,7 @@
 
 	mu            sync.Mutex
 	gangs         *Gangs                      // of this worker and others, nil for none
-	ticket        string                      // required of start calls, "" for none
-	admits        func(runner.StartCall) bool // decides on start calls in its place, nil for none
+	admits        func(runner.StartCall) bool // whether a start call has a valid ticket, nil if none needs one
 	worker        string                      // name of the incarnation
 	started       time.Time
 	token         uint64
@@ -111,9 +110,7 @@
 
 // SetTicket sets the ticket that start calls must carry, "" for none.
 func (w *Runs) SetTicket(ticket string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.ticket = ticket
+	w.setAdmission(func(c runner.StartCall) bool { return c.Ticket == ticket })
 }
 
 // setGangs sets the gangs that the worker's runs belong to.
@@ -135,7 +132,7 @@
 	if w.admits != nil {
 		return w.admits(c)
 	}
-	return c.Ticket == w.ticket
+	return c.Ticket == ""
 }
 
 // Record returns all runs so far.
