--- a/proof/soak_process_test.go
+++ b/proof/soak_process_test.go
@@ -19,6 +19,8 @@
 	settings string // path of the file
 	log      string // path of the file
 	env      []string
+	// descriptors limits the open files of the process, 0 for the limit of the test.
+	descriptors int
 
 	mu        sync.Mutex
 	instance  *processInstance // the running one, nil while it is down
@@ -46,7 +48,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(p.program, "--settings", p.settings)
+	cmd := p.command()
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process survives a test that is killed
@@ -62,6 +64,14 @@
 	return nil
 }
 
+func (p *soakProcess) command() *exec.Cmd {
+	if p.descriptors == 0 {
+		return exec.Command(p.program, "--settings", p.settings)
+	}
+	const limited = `ulimit -n "$1" && exec "$2" --settings "$3"`
+	return exec.Command("sh", "-c", limited, "sh", fmt.Sprint(p.descriptors), p.program, p.settings)
+}
+
 func (p *soakProcess) current() *processInstance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
