transport: Servers bound their connections, and go on after a failed accept

Callers lost their entry, or all replicas, when idle connections, headers sent byte by byte or a crowd of submissions took the last descriptor: fasthttp takes "too many open files" for the end of a listener, Serve returns, the role fails and the process ends with 1.

One server for every port, HTTPServer, accepts within a bound that follows from the descriptors of the process (its own limit, and limits.files if that is less), less what is for files and for what it dials. When all are taken, the connection that has waited longest for a whole request is closed; one whose request was read whole never is. At the ports between processes, connections that carried anything but a caller's message stay. An accept that fails is repeated. Ports for few clients have a small bound of their own, so that no port takes another's.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,7 +38,7 @@
 	rpc    *transport.Client
 	plain  *transport.Client // to the upstream and the worker, on the same instance
 	ctl    *control.Client
-	server *fasthttp.Server
+	server *transport.HTTPServer
 	meter  *meter
 
 	mu            sync.Mutex
@@ -69,7 +69,7 @@
 		meter: newMeter(), gate: admission.NewGate(), markets: make(map[string]*market.View), started: time.Now(), ledger: NewLedger()}
 	g.ctl = control.NewClient(part, g.rpc, set.ControlAddresses, firstReplica(set.Instance.Name))
 	g.runs = &runs{agent: g}
-	g.server = transport.NewHTTPServer(part, g.serveEntry, set.Agent.MaxBody)
+	g.server = transport.NewHTTPServer(part, transport.Processes, g.serveEntry, set.Agent.MaxBody)
 	return g, nil
 }
 
@@ -102,7 +102,7 @@
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return transport.ServeHTTP(serveCtx, g.server, transport.Secure(part, ln, g.tls)) })
 	eg.Go(func() error {
-		return transport.ServeHTTP(serveCtx, transport.NewHTTPServer("announce", g.serveLocal, localBody), local)
+		return transport.ServeHTTP(serveCtx, transport.NewHTTPServer("announce", transport.Few, g.serveLocal, localBody), local)
 	})
 	eg.Go(func() error { return g.renewLoop(serveCtx) })
 	eg.Go(func() error {
--- a/control/operator.go
+++ b/control/operator.go
@@ -51,7 +51,7 @@
 
 func (r *Replica) serveOperators(ctx context.Context, ln net.Listener) error {
 	routes := r.operatorRoutes()
-	server := transport.NewHTTPServer("operator", func(q *fasthttp.RequestCtx) { r.serveOperator(routes, q) }, maxOperatorBody)
+	server := transport.NewHTTPServer("operator", transport.Few, func(q *fasthttp.RequestCtx) { r.serveOperator(routes, q) }, maxOperatorBody)
 	return transport.ServeHTTP(ctx, server, transport.Secure("operator", ln, r.tls))
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,7 @@
 // that the agent and the control that it needs are still available while it drains.
 func Run(ctx context.Context, set *settings.Settings) error {
 	limitMemory(set)
+	limitClients(set)
 	g, ctx := errgroup.WithContext(ctx)
 	if set.Instance.MetricsPort != 0 {
 		g.Go(func() error { return serveMetrics(ctx, set) })
@@ -158,6 +159,19 @@
 	}
 }
 
+// limitClients bounds what the clients of the process's servers can make it hold.
+func limitClients(set *settings.Settings) {
+	roles := 0
+	for _, has := range []bool{set.Control != nil, set.Entry != nil, set.Agent != nil} {
+		if has {
+			roles++
+		}
+	}
+	l := &set.Limits
+	transport.SetLimits(transport.Limits{Files: l.Files, Memory: int64(set.Instance.MemoryMB) << 20,
+		Connections: l.Connections, MainRoles: roles, Header: l.HeaderBytes})
+}
+
 const metricsBody = 1 << 10 // bytes
 
 // serveMetrics serves /metrics for a process whose roles have no port for it.
@@ -173,7 +187,7 @@
 		}
 		metrics.WritePrometheus(q, true)
 	}
-	return transport.ServeHTTP(ctx, transport.NewHTTPServer("metrics", h, metricsBody), ln)
+	return transport.ServeHTTP(ctx, transport.NewHTTPServer("metrics", transport.Few, h, metricsBody), ln)
 }
 
 // startRole starts a role and returns a context that is cancelled when the role has ended.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,7 +30,7 @@
 	set    *settings.Settings
 	rpc    *transport.Client
 	ctl    *control.Client
-	server *fasthttp.Server
+	server *transport.HTTPServer
 
 	mu      sync.Mutex
 	table   *routing.Table
@@ -56,7 +56,7 @@
 	e := &Entry{set: set, rpc: transport.NewClient(tlsConfig, set.Instance.IP), table: routing.NewTable(set.Instance.DataCentre),
 		budgets: make(map[string]*routing.Budget), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), started: time.Now(), ids: newIDs(set.Instance.Name)}
 	e.ctl = control.NewClient(part, e.rpc, set.ControlAddresses, rand.IntN(len(set.ControlAddresses())))
-	e.server = transport.NewHTTPServer(part, e.serve, set.Entry.MaxBody)
+	e.server = transport.NewHTTPServer(part, transport.Callers, e.serve, set.Entry.MaxBody)
 	return e, nil
 }
 
@@ -78,7 +78,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return transport.ServeHTTP(serveCtx, e.server, ln) })
 	g.Go(func() error {
-		return transport.ServeHTTP(serveCtx, transport.NewHTTPServer("health", e.serveHealth, healthBody), health)
+		return transport.ServeHTTP(serveCtx, transport.NewHTTPServer("health", transport.Few, e.serveHealth, healthBody), health)
 	})
 	g.Go(func() error { return e.syncLoop(serveCtx) })
 	g.Go(func() error {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,7 @@
 type Settings struct {
 	Instance Instance  `toml:"instance"`
 	Log      Log       `toml:"log"`
+	Limits   Limits    `toml:"limits"`
 	TLS      *TLS      `toml:"tls"`
 	Peers    Peers     `toml:"peers"`
 	Control  *Control  `toml:"control"`
@@ -79,6 +80,18 @@
 	Key         string `toml:"key"`
 }
 
+// Limits bounds what clients can make the process hold.
+type Limits struct {
+	// Files is the number of descriptors that the process may open, 0 for as many as the system
+	// allows it.
+	Files int `toml:"files"`
+	// Connections bounds the connections with callers, 0 for as many as descriptors and memory
+	// allow. When all are taken, the one that has waited longest for a request is closed.
+	Connections int `toml:"connections"`
+	// HeaderBytes bounds the head of a request.
+	HeaderBytes int `toml:"header_bytes"`
+}
+
 // Peers lists the addresses of the control replicas.
 type Peers struct {
 	Control []string `toml:"control"`
@@ -234,6 +247,9 @@
 	DefaultCordonBound     = 5 * time.Second
 	DefaultMachineLease    = 3 * time.Second
 	DefaultUpkeepTime      = 2 * time.Second
+	// DefaultHeaderBytes is the largest head that the users' operators allow, and room for the
+	// request line.
+	DefaultHeaderBytes = 20 << 10
 )
 
 func (d *Duration) orDefault(v time.Duration) {
@@ -250,6 +266,9 @@
 	if s.Log.Format == "" {
 		s.Log.Format = "text"
 	}
+	if s.Limits.HeaderBytes == 0 {
+		s.Limits.HeaderBytes = DefaultHeaderBytes
+	}
 	if c := s.Control; c != nil {
 		c.Tick.orDefault(DefaultTick)
 		c.Lease.orDefault(DefaultLease)
@@ -335,7 +354,7 @@
 }
 
 func (s *Settings) validate() error {
-	checks := []func() error{s.checkInstance, s.checkLog, s.checkTLS, s.checkRoles, s.checkPeers, s.checkPlatform, s.checkPorts, s.checkTimes}
+	checks := []func() error{s.checkInstance, s.checkLog, s.checkLimits, s.checkTLS, s.checkRoles, s.checkPeers, s.checkPlatform, s.checkPorts, s.checkTimes}
 	for _, check := range checks {
 		if err := check(); err != nil {
 			return err
@@ -369,6 +388,26 @@
 	return nil
 }
 
+const (
+	// minFiles is what a process needs beside its clients' connections, and for a few of them.
+	minFiles       = 64
+	minHeaderBytes = 4 << 10
+	maxHeaderBytes = 1 << 20
+)
+
+func (s *Settings) checkLimits() error {
+	l := &s.Limits
+	switch {
+	case l.Files < 0 || (l.Files > 0 && l.Files < minFiles):
+		return fmt.Errorf("limits.files is %d; give %d or more, or 0 for as many as the system allows", l.Files, minFiles)
+	case l.Connections < 0:
+		return fmt.Errorf("limits.connections is %d; give 1 or more, or 0 for as many as descriptors and memory allow", l.Connections)
+	case l.HeaderBytes < minHeaderBytes || l.HeaderBytes > maxHeaderBytes:
+		return fmt.Errorf("limits.header_bytes is %d; give %d to %d", l.HeaderBytes, minHeaderBytes, maxHeaderBytes)
+	}
+	return nil
+}
+
 func (s *Settings) checkTLS() error {
 	if s.TLS != nil && (s.TLS.Authority == "" || s.TLS.Certificate == "" || s.TLS.Key == "") {
 		return fmt.Errorf("tls needs authority, certificate and key; make them with 'waxwinghaven keys make'")
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -20,11 +20,11 @@
 		return transport.Error.Wrap(err)
 	}
 	client := transport.NewClient(nil, host).Host(target)
-	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
+	server := transport.NewHTTPServer("proxy", transport.Processes, func(c *fasthttp.RequestCtx) {
 		c.Request.Header.Del("Connection")
 		if err := client.Do(&c.Request, &c.Response); err != nil {
 			c.Error(err.Error(), fasthttp.StatusBadGateway)
 		}
-	}}
+	}, maxBodyBytes)
 	return transport.ServeHTTP(ctx, server, ln)
 }
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"github.com/waxwinghaven/waxwinghaven/agent"
 	"github.com/waxwinghaven/waxwinghaven/resource"
@@ -120,13 +119,14 @@
 			ln.Close()
 			return err
 		}
-		go transport.ServeHTTP(ctx, &fasthttp.Server{Handler: u.Worker.Serve, NoDefaultServerHeader: true}, wln)
+		go transport.ServeHTTP(ctx, transport.NewHTTPServer("worker", transport.Processes, u.Worker.Serve, maxBodyBytes), wln)
 	}
 	go u.announceLoop(ctx)
-	server := &fasthttp.Server{Handler: u.serve, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: logrus.StandardLogger(), MaxRequestBodySize: 64 << 20}
-	return transport.ServeHTTP(ctx, server, ln)
+	return transport.ServeHTTP(ctx, transport.NewHTTPServer("upstream", transport.Processes, u.serve, maxBodyBytes), ln)
 }
 
+const maxBodyBytes = 64 << 20
+
 func (u *Upstream) announceLoop(ctx context.Context) {
 	tick := time.NewTicker(u.opts.HeartbeatInterval)
 	defer tick.Stop()
--- a/transport/client.go
+++ b/transport/client.go
@@ -70,7 +70,7 @@
 	defer c.mu.Unlock()
 	h := c.hosts[addr]
 	if h == nil {
-		h = NewHost(addr, c.Dialer(), maxConns)
+		h = NewHost(addr, c.Dialer(), currentLimits().connectionsTo())
 		h.IsTLS, h.TLSConfig = c.tls != nil, c.tls
 		h.MaxIdleConnDuration, h.MaxResponseBodySize, h.DisablePathNormalizing = idleTimeout, maxBodyBytes, true
 		c.hosts[addr] = h
--- /dev/null
+++ b/transport/connections_test.go
@@ -0,0 +1,213 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// testWait bounds the wait for what has to happen at some time.
+const testWait = 30 * time.Second
+
+// testServer is a server whose calls of /wait are held until release is called.
+type testServer struct {
+	*HTTPServer
+	addr    string
+	waiting chan struct{} // receives a value for each call of /wait
+	release func()
+}
+
+func limitTest(tb testing.TB, l Limits) {
+	SetLimits(l)
+	tb.Cleanup(func() { SetLimits(Limits{}) })
+}
+
+func newTestServer(tb testing.TB, c Clients, ln net.Listener, cfg *tls.Config) *testServer {
+	tb.Helper()
+	if ln == nil {
+		var err error
+		if ln, err = Listen("127.0.0.1:0"); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	held := make(chan struct{})
+	s := &testServer{addr: ln.Addr().String(), waiting: make(chan struct{}, 100), release: sync.OnceFunc(func() { close(held) })}
+	s.HTTPServer = NewHTTPServer("test", c, func(q *fasthttp.RequestCtx) {
+		switch string(q.Path()) {
+		case "/wait":
+			s.waiting <- struct{}{}
+			<-held
+		case "/keep":
+			keepConnection(q)
+		}
+		q.SetBody(q.PostBody())
+	}, 1<<20)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- ServeHTTP(ctx, s.HTTPServer, Secure("test", ln, cfg)) }()
+	tb.Cleanup(func() {
+		s.release()
+		cancel()
+		if err := <-done; err != nil {
+			tb.Error(err)
+		}
+	})
+	return s
+}
+
+// send opens a connection and writes to it.
+func (s *testServer) send(tb testing.TB, data string) net.Conn {
+	tb.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, data); err != nil {
+		tb.Fatal(err)
+	}
+	return c
+}
+
+// status returns the status of the answer on a connection, or an error if it is closed without one.
+func status(c net.Conn) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(testWait)); err != nil {
+		return 0, err
+	}
+	var p fasthttp.Response
+	err := p.Read(bufio.NewReader(c))
+	return p.StatusCode(), err
+}
+
+// checkStatus fails the test unless the status of the answer is as wanted, 0 for a connection that is
+// closed without an answer.
+func checkStatus(tb testing.TB, what string, c net.Conn, want int) {
+	tb.Helper()
+	got, err := status(c)
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		tb.Errorf("%s: neither answered nor closed", what)
+	case err != nil && want != 0:
+		tb.Errorf("%s: %v, want status %d", what, err, want)
+	case err == nil && got != want:
+		tb.Errorf("%s: status %d, want %d", what, got, want)
+	}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+// Guards against connections that send nothing and keep others out, and against requests that were
+// read whole and lose their answer to a new connection.
+func TestNewConnectionsDisplaceThoseThatWait(t *testing.T) {
+	limitTest(t, Limits{Connections: 3})
+	s := newTestServer(t, Callers, nil, nil)
+	busy := s.send(t, get("/wait"))
+	<-s.waiting
+	idle := s.send(t, "")
+	slow := s.send(t, "GET /slow")
+	checkStatus(t, "a new client", s.send(t, get("/")), fasthttp.StatusOK)
+	checkStatus(t, "the connection that waited longest", idle, 0)
+	checkStatus(t, "another new client", s.send(t, get("/")), fasthttp.StatusOK)
+	checkStatus(t, "the next one", slow, 0)
+	s.release()
+	checkStatus(t, "the request that was read whole", busy, fasthttp.StatusOK)
+}
+
+// Guards against more requests at once than a server has connections for: what was read is answered.
+func TestNewConnectionsDisplaceNoRequests(t *testing.T) {
+	limitTest(t, Limits{Connections: 3})
+	s := newTestServer(t, Callers, nil, nil)
+	var busy []net.Conn
+	for range 3 {
+		busy = append(busy, s.send(t, get("/wait")))
+		<-s.waiting
+	}
+	checkStatus(t, "a fourth client", s.send(t, ""), 0)
+	s.release()
+	for _, c := range busy {
+		checkStatus(t, "a request that was read whole", c, fasthttp.StatusOK)
+	}
+	checkStatus(t, "a client afterwards", s.send(t, get("/")), fasthttp.StatusOK)
+}
+
+// Guards against callers whose connections displace those of heartbeats and votes.
+func TestKeptConnectionsAreNotDisplaced(t *testing.T) {
+	limitTest(t, Limits{Files: 64})
+	s := newTestServer(t, Processes, nil, nil)
+	kept := s.send(t, get("/keep"))
+	checkStatus(t, "the first call", kept, fasthttp.StatusOK)
+	for range 2 * s.pool.max {
+		s.send(t, "")
+	}
+	if _, err := io.WriteString(kept, get("/")); err != nil {
+		t.Fatal(err)
+	}
+	checkStatus(t, "the second call", kept, fasthttp.StatusOK)
+}
+
+// Guards against TLS handshakes that are left half-way and keep others out.
+func TestUnfinishedHandshakesKeepNobodyOut(t *testing.T) {
+	limitTest(t, Limits{Connections: 3})
+	dir := authority(t)
+	s := newTestServer(t, Callers, nil, testKeys(t, dir, "entry", RoleEntry))
+	for range 10 {
+		s.send(t, "\x16\x03\x01")
+	}
+	c, err := tls.Dial("tcp", s.addr, testKeys(t, dir, "agent", RoleAgent))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, get("/")); err != nil {
+		t.Fatal(err)
+	}
+	checkStatus(t, "a client with a key", c, fasthttp.StatusOK)
+}
+
+// failingListener fails a few times, as if descriptors were short.
+type failingListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.failures) > 0 {
+		err := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, &net.OpError{Op: "accept", Err: err}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a server that ends because a connection could not be accepted.
+func TestFailedAcceptsAreRepeated(t *testing.T) {
+	ln, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failures := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPROTO}
+	s := newTestServer(t, Few, &failingListener{ln, failures}, nil)
+	checkStatus(t, "a client", s.send(t, get("/")), fasthttp.StatusOK)
+}
+
+// Guards against a server that goes on with a listener that is broken for good.
+func TestBrokenListenersEndTheServer(t *testing.T) {
+	ln, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewHTTPServer("test", Few, func(*fasthttp.RequestCtx) {}, 1)
+	if err := ServeHTTP(context.Background(), s, &failingListener{ln, []error{syscall.EBADF}}); err == nil {
+		t.Error("the server ended without an error")
+	}
+}
--- a/transport/count.go
+++ b/transport/count.go
@@ -15,6 +15,9 @@
 // TLS, so it counts the bytes that the network carries.
 type meteredConn struct{ net.Conn }
 
+// NetConn returns the connection below.
+func (c meteredConn) NetConn() net.Conn { return c.Conn }
+
 func (c meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	linkReceived.Add(n)
--- a/transport/link_test.go
+++ b/transport/link_test.go
@@ -113,9 +113,11 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	server := NewHTTPServer("test", func(ctx *fasthttp.RequestCtx) { ctx.SetBody(ctx.PostBody()) }, 1<<20)
-	go server.Serve(Secure("test", ln, testKeys(b, dir, "agent", RoleAgent)))
-	defer server.Shutdown()
+	server := NewHTTPServer("test", Callers, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(ctx.PostBody()) }, 1<<20)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- ServeHTTP(ctx, server, Secure("test", ln, testKeys(b, dir, "agent", RoleAgent))) }()
+	defer func() { cancel(); <-done }()
 	client := NewClient(testKeys(b, dir, "entry", RoleEntry), "127.0.0.1")
 	host, body := client.Host(ln.Addr().String()), make([]byte, linkBytes)
 	b.SetParallelism(linkCallers)
--- a/transport/open.go
+++ b/transport/open.go
@@ -11,7 +11,7 @@
 // delayed arrives together with the end of its connection, since its sender has given up long
 // before. A connection that gives no access to its socket counts as open.
 func StillOpen(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
+	raw, ok := innermost(c).(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/transport/server.go
+++ b/transport/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +15,8 @@
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
 
-// Bounds on what a peer may make a server hold.
-const (
-	headerReadTimeout = 10 * time.Second
-	readBufferBytes   = 8 << 10
-	maxConcurrency    = 16 << 10
-)
+// headerReadTimeout is the time in which a client has to send a request, unless more is allowed.
+const headerReadTimeout = 10 * time.Second
 
 // Handler handles one message and returns the response. body is still encoded; see Decode.
 type Handler func(body []byte) (any, error)
@@ -27,6 +24,7 @@
 type route struct {
 	handle Handler
 	roles  []Role
+	kept   bool
 	calls  *metrics.Counter
 }
 
@@ -36,51 +34,21 @@
 	tls    *tls.Config
 	routes map[string]route
 	raw    map[string]fasthttp.RequestHandler
-	server *fasthttp.Server
+	server *HTTPServer
 }
 
 // NewServer returns a server; part is its name in logs and metrics. A nil tlsConfig gives plain
 // connections, on which roles are not checked.
 func NewServer(part string, tlsConfig *tls.Config) *Server {
 	s := &Server{part: part, tls: tlsConfig, routes: make(map[string]route), raw: make(map[string]fasthttp.RequestHandler)}
-	s.server = NewHTTPServer(part, s.serve, maxBodyBytes)
+	s.server = NewHTTPServer(part, Processes, s.serve, maxBodyBytes)
 	return s
 }
 
-// NewHTTPServer returns a fasthttp server with this system's limits. Malformed, oversized and
-// slow requests get an error response or have their connection closed, and are counted.
-func NewHTTPServer(part string, h fasthttp.RequestHandler, maxBody int) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler: h, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		ReadTimeout: headerReadTimeout, IdleTimeout: 2 * idleTimeout, ReadBufferSize: readBufferBytes,
-		MaxRequestBodySize: maxBody, Concurrency: maxConcurrency, DisablePreParseMultipartForm: true,
-		Logger: discardLogger{}, ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) { badRequest(part, ctx, err) },
-	}
-}
-
-// discardLogger drops fasthttp's own log lines, since this package counts and logs errors
-// itself.
-type discardLogger struct{}
-
-func (discardLogger) Printf(string, ...any) {}
-
-func badRequest(part string, ctx *fasthttp.RequestCtx, err error) {
-	code, status := refusal.Invalid, fasthttp.StatusBadRequest
-	if err == fasthttp.ErrBodyTooLarge {
-		code, status = refusal.TooLarge, fasthttp.StatusRequestEntityTooLarge
-	}
-	refusal.Count(part, code)
-	ctx.SetStatusCode(status)
-	ctx.Response.Header.Set("Waxwing-Outcome", "not-run")
-	ctx.Response.Header.Set("Waxwing-Reason", string(code))
-	ctx.SetConnectionClose()
-	ctx.SetBodyString(string(code) + ": the request cannot be read; send well-formed HTTP/1.1 within the size limit\n")
-}
-
 // Handle registers a handler for messages at path from peers whose key has one of the roles.
 func (s *Server) Handle(path string, h Handler, roles ...Role) {
 	calls := metrics.GetOrCreateCounter(fmt.Sprintf(`waxwinghaven_calls_served_total{part=%q,path=%q}`, s.part, path))
-	s.routes[path] = route{h, roles, calls}
+	s.routes[path] = route{h, roles, !slices.Contains(roles, RoleEntry), calls}
 }
 
 // Raw registers a handler that gets requests without decoding or role checks.
@@ -102,6 +70,10 @@
 		return
 	}
 	r.calls.Inc()
+	if r.kept {
+		// What callers cause through entries must not displace heartbeats and votes.
+		keepConnection(ctx)
+	}
 	resp, err := r.handle(ctx.PostBody())
 	if err != nil {
 		s.refuse(ctx, err)
@@ -139,30 +111,6 @@
 	return ServeHTTP(ctx, s.server, Secure(s.part, meteredListener{ln}, s.tls))
 }
 
-// ServeHTTP runs a server until ctx ends, then shuts it down as Serve does.
-func ServeHTTP(ctx context.Context, server *fasthttp.Server, ln net.Listener) error {
-	done := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(done)
-		shutdown(server)
-	})
-	err := server.Serve(ln)
-	if !stop() {
-		<-done // the requests in progress have finished
-		return nil
-	}
-	return Error.Wrap(err)
-}
-
-// shutdownTimeout bounds the wait for requests in progress at shutdown.
-const shutdownTimeout = 20 * time.Second
-
-func shutdown(server *fasthttp.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	server.ShutdownWithContext(ctx)
-}
-
 // Secure wraps a listener in TLS, and counts and logs the peers whose key is refused. A nil cfg
 // returns the listener itself.
 func Secure(part string, ln net.Listener, cfg *tls.Config) net.Listener {
