transport: Bodies take the memory that has arrived, within a bound for all of them

Callers lost an entry that was out of memory: 500 connections that announced 1 MiB and sent a byte took 533 MB of 96, 150 chunked bodies that never ended 147 MB, and each of the product's own ports up to 535 MB. fasthttp makes a body's buffer from the announced length, and nothing bounded the sum.

HTTPServer reads bodies itself. Buffers grow with what has arrived, from a budget of a quarter of instance.memory_mb for the process, whatever the number of connections; what decoding takes is taken from it, too. A request that is still arriving gives its memory up for others, the oldest first, by losing its connection. A whole request waits for a second and is then shed: at the platform's callers with 504, as the same id may have been accepted through another entry and 503 would say that it never runs; at an agent as certainly not run; else by closing the connection. Messages of up to 16 KiB between processes are not charged, so heartbeats and votes don't wait.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -70,6 +70,7 @@
 	g.ctl = control.NewClient(part, g.rpc, set.ControlAddresses, firstReplica(set.Instance.Name))
 	g.runs = &runs{agent: g}
 	g.server = transport.NewHTTPServer(part, transport.Processes, g.serveEntry, set.Agent.MaxBody)
+	g.server.Shed = func(q *fasthttp.RequestCtx) { g.refuse(q, admission.Verdict{Code: refusal.NoMemory}) }
 	return g, nil
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -168,7 +168,7 @@
 		}
 	}
 	l := &set.Limits
-	transport.SetLimits(transport.Limits{Files: l.Files, Memory: int64(set.Instance.MemoryMB) << 20,
+	transport.SetLimits(transport.Limits{Files: l.Files, Memory: int64(set.Instance.MemoryMB) << 20, Bodies: int64(l.BodyMB) << 20,
 		Connections: l.Connections, MainRoles: roles, Header: l.HeaderBytes})
 }
 
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -37,6 +37,7 @@
 	UnknownService Code = "unknown-service"
 	Behind         Code = "behind"
 	Stale          Code = "stale"
+	NoMemory       Code = "no-memory"
 )
 
 // Codes sent to callers.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,6 +88,9 @@
 	// Connections bounds the connections with callers, 0 for as many as descriptors and memory
 	// allow. When all are taken, the one that has waited longest for a request is closed.
 	Connections int `toml:"connections"`
+	// BodyMB is the memory for the bodies of requests while they are read, decoded and passed on, 0
+	// for a quarter of the instance's memory.
+	BodyMB int `toml:"body_mb"`
 	// HeaderBytes bounds the head of a request.
 	HeaderBytes int `toml:"header_bytes"`
 }
@@ -402,6 +405,8 @@
 		return fmt.Errorf("limits.files is %d; give %d or more, or 0 for as many as the system allows", l.Files, minFiles)
 	case l.Connections < 0:
 		return fmt.Errorf("limits.connections is %d; give 1 or more, or 0 for as many as descriptors and memory allow", l.Connections)
+	case l.BodyMB < 0:
+		return fmt.Errorf("limits.body_mb is %d; give 1 or more, or 0 for a quarter of instance.memory_mb", l.BodyMB)
 	case l.HeaderBytes < minHeaderBytes || l.HeaderBytes > maxHeaderBytes:
 		return fmt.Errorf("limits.header_bytes is %d; give %d to %d", l.HeaderBytes, minHeaderBytes, maxHeaderBytes)
 	}
--- a/transport/connections.go
+++ b/transport/connections.go
@@ -32,9 +32,10 @@
 type closedReason string
 
 const (
-	closedForOther closedReason = "displaced" // another client connected
-	closedAllBusy  closedReason = "all-busy"  // all connections have requests that were read whole
-	closedShutdown closedReason = "shutdown"
+	closedForOther  closedReason = "displaced" // another client connected
+	closedAllBusy   closedReason = "all-busy"  // all connections have requests that were read whole
+	closedForMemory closedReason = "memory"    // bodies that are being read have taken all memory for them
+	closedShutdown  closedReason = "shutdown"
 )
 
 func (p *connections) count(reason closedReason) {
@@ -153,6 +154,19 @@
 	c.kept = true
 }
 
+// displace closes the connection unless its request was read whole.
+func (c *conn) displace(reason closedReason) {
+	c.pool.mu.Lock()
+	waiting := !c.removed && c.place != nil
+	if waiting {
+		c.pool.remove(c)
+	}
+	c.pool.mu.Unlock()
+	if waiting {
+		c.abort(reason)
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.pool.mu.Lock()
--- a/transport/connections_test.go
+++ b/transport/connections_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -106,6 +108,10 @@
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
 
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
 // Guards against connections that send nothing and keep others out, and against requests that were
 // read whole and lose their answer to a new connection.
 func TestNewConnectionsDisplaceThoseThatWait(t *testing.T) {
@@ -211,3 +217,78 @@
 		t.Error("the server ended without an error")
 	}
 }
+
+// Guards against clients that send slowly and hold all memory for bodies, and against whole requests
+// that are given up for others.
+func TestArrivingBodiesGiveWay(t *testing.T) {
+	limitTest(t, Limits{Bodies: 200 << 10})
+	s := newTestServer(t, Callers, nil, nil)
+	s.DecodeCost = 0
+	half := strings.Repeat("x", 60<<10)
+	unfinished := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 122880\r\n\r\n" + half
+	oldest := s.send(t, unfinished)
+	for range 5 {
+		s.send(t, unfinished)
+	}
+	checkStatus(t, "a whole request", s.send(t, post("/", half)), fasthttp.StatusOK)
+	checkStatus(t, "the oldest unfinished one", oldest, 0)
+}
+
+// Guards against a body that is read whole and decoded when no memory is left for it.
+func TestRequestsWithoutMemoryAreShed(t *testing.T) {
+	limitTest(t, Limits{Bodies: 200 << 10})
+	s := newTestServer(t, Callers, nil, nil)
+	s.Shed = func(q *fasthttp.RequestCtx) { q.SetStatusCode(fasthttp.StatusGatewayTimeout) }
+	s.DecodeCost = 64
+	var busy []net.Conn
+	for range largestPart {
+		busy = append(busy, s.send(t, post("/wait", strings.Repeat("x", 4<<10))))
+		<-s.waiting
+	}
+	checkStatus(t, "one more", s.send(t, post("/", strings.Repeat("x", 4<<10))), fasthttp.StatusGatewayTimeout)
+	s.release()
+	for _, c := range busy {
+		checkStatus(t, "a request with memory", c, fasthttp.StatusOK)
+	}
+	checkStatus(t, "a request afterwards", s.send(t, post("/", strings.Repeat("x", 4<<10))), fasthttp.StatusOK)
+	if memory.used != 0 {
+		t.Errorf("%d bytes are still taken", memory.used)
+	}
+}
+
+// Guards against requests that two servers in a row would split differently, and against bodies that
+// are cut.
+func TestAmbiguousRequestsAreRefused(t *testing.T) {
+	s := newTestServer(t, Callers, nil, nil)
+	for name, data := range map[string]string{
+		"two lengths":              "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		"a negative length":        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\n",
+		"a length that overflows":  "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"a broken chunk":           "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"a body beyond the limit":  fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", 1<<20+1),
+		"a head beyond the limit":  "GET / HTTP/1.1\r\nHost: a\r\nX-Note: " + strings.Repeat("x", 64<<10) + "\r\n\r\n",
+		"chunks beyond the limit":  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", 1<<20+1) + strings.Repeat("x", 1<<20+1),
+		"no sensible request line": "\x00\x01\x02\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The server may refuse before it has all.
+		io.WriteString(c, data)
+		c.(*net.TCPConn).CloseWrite()
+		if got, err := status(c); err == nil && got < fasthttp.StatusBadRequest {
+			t.Errorf("%s: status %d", name, got)
+		}
+		c.Close()
+	}
+	for _, sent := range []int{3, 20 << 10} {
+		cut := s.send(t, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", sent))
+		if err := cut.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := status(cut); err == nil && got < fasthttp.StatusBadRequest {
+			t.Errorf("a body cut after %d bytes: status %d", sent, got)
+		}
+	}
+}
--- a/transport/http.go
+++ b/transport/http.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,14 +15,21 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// HTTPServer is an HTTP server that bounds the connections that its clients can make the process hold.
+// HTTPServer is an HTTP server that bounds what its clients can make the process hold: connections,
+// the bodies of their requests, and answers that they don't read. Its handler gets whole requests.
 type HTTPServer struct {
 	part    string
 	clients Clients
 	handler fasthttp.RequestHandler
 	limits  Limits
 	pool    *connections
-	maxBody int
+	maxBody atomic.Int64
+	// DecodeCost is the memory in bytes that a byte of a body takes at most while it is decoded and
+	// passed on.
+	DecodeCost int
+	// Shed answers a request that was read whole and for which no memory is free. It must not say
+	// more than this server knows. By default it closes the connection.
+	Shed fasthttp.RequestHandler
 
 	mu       sync.Mutex
 	running  *errgroup.Group // of the generations, nil before Serve
@@ -36,8 +44,11 @@
 // have their connection closed, and are counted.
 func NewHTTPServer(part string, clients Clients, h fasthttp.RequestHandler, maxBody int) *HTTPServer {
 	l := currentLimits()
-	s := &HTTPServer{part: part, clients: clients, handler: h, maxBody: maxBody, limits: l, header: l.Header, readTime: headerReadTimeout, idle: 2 * idleTimeout,
+	s := &HTTPServer{part: part, clients: clients, handler: h, limits: l, header: l.Header, readTime: headerReadTimeout, idle: 2 * idleTimeout,
 		pool: &connections{part: part, max: l.maxConnections(clients, l.Header)}}
+	s.maxBody.Store(int64(maxBody))
+	s.DecodeCost = defaultDecodeCost
+	s.Shed = func(q *fasthttp.RequestCtx) { closeUnanswered(q) }
 	return s
 }
 
@@ -61,7 +72,8 @@
 	return &fasthttp.Server{
 		Handler: s.serve, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		ReadTimeout: s.readTime, IdleTimeout: s.idle, ReadBufferSize: s.header, Concurrency: maxFiles,
-		MaxRequestBodySize: s.maxBody, DisablePreParseMultipartForm: true,
+		// Bodies are read by this package, within the memory for them.
+		StreamRequestBody: true, DisablePreParseMultipartForm: true,
 		Logger: discardLogger{}, ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) { badRequest(s.part, ctx, err) },
 		ConnState: func(c net.Conn, state fasthttp.ConnState) {
 			if c := connOf(c); c != nil && state == fasthttp.StateIdle {
@@ -103,11 +115,28 @@
 	}
 }
 
-// serve keeps a request's connection until its answer is sent.
+// serve reads a request's body and passes the whole request on.
 func (s *HTTPServer) serve(q *fasthttp.RequestCtx) {
-	if c := connOf(q.Conn()); c != nil && !c.setBusy() {
+	c := connOf(q.Conn())
+	r := &bodyReader{conn: c, until: time.Now().Add(s.readTime)}
+	body, err := r.read(&q.Request, int(s.maxBody.Load()))
+	defer func() { memory.give(r.taken) }()
+	if err != nil {
+		s.refuseBody(q, err)
+		return
+	}
+	if c != nil && !c.setBusy() {
 		return // displaced, its client sees the connection closed
 	}
+	if cost := s.decodeCost(len(body)); cost > 0 {
+		if !memory.take(cost, time.Now().Add(memoryWait)) {
+			refusal.Count(s.part, refusal.NoMemory)
+			s.Shed(q)
+			return
+		}
+		r.taken += cost
+	}
+	q.Request.SetBodyRaw(body)
 	s.handler(q)
 	// An answer is flushed before the next request is read: while it isn't, the client waits for it.
 	if err := q.SetWriteDeadline(time.Now().Add(shutdownTimeout)); err != nil {
@@ -115,6 +144,39 @@
 	}
 }
 
+func (s *HTTPServer) decodeCost(bytes int) int64 {
+	if s.clients == Processes && bytes <= freeBodyBytes {
+		return 0
+	}
+	return memory.capped(int64(s.DecodeCost) * int64(bytes))
+}
+
+// refuseBody answers a request whose body was not read whole, or closes its connection if its client
+// may send the same again.
+func (s *HTTPServer) refuseBody(q *fasthttp.RequestCtx, err error) {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errNoMemory):
+		refusal.Count(s.part, refusal.NoMemory)
+		closeUnanswered(q)
+	case errors.Is(err, net.ErrClosed), errors.Is(err, errBodyTooShort), errors.As(err, &timeout) && !timeout.Timeout():
+		closeUnanswered(q) // its client has gone, or was displaced
+	default:
+		badRequest(s.part, q, err)
+	}
+}
+
+// closeUnanswered closes a request's connection without an answer: the client can't know what became
+// of the request, which is the truth for one that may have been sent before.
+func closeUnanswered(q *fasthttp.RequestCtx) {
+	q.SetConnectionClose()
+	if c := innermost(q.Conn()); c != nil {
+		if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			logrus.Debugf("A connection could not be closed: %v.", err)
+		}
+	}
+}
+
 // badRequest answers what can't be read.
 func badRequest(part string, ctx *fasthttp.RequestCtx, err error) {
 	code, status := refusal.Invalid, fasthttp.StatusBadRequest
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -12,6 +12,7 @@
 type Limits struct {
 	Files       int   // descriptors, 0 for those that the system allows
 	Memory      int64 // bytes, 0 for no bound
+	Bodies      int64 // bytes for the bodies of requests, 0 for a share of the memory
 	Connections int   // with callers, 0 for what files and memory allow
 	MainRoles   int   // roles with a port for many clients
 	// Header is the size of a request's head in bytes that each server takes, 0 for the default.
@@ -23,6 +24,10 @@
 // SetLimits sets the limits of this process. It has to be called before servers are made.
 func SetLimits(l Limits) {
 	limits.Store(&l)
+	if l.Bodies == 0 {
+		l.Bodies = int64(bodyShare * float64(l.Memory))
+	}
+	memory.setTotal(l.Bodies)
 }
 
 func currentLimits() Limits {
@@ -54,8 +59,9 @@
 	maxFew       = 64  // connections
 	maxOwnFiles  = 256 // descriptors
 	fewPorts     = 4   // ports for few clients that one process has at most
-	// connShare is the share of the memory that is for connections.
+	// Shares of the memory, for connections and for the bodies of requests.
 	connShare = 0.25
+	bodyShare = 0.25
 	// connCost is the memory of a caller's connection in bytes besides its read buffer: the part of a
 	// body that is read with the head, its goroutine, and data that has arrived but was not read.
 	connCost = prefetchBytes + receiveBufferBytes + 16<<10
--- a/transport/server.go
+++ b/transport/server.go
@@ -42,6 +42,9 @@
 func NewServer(part string, tlsConfig *tls.Config) *Server {
 	s := &Server{part: part, tls: tlsConfig, routes: make(map[string]route), raw: make(map[string]fasthttp.RequestHandler)}
 	s.server = NewHTTPServer(part, Processes, s.serve, maxBodyBytes)
+	s.server.Shed = func(ctx *fasthttp.RequestCtx) {
+		s.refuse(ctx, refusal.New(refusal.UnknownOutcome, "send the same again", "no memory is free for the message"))
+	}
 	return s
 }
 
