transport: A client has to take its answers in time

Clients that sent calls and read no answer held their connections for ever (60 of 60 for 90 s): there was no time-out for writing. Each part of an answer, 256 KiB at most, now has limits.write_timeout. A deadline for a whole answer would cut long ones that are read slowly.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -169,7 +169,7 @@
 	}
 	l := &set.Limits
 	transport.SetLimits(transport.Limits{Files: l.Files, Memory: int64(set.Instance.MemoryMB) << 20, Bodies: int64(l.BodyMB) << 20,
-		Connections: l.Connections, MainRoles: roles, Header: l.HeaderBytes})
+		Connections: l.Connections, MainRoles: roles, Header: l.HeaderBytes, WriteTimeout: l.WriteTimeout.Duration})
 }
 
 const metricsBody = 1 << 10 // bytes
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,6 +93,8 @@
 	BodyMB int `toml:"body_mb"`
 	// HeaderBytes bounds the head of a request.
 	HeaderBytes int `toml:"header_bytes"`
+	// WriteTimeout is the time in which a client has to take each part of a response.
+	WriteTimeout Duration `toml:"write_timeout"`
 }
 
 // Peers lists the addresses of the control replicas.
@@ -252,7 +254,8 @@
 	DefaultUpkeepTime      = 2 * time.Second
 	// DefaultHeaderBytes is the largest head that the users' operators allow, and room for the
 	// request line.
-	DefaultHeaderBytes = 20 << 10
+	DefaultHeaderBytes  = 20 << 10
+	DefaultWriteTimeout = 10 * time.Second
 )
 
 func (d *Duration) orDefault(v time.Duration) {
@@ -272,6 +275,7 @@
 	if s.Limits.HeaderBytes == 0 {
 		s.Limits.HeaderBytes = DefaultHeaderBytes
 	}
+	s.Limits.WriteTimeout.orDefault(DefaultWriteTimeout)
 	if c := s.Control; c != nil {
 		c.Tick.orDefault(DefaultTick)
 		c.Lease.orDefault(DefaultLease)
@@ -602,7 +606,8 @@
 		value    time.Duration
 		min, max time.Duration
 	}
-	bounds := []bound{{"instance.drain", s.Instance.Drain.Duration, time.Second, 10 * time.Minute}}
+	bounds := []bound{{"instance.drain", s.Instance.Drain.Duration, time.Second, 10 * time.Minute},
+		{"limits.write_timeout", s.Limits.WriteTimeout.Duration, 100 * time.Millisecond, 10 * time.Minute}}
 	if c := s.Control; c != nil {
 		bounds = append(bounds,
 			bound{"control.tick", c.Tick.Duration, 5 * time.Millisecond, time.Second},
--- a/transport/connections.go
+++ b/transport/connections.go
@@ -20,7 +20,8 @@
 // connection that has waited longest for a whole request of its client is closed. One whose request
 // was read whole is never closed: its client gets the answer.
 type connections struct {
-	part string
+	part         string
+	writeTimeout time.Duration
 
 	mu      sync.Mutex
 	max     int
@@ -167,6 +168,23 @@
 	}
 }
 
+// writeStep is the part of a response in bytes that a client has to take within the write timeout.
+const writeStep = 256 << 10
+
+// Write implements net.Conn. It fails if the client doesn't read: such a client would hold its
+// connection, and what is to be sent on it, for ever.
+func (c *conn) Write(b []byte) (written int, err error) {
+	for written < len(b) && err == nil {
+		if err = c.Conn.SetWriteDeadline(time.Now().Add(c.pool.writeTimeout)); err != nil {
+			return written, err
+		}
+		var n int
+		n, err = c.Conn.Write(b[written:min(len(b), written+writeStep)])
+		written += n
+	}
+	return written, err
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.pool.mu.Lock()
--- a/transport/http.go
+++ b/transport/http.go
@@ -45,7 +45,7 @@
 func NewHTTPServer(part string, clients Clients, h fasthttp.RequestHandler, maxBody int) *HTTPServer {
 	l := currentLimits()
 	s := &HTTPServer{part: part, clients: clients, handler: h, limits: l, header: l.Header, readTime: headerReadTimeout, idle: 2 * idleTimeout,
-		pool: &connections{part: part, max: l.maxConnections(clients, l.Header)}}
+		pool: &connections{part: part, max: l.maxConnections(clients, l.Header), writeTimeout: l.WriteTimeout}}
 	s.maxBody.Store(int64(maxBody))
 	s.DecodeCost = defaultDecodeCost
 	s.Shed = func(q *fasthttp.RequestCtx) { closeUnanswered(q) }
@@ -139,7 +139,7 @@
 	q.Request.SetBodyRaw(body)
 	s.handler(q)
 	// An answer is flushed before the next request is read: while it isn't, the client waits for it.
-	if err := q.SetWriteDeadline(time.Now().Add(shutdownTimeout)); err != nil {
+	if err := q.SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout)); err != nil {
 		q.SetConnectionClose()
 	}
 }
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/settings"
 )
@@ -17,6 +18,8 @@
 	MainRoles   int   // roles with a port for many clients
 	// Header is the size of a request's head in bytes that each server takes, 0 for the default.
 	Header int
+	// WriteTimeout is the time in which a client has to take a part of a response, 0 for the default.
+	WriteTimeout time.Duration
 }
 
 var limits atomic.Pointer[Limits]
@@ -39,6 +42,9 @@
 	if l.Header == 0 {
 		l.Header = settings.DefaultHeaderBytes
 	}
+	if l.WriteTimeout == 0 {
+		l.WriteTimeout = settings.DefaultWriteTimeout
+	}
 	var r syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err == nil && r.Cur < maxFiles && (l.Files == 0 || int(r.Cur) < l.Files) {
 		l.Files = int(r.Cur)
