--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -40,7 +40,7 @@
 	}
 	tasks := 0
 	for i := range s.Steps {
-		if err := s.Steps[i].validate(i); err != nil {
+		if err := s.Steps[i].Check(i); err != nil {
 			return err
 		}
 		tasks += s.Steps[i].Count
@@ -54,8 +54,11 @@
 	return nil
 }
 
-func (st *Step) validate(i int) error {
+// Check returns an error that says what is wrong with a job's step number i, nil if it is valid.
+func (st *Step) Check(i int) error {
 	switch {
+	case len(st.DependsOn) > MaxSteps:
+		return invalid("name each earlier step once", "step %d names %d earlier steps", i, len(st.DependsOn))
 	case st.Count < 1:
 		return invalid("give each step one task or more", "step %d has %d tasks", i, st.Count)
 	case st.Need.Negative():
