--- a/settings/settings.go
+++ b/settings/settings.go
@@ -95,6 +95,8 @@
 	HeaderBytes int `toml:"header_bytes"`
 	// WriteTimeout is the time in which a client has to take each part of a response.
 	WriteTimeout Duration `toml:"write_timeout"`
+	// LongestCall bounds how long a call of a caller is held, whatever its deadline.
+	LongestCall Duration `toml:"longest_call"`
 }
 
 // Peers lists the addresses of the control replicas.
@@ -256,6 +258,8 @@
 	// request line.
 	DefaultHeaderBytes  = 20 << 10
 	DefaultWriteTimeout = 10 * time.Second
+	// DefaultLongestCall is ten times the deadline of the users' clients.
+	DefaultLongestCall = 30 * time.Second
 )
 
 func (d *Duration) orDefault(v time.Duration) {
@@ -276,6 +280,7 @@
 		s.Limits.HeaderBytes = DefaultHeaderBytes
 	}
 	s.Limits.WriteTimeout.orDefault(DefaultWriteTimeout)
+	s.Limits.LongestCall.orDefault(DefaultLongestCall)
 	if c := s.Control; c != nil {
 		c.Tick.orDefault(DefaultTick)
 		c.Lease.orDefault(DefaultLease)
@@ -607,7 +612,8 @@
 		min, max time.Duration
 	}
 	bounds := []bound{{"instance.drain", s.Instance.Drain.Duration, time.Second, 10 * time.Minute},
-		{"limits.write_timeout", s.Limits.WriteTimeout.Duration, 100 * time.Millisecond, 10 * time.Minute}}
+		{"limits.write_timeout", s.Limits.WriteTimeout.Duration, 100 * time.Millisecond, 10 * time.Minute},
+		{"limits.longest_call", s.Limits.LongestCall.Duration, time.Second, time.Hour}}
 	if c := s.Control; c != nil {
 		bounds = append(bounds,
 			bound{"control.tick", c.Tick.Duration, 5 * time.Millisecond, time.Second},
--- a/transport/open.go
+++ b/transport/open.go
@@ -20,7 +20,8 @@
 		return false // closed on this side
 	}
 	open := true
-	err = rc.Read(func(fd uintptr) bool {
+	// Control works whatever the deadline for reading, which is over when a call takes long.
+	err = rc.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -29,7 +30,6 @@
 		case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
 			open = false
 		}
-		return true
 	})
 	return err == nil && open
 }
--- a/transport/open_test.go
+++ b/transport/open_test.go
@@ -13,12 +13,14 @@
 		name string
 		do   func(*net.TCPConn)
 		want bool
+		late bool // the deadline for reading is over
 	}{
-		{"waits", func(*net.TCPConn) {}, true},
-		{"sends more", func(c *net.TCPConn) { c.Write([]byte("x")) }, true},
-		{"has closed its side", func(c *net.TCPConn) { c.CloseWrite() }, false},
-		{"has closed", func(c *net.TCPConn) { c.Close() }, false},
-		{"has reset", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, false},
+		{"waits", func(*net.TCPConn) {}, true, false},
+		{"waits longer than for reading", func(*net.TCPConn) {}, true, true},
+		{"sends more", func(c *net.TCPConn) { c.Write([]byte("x")) }, true, false},
+		{"has closed its side", func(c *net.TCPConn) { c.CloseWrite() }, false, false},
+		{"has closed", func(c *net.TCPConn) { c.Close() }, false, true},
+		{"has reset", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, false, false},
 	}
 	for _, x := range cases {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -34,6 +36,9 @@
 			t.Fatal(err)
 		}
 		x.do(from.(*net.TCPConn))
+		if x.late {
+			c.SetReadDeadline(time.Now().Add(-time.Second))
+		}
 		got := StillOpen(c)
 		for range 200 { // what the peer did takes a moment to arrive
 			if got == x.want {
