platform, entry: Callers are bounded by the limits of the configuration in force

A head of 12 kB got 400 where the configuration allows 16,384 bytes, and a body of 262,145 bytes was taken where it allows 262,144: none of the four limits was read. Bodies follow at once. Larger heads and longer times need other buffers: new connections are served with them, the old ones end when they are idle, and no request is cut (TestGrownLimitsHoldForNewRequests). Before the first configuration the settings hold. Configurations committed by earlier versions have no limits until the next one comes.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/control"
 	"github.com/waxwinghaven/waxwinghaven/jobs"
+	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/settings"
 	"github.com/waxwinghaven/waxwinghaven/transport"
@@ -32,6 +33,8 @@
 	lastAnswer atomic.Int64 // when a replica last answered, nanoseconds since started
 	started    time.Time
 	order      answerOrder
+	// OnLimits is called with the limits of the configuration, each time that a replica has told them.
+	OnLimits func(queues.Limits)
 }
 
 // NewJobs returns a gateway that is not running yet.
@@ -68,6 +71,9 @@
 		return
 	}
 	j.ctl.SetReplicas(a.Replicas)
+	if a.Limits != nil && j.OnLimits != nil {
+		j.OnLimits(*a.Limits)
+	}
 	j.lastAnswer.Store(int64(time.Since(j.started)))
 }
 
--- a/queues/queues.go
+++ b/queues/queues.go
@@ -54,11 +54,23 @@
 	Standby bool `msgpack:"b,omitempty" json:"standby,omitempty"`
 }
 
+// Limits bounds callers' calls; 0 leaves a limit to the entries.
+type Limits struct {
+	HeaderBytes int `msgpack:"h,omitempty" json:"header_bytes,omitempty"`
+	BodyBytes   int `msgpack:"b,omitempty" json:"body_bytes,omitempty"`
+	// HeaderMS is the time in milliseconds in which a caller has to send a call's head, and IdleMS
+	// the time between two calls on a connection.
+	HeaderMS int64 `msgpack:"t,omitempty" json:"header_ms,omitempty"`
+	IdleMS   int64 `msgpack:"i,omitempty" json:"idle_ms,omitempty"`
+}
+
 // Config is one version of the configuration. It is immutable.
 type Config struct {
 	Version  uint64    `msgpack:"v" json:"version"`
 	Queues   []Queue   `msgpack:"q" json:"queues"`
 	Services []Service `msgpack:"s" json:"services"`
+	// Limits bounds the calls of callers.
+	Limits Limits `msgpack:"l,omitempty" json:"limits,omitzero"`
 	// Source is the document as the operator sent it. Readers get it back unchanged.
 	Source []byte `msgpack:"d" json:"-"`
 }
@@ -68,6 +80,9 @@
 	if c.Version == 0 {
 		return invalid("give the configuration a version of 1 or more", "the version is missing")
 	}
+	if l := c.Limits; min(int64(l.HeaderBytes), int64(l.BodyBytes), l.HeaderMS, l.IdleMS) < 0 {
+		return invalid("give limits above 0, or leave them out", "a limit is negative: %+v", l)
+	}
 	services := make(map[string]bool, len(c.Services))
 	for _, s := range c.Services {
 		if s.Name == "" || services[s.Name] {
--- a/transport/connections.go
+++ b/transport/connections.go
@@ -78,6 +78,12 @@
 	return c != nil
 }
 
+func (p *connections) setMax(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.max = n
+}
+
 // removeLongestWaiting returns nil if no connection waits. The caller holds the lock.
 func (p *connections) removeLongestWaiting() *conn {
 	front := p.waiting.Front()
--- a/transport/connections_test.go
+++ b/transport/connections_test.go
@@ -292,3 +292,17 @@
 		}
 	}
 }
+
+// Guards against connections that are cut when the limits grow, and against those that never learn it.
+func TestGrownLimitsHoldForNewRequests(t *testing.T) {
+	s := newTestServer(t, Callers, nil, nil)
+	busy := s.send(t, get("/wait"))
+	<-s.waiting
+	long := "GET / HTTP/1.1\r\nHost: a\r\nX-Note: " + strings.Repeat("x", 40<<10) + "\r\n\r\n"
+	checkStatus(t, "a long head before", s.send(t, long), fasthttp.StatusRequestHeaderFieldsTooLarge)
+	s.SetRequestLimits(RequestLimits{Header: HeaderRoom(44 << 10), Body: 2 << 20})
+	checkStatus(t, "a long head", s.send(t, long), fasthttp.StatusOK)
+	checkStatus(t, "a long body", s.send(t, post("/", strings.Repeat("x", 2<<20))), fasthttp.StatusOK)
+	s.release()
+	checkStatus(t, "a request from before", busy, fasthttp.StatusOK)
+}
--- a/transport/http.go
+++ b/transport/http.go
@@ -52,6 +52,41 @@
 	return s
 }
 
+// RequestLimits are limits of requests that may change while a server runs; 0 leaves one as it is.
+type RequestLimits struct {
+	Header, Body int           // bytes
+	ReadTimeout  time.Duration // for a whole request
+	IdleTimeout  time.Duration // between two requests on a connection
+}
+
+// SetRequestLimits changes the limits. The server takes larger heads, and waits longer, if the
+// limits say so; connections made before learn it by being closed when they are idle.
+func (s *HTTPServer) SetRequestLimits(l RequestLimits) {
+	if l.Body > 0 {
+		s.maxBody.Store(int64(l.Body))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	header, readTime, idle := max(s.header, l.Header), max(s.readTime, l.ReadTimeout), max(s.idle, l.IdleTimeout)
+	if header == s.header && readTime == s.readTime && idle == s.idle {
+		return
+	}
+	s.header, s.readTime, s.idle = header, readTime, idle
+	s.pool.setMax(s.limits.maxConnections(s.clients, header))
+	if s.running == nil || s.stopped {
+		return
+	}
+	before := s.current
+	s.startGeneration()
+	s.running.Go(func() error { before.shutdown(); return nil })
+}
+
+// requestLineBytes is the room for a request's first line beside its header fields.
+const requestLineBytes = 4 << 10
+
+// HeaderRoom returns the size of a head whose fields have so many bytes.
+func HeaderRoom(fields int) int { return fields + requestLineBytes }
+
 // generation serves the connections that were made while one set of limits was in force.
 type generation struct {
 	server *fasthttp.Server
