dispatch, jobs: A job may have as many steps as tasks

It was there for a reason that nobody had written down: a pass made a forecast of the whole job for each of its steps.

--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	expected, _ := p.in.Estimates.taskMS(j, g.Occurrence(), g.StepIndex())
-	f := p.in.Estimates.forecast(j, q, g.Occurrence())
+	f := p.forecast(j, q, g.Occurrence())
 	// The forecast assumes that the step is half done; a copy starts from the beginning.
 	done := age(j, g.DueAt(), p.in.NowMS) + f.remaining + ms(expected/2)
 	bound := f.deadline
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -52,7 +52,7 @@
 		r.due = j.AcceptedAt
 		return
 	}
-	f := p.in.Estimates.forecast(j, r.queue, r.group.Occurrence())
+	f := p.forecast(j, r.queue, r.group.Occurrence())
 	if !p.in.Disabled.Outlook {
 		r.class = f.class(age(j, r.group.DueAt(), p.in.NowMS))
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -136,6 +136,29 @@
 	targets map[jobs.GroupKey][]string
 	// suspects are the tasks under which workers crashed.
 	suspects []jobs.Ref
+	// forecasts are those made in this pass. A forecast goes through all steps of a job, and is needed
+	// for each of them.
+	forecasts map[occurrenceKey]forecast
+}
+
+// occurrenceKey names one occurrence of a job.
+type occurrenceKey struct {
+	job        *jobs.Job
+	occurrence int
+}
+
+// forecast predicts one occurrence of a job, once in a pass.
+func (p *planner) forecast(j *jobs.Job, q *queues.Queue, occurrence int) forecast {
+	key := occurrenceKey{j, occurrence}
+	f, known := p.forecasts[key]
+	if !known {
+		f = p.in.Estimates.forecast(j, q, occurrence)
+		if p.forecasts == nil {
+			p.forecasts = make(map[occurrenceKey]forecast)
+		}
+		p.forecasts[key] = f
+	}
+	return f
 }
 
 // candidate is a worker that accepts tasks, with the capacity it has left in this pass.
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -6,7 +6,7 @@
 // bounds allow about a hundred times that.
 const (
 	MaxPayload = 4000 // bytes
-	MaxSteps   = 100
+	MaxSteps   = MaxTasks
 	MaxTasks   = 20_000 // over all steps and occurrences
 	IDLength   = 16     // hexadecimal digits
 	// maxAmount bounds a task's need of each resource: far more than any worker has, and small
@@ -33,7 +33,7 @@
 		return invalid("shorten it to 4000 bytes", "the payload has %d bytes", len(s.Payload))
 	}
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
-		return invalid("hand in 1 to 100 steps", "the job has %d steps", len(s.Steps))
+		return invalid("hand in 1 to 20000 steps", "the job has %d steps", len(s.Steps))
 	}
 	if s.Repeat < 0 || (s.Repeat > 0 && s.Every < 0) {
 		return invalid("repeat a job 0 or more times, at times that do not run backwards", "repeat %d every %d ms", s.Repeat, s.Every)
