transport: Answers of JSON interfaces are bounded

The way back had no bound: a worker, advisor or machine interface that answers with any length made its caller hold it. 8 MiB are a hundred times the longest answer that is needed.

--- a/transport/json.go
+++ b/transport/json.go
@@ -33,10 +33,13 @@
 // before the server does.
 const jsonIdle = 5 * time.Second
 
+// maxJSONAnswer bounds an answer in bytes. The longest, a list of 500 ended tasks, has a hundredth.
+const maxJSONAnswer = 8 << 20
+
 // NewJSONHost returns a connection pool for a JSON interface. Paths are sent unchanged.
 func NewJSONHost(addr, from string, conns int) *fasthttp.HostClient {
 	h := NewHost(addr, NewClient(nil, from).Dialer(), conns)
-	h.MaxIdleConnDuration, h.DisablePathNormalizing = jsonIdle, true
+	h.MaxIdleConnDuration, h.DisablePathNormalizing, h.MaxResponseBodySize = jsonIdle, true, maxJSONAnswer
 	return h
 }
 
