transport: A length beside chunks is refused

Such a request was taken by its chunks. A proxy in front that goes by the length would take the rest of the body for another request.

--- a/transport/body.go
+++ b/transport/body.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"container/list"
 	"errors"
 	"io"
@@ -24,6 +25,7 @@
 
 var (
 	errNoMemory     = errors.New("no memory is free for the request")
+	errTwoLengths   = errors.New("the request has a length beside chunks")
 	errBodyTooShort = errors.New("the connection ended before the body")
 )
 
@@ -38,6 +40,9 @@
 // read returns the whole body of a request.
 func (r *bodyReader) read(q *fasthttp.Request, maxBytes int) ([]byte, error) {
 	defer memory.arrived(r)
+	if ambiguousLength(&q.Header) {
+		return nil, errTwoLengths
+	}
 	stream, length := q.BodyStream(), q.Header.ContentLength()
 	if stream == nil || length == 0 {
 		return nil, nil
@@ -73,6 +78,13 @@
 	}
 }
 
+// ambiguousLength reports whether a request has chunks and a length. Two servers in a row could
+// take different ones, and the rest of the body for another request.
+func ambiguousLength(h *fasthttp.RequestHeader) bool {
+	const chunked = -1
+	return h.ContentLength() == chunked && bytes.Contains(bytes.ToLower(h.RawHeaders()), []byte("\ncontent-length:"))
+}
+
 // grow returns a buffer with twice the room, or the room for the whole body if that is less. One
 // byte more than allowed is read, to see that a body without a length is too long.
 func (r *bodyReader) grow(body []byte, length, maxBytes int) ([]byte, error) {
--- a/transport/connections_test.go
+++ b/transport/connections_test.go
@@ -262,6 +262,7 @@
 	s := newTestServer(t, Callers, nil, nil)
 	for name, data := range map[string]string{
 		"two lengths":              "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		"a length beside chunks":   "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"a negative length":        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\n",
 		"a length that overflows":  "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\n",
 		"a broken chunk":           "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
