control, jobs: Replicas accept no more jobs than their memory holds

80 jobs of 20,000 times in 4 kB each took 414 MB of 160 at the replicas, and nobody got an answer any more: what accepted jobs take was bounded by nothing. A job that would bring the state over a quarter of instance.memory_mb is refused by the leader as other jobs are for want of room, with the promise that it never runs. Large jobs count while they are being committed.

TestAcceptedJobsStayWithinMemory, red before (414 MB of 160), green after.

--- a/control/admission.go
+++ b/control/admission.go
@@ -50,7 +50,7 @@
 // retryAfter returns when the caller of a refused job is to return, and lists the job. Jobs that
 // wait for an operator are not listed, nor those that another call has submitted meanwhile.
 func (d *dispatcher) retryAfter(c *SubmitJob, v *dispatch.Verdict) time.Duration {
-	if d.refused == nil || v.NoAdvisor || v.OutOfService {
+	if d.refused == nil || v.NoAdvisor || v.OutOfService || v.Full {
 		return refusal.Jitter(v.RetryAfter)
 	}
 	retry := time.Duration(0)
@@ -85,8 +85,8 @@
 // judgeAndReserve judges a job and, if its standing tasks are admitted, reserves the CPU that
 // they need until the submission is committed. Concurrent calls are judged one after the other.
 func (d *dispatcher) judgeAndReserve(c *SubmitJob) dispatch.Verdict {
-	need := dispatch.StandingCPU(&c.Spec)
-	if need == 0 {
+	need, size := dispatch.StandingCPU(&c.Spec), c.Spec.Size()
+	if need == 0 && size < reservedSize {
 		return d.judge(c)
 	}
 	d.reserveMu.Lock()
@@ -94,10 +94,40 @@
 	v := d.judge(c)
 	if !v.Refuse {
 		d.reserve(c, need)
+		d.reserveSize(c, size)
 	}
 	return v
 }
 
+const (
+	// stateShare is the part of a replica's memory for the jobs that are kept: one in so many.
+	stateShare = 4
+	// reservedSize is the size in bytes from which a job counts while it is being committed.
+	reservedSize = 64 << 10
+	// fullRetry is the retry delay while the jobs that are kept take all memory for them. They are
+	// kept for two minutes after their end.
+	fullRetry = 5 * time.Second
+)
+
+// full reports whether a job would take more memory than there is for jobs.
+func (d *dispatcher) full(s *State, spec *jobs.Spec) bool {
+	limit := int64(d.r.set.Instance.MemoryMB) << 20 / stateShare
+	if limit == 0 {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return s.Jobs.Size()+d.reservedBytes+spec.Size() > limit
+}
+
+// reserveSize sets memory aside for a submission that is being committed.
+func (d *dispatcher) reserveSize(c *SubmitJob, bytes int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reservedBytes += bytes - c.reservedBytes
+	c.reservedBytes = bytes
+}
+
 // reserve sets CPU aside for a submission that is being committed.
 func (d *dispatcher) reserve(c *SubmitJob, need int64) {
 	d.r.machine.Read(func(s *State) {
@@ -126,6 +156,10 @@
 			v = dispatch.Verdict{Refuse: true, NoAdvisor: true, RetryAfter: noAdvisorRetry}
 			return
 		}
+		if d.full(s, &c.Spec) {
+			v = dispatch.Verdict{Refuse: true, Full: true, RetryAfter: fullRetry}
+			return
+		}
 		in := d.input(s)
 		if d.refused != nil {
 			d.refused.addInput(&in, q, id, dispatch.KindOf(&c.Spec), time.Now())
@@ -154,4 +188,6 @@
 		delete(d.reserved, c.service)
 	}
 	c.reserved = 0
+	d.reservedBytes -= c.reservedBytes
+	c.reservedBytes = 0
 }
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -79,8 +79,10 @@
 	messages      *messageOrder
 	// reserved is the CPU, in thousandths, that standing tasks of submissions being committed
 	// will hold, by service. reserveMu serialises the calls that reserve from it.
-	reserved  map[string]int64
-	reserveMu sync.Mutex
+	reserved map[string]int64
+	// reservedBytes is the memory that large jobs will take whose submissions are being committed.
+	reservedBytes int64
+	reserveMu     sync.Mutex
 	// refused has the places of refused jobs, nil if they are not kept.
 	refused *refusedJobs
 }
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -53,6 +53,8 @@
 	// reserves while the call is being committed. It is not sent.
 	reserved int64
 	service  string
+	// reservedBytes is the memory that is set aside for the job meanwhile. It is not sent.
+	reservedBytes int64
 
 	// queue, jobID and refusalCode are what demandFeed records the call by: the queue and job,
 	// unset if the call isn't counted, and dispatch.Verdict's code if it is refused. They are not
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -20,6 +20,8 @@
 	// OutOfService says that the job can't start at present: operators have taken every data
 	// centre with a worker for it out of service.
 	OutOfService bool
+	// Full says that the jobs that are kept take all memory for them.
+	Full bool
 	// RetryAfter is how long the caller should wait before it submits the job again.
 	RetryAfter time.Duration
 	// Expected is when the job is expected to end, Objective when it should, both counted from
@@ -72,6 +74,8 @@
 		return "no-advisor"
 	case v.OutOfService:
 		return "out-of-service"
+	case v.Full:
+		return "state-full"
 	case v.Objective == 0:
 		return "standing-share"
 	}
@@ -86,6 +90,9 @@
 	if v.OutOfService {
 		return "every data centre with a worker for the queue is out of service"
 	}
+	if v.Full {
+		return "the jobs that are kept take all memory for them"
+	}
 	if v.Objective == 0 && v.Listed > 0 {
 		return "standing tasks, and refused jobs with an earlier place, need the full share of the service's processors"
 	}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -32,6 +32,7 @@
 	// placed holds the live jobs that had a run and are not known to have begun, by host and prefix.
 	placed  map[string]map[string]*Job
 	live    int
+	size    int64    // bytes, see Size
 	changed []string // workers whose orders changed
 }
 
@@ -66,7 +67,7 @@
 	s.suspects = make(map[Ref]struct{})
 	s.queued = make(map[string]int)
 	s.placed = make(map[string]map[string]*Job)
-	s.live = 0
+	s.live, s.size = 0, 0
 	for _, w := range s.Workers {
 		s.byAgent[w.Agent] = w
 		s.recordDataCentre(w)
@@ -79,6 +80,7 @@
 
 func (s *State) derive(j *Job) {
 	j.active = 0
+	s.size += j.Spec.Size()
 	for i, g := range j.Groups {
 		g.job, g.occurrence, g.step = j, i/len(j.Spec.Steps), i%len(j.Spec.Steps)
 		g.done, g.waiting = 0, 0
@@ -380,6 +382,7 @@
 func (s *State) ApplyForget(ids []string) {
 	for _, id := range ids {
 		if j := s.Jobs[id]; j != nil && j.Phase.Over() && j.active == 0 {
+			s.size -= j.Spec.Size()
 			delete(s.Jobs, id)
 		}
 	}
--- a/proof/crowd_test.go
+++ b/proof/crowd_test.go
@@ -72,6 +72,31 @@
 	}
 }
 
+// Guards against replicas that accept jobs until these have taken all their memory.
+func TestAcceptedJobsStayWithinMemory(t *testing.T) {
+	s := newCrowdSystem(t, crowdLimits{}, crowdLimits{memoryMB: 160})
+	payload := strings.Repeat("x", 4000)
+	for _, body := range []string{
+		`{"Spec":"` + payload + `","Phases":[{"Count":1,"Cpu":1}],"RepeatCount":20000,"IntervalMs":1}`,
+		`{"Spec":"` + payload + `","Phases":[{"Count":20000,"Cpu":1,"LongRunning":true}]}`,
+		crowdJob(100),
+	} {
+		for range 80 {
+			// Accepted or refused, or without an answer: the verdict is on what it costs.
+			crowdCall(http.MethodPost, submitURL(), nil, body)
+		}
+		s.check()
+	}
+	s.eventually("a look-up is answered", func() error {
+		status, err := crowdCall(http.MethodGet, submitURL(), nil, "")
+		if err == nil && status != http.StatusGone {
+			err = fmt.Errorf("status %d", status)
+		}
+		return err
+	})
+	s.check()
+}
+
 // Guards against an entry that ends when idle connections have taken its last descriptor, and
 // against idle connections that keep others out.
 func TestIdleConnectionsKeepNobodyOut(t *testing.T) {
