control: What refusals are remembered by has a bounded length

A leader remembers up to 65,536 refusals for five seconds by the host and path of their calls, which callers choose: 16 KiB each would be 1 GB. Longer ones are remembered by their digest. By reading; a crowd of deletions did not bring it about here. TestKeysOfMessagesAreShort, red before.

--- a/control/finalrefusal.go
+++ b/control/finalrefusal.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,12 +18,26 @@
 	openRefusals  = metrics.NewCounter(`waxwinghaven_job_refusals_total{final="false"}`)
 )
 
-func (c *SubmitJob) key() string { return c.Host + c.Path }
+func (c *SubmitJob) key() string { return messageKey(c.Host, c.Path) }
 
 // cancelPrefix distinguishes what messageOrder remembers about cancellations from submissions.
 const cancelPrefix = "cancel "
 
-func (c *CancelJob) key() string { return c.Host + c.Path }
+func (c *CancelJob) key() string { return messageKey(c.Host, c.Path) }
+
+// maxKeyBytes is the length of a longer key's digest. Keys are remembered for seconds, and callers
+// choose their length.
+const maxKeyBytes = 2 * sha256.Size
+
+// messageKey returns what a message about a job is remembered by.
+func messageKey(host, path string) string {
+	key := host + path
+	if len(key) < maxKeyBytes {
+		return key
+	}
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
 
 // stamp returns the place of an answer that is given now, nil if this replica does not lead.
 func (d *dispatcher) stamp() *refusal.Stamp {
