transport: The test of arriving bodies waits until its crowd holds the memory

TestArrivingBodiesGiveWay failed in one of 12 plays side by side ("a whole request: EOF"): its crowd was still arriving when the whole request came, which was then the oldest one and gave way, as it should.

--- a/transport/connections_test.go
+++ b/transport/connections_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 )
 
@@ -90,6 +91,29 @@
 	return p.StatusCode(), err
 }
 
+func waitFor(tb testing.TB, what string, ok func() bool) {
+	tb.Helper()
+	for end := time.Now().Add(testWait); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Fatalf("not within %v: %s", testWait, what)
+		}
+	}
+}
+
+// open returns the number of connections.
+func (p *connections) open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.all
+}
+
+// taken returns the memory in use, in bytes.
+func (b *budget) taken() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
 // checkStatus fails the test unless the status of the answer is as wanted, 0 for a connection that is
 // closed without an answer.
 func checkStatus(tb testing.TB, what string, c net.Conn, want int) {
@@ -226,10 +250,18 @@
 	s.DecodeCost = 0
 	half := strings.Repeat("x", 60<<10)
 	unfinished := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 122880\r\n\r\n" + half
+	const clients, each = 6, 64 << 10 // bytes that an unfinished body takes
+	displaced := metrics.GetOrCreateCounter(`waxwinghaven_connections_closed_total{part="test",reason="memory"}`)
+	before := displaced.Get()
 	oldest := s.send(t, unfinished)
-	for range 5 {
+	waitFor(t, "the oldest holds its memory", func() bool { return memory.taken() == each })
+	for range clients - 1 {
 		s.send(t, unfinished)
 	}
+	waitFor(t, "the crowd holds the memory", func() bool {
+		open := s.pool.open()
+		return open+int(displaced.Get()-before) == clients && memory.taken() == int64(open)*each
+	})
 	checkStatus(t, "a whole request", s.send(t, post("/", half)), fasthttp.StatusOK)
 	checkStatus(t, "the oldest unfinished one", oldest, 0)
 }
@@ -251,9 +283,7 @@
 		checkStatus(t, "a request with memory", c, fasthttp.StatusOK)
 	}
 	checkStatus(t, "a request afterwards", s.send(t, post("/", strings.Repeat("x", 4<<10))), fasthttp.StatusOK)
-	if memory.used != 0 {
-		t.Errorf("%d bytes are still taken", memory.used)
-	}
+	waitFor(t, "all memory is free", func() bool { return memory.taken() == 0 })
 }
 
 // Guards against requests that two servers in a row would split differently, and against bodies that
