entry: Limits of an older version don't come back

An entry takes the limits from whichever replica tells it the addresses. One that is behind would have brought back those of an older version for up to two seconds, and a call that the newer one allows would have been refused. Addresses and limits are fetched each 1.5 s in place of 2 s, since a version has to be in force within 2 s; an entry stays ready for the same 6 s. Heads are bounded by 1 MiB whatever a version says: each connection has a buffer of that size.

--- a/control/agentcalls.go
+++ b/control/agentcalls.go
@@ -8,7 +8,6 @@
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/learned"
 	"github.com/waxwinghaven/waxwinghaven/lease"
-	"github.com/waxwinghaven/waxwinghaven/queues"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 )
@@ -220,18 +219,14 @@
 }
 
 func (r *Replica) onReplicas(Empty) (ReplicasAnswer, error) {
-	return ReplicasAnswer{Replicas: r.replicaAddresses(), Limits: r.callerLimits(), Stamp: r.dispatcher.stamp()}, nil
-}
-
-// callerLimits returns the limits of the newest configuration, nil before the first.
-func (r *Replica) callerLimits() (l *queues.Limits) {
+	a := ReplicasAnswer{Replicas: r.replicaAddresses(), Stamp: r.dispatcher.stamp()}
 	r.machine.Read(func(s *State) {
 		if c := &s.Queues.Config; c.Version > 0 {
 			limits := c.Limits
-			l = &limits
+			a.Limits, a.Version = &limits, c.Version
 		}
 	})
-	return l
+	return a, nil
 }
 
 func (r *Replica) replicaAddresses() []string {
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -254,8 +254,10 @@
 // ReplicasAnswer lists the addresses of the control replicas.
 type ReplicasAnswer struct {
 	Replicas []string `msgpack:"r"`
-	// Limits are those of the newest configuration that the replica knows, nil before the first.
-	Limits *queues.Limits `msgpack:"l,omitempty"`
+	// Limits are those of the newest configuration that the replica knows, nil before the first, and
+	// Version is its version.
+	Limits  *queues.Limits `msgpack:"l,omitempty"`
+	Version uint64         `msgpack:"v,omitempty"`
 	// Stamp is the place of the answer among those of the leader, nil from other replicas.
 	Stamp *refusal.Stamp `msgpack:"z,omitempty" json:"-"`
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// watchReplicas is the interval at which the replica set is fetched.
-	watchReplicas = 2 * time.Second
+	// watchReplicas is the interval at which the replica set and the limits of the configuration are
+	// fetched. A configuration has to be in force within 2 s.
+	watchReplicas = 1500 * time.Millisecond
 	watchTimeout  = time.Second
 	// replyMargin is reserved from a caller's time-out for sending the answer.
 	replyMargin = 50 * time.Millisecond
@@ -34,7 +35,8 @@
 	started    time.Time
 	order      answerOrder
 	// OnLimits is called with the limits of the configuration, each time that a replica has told them.
-	OnLimits func(queues.Limits)
+	OnLimits      func(queues.Limits)
+	limitsVersion uint64 // of the limits that were told last; used by Run only
 }
 
 // NewJobs returns a gateway that is not running yet.
@@ -71,15 +73,17 @@
 		return
 	}
 	j.ctl.SetReplicas(a.Replicas)
-	if a.Limits != nil && j.OnLimits != nil {
+	// A replica that is behind tells those of an older version.
+	if a.Limits != nil && a.Version >= j.limitsVersion && j.OnLimits != nil {
+		j.limitsVersion = a.Version
 		j.OnLimits(*a.Limits)
 	}
 	j.lastAnswer.Store(int64(time.Since(j.started)))
 }
 
-// readyFor is how long the gateway is ready after a replica's last answer. Two fetches in
+// readyFor is how long the gateway is ready after a replica's last answer. Three fetches in
 // succession may fail.
-const readyFor = 3 * watchReplicas
+const readyFor = 4 * watchReplicas
 
 // Ready reports whether a control replica has answered recently.
 func (j *Jobs) Ready() bool {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -256,7 +256,10 @@
 	DefaultUpkeepTime      = 2 * time.Second
 	// DefaultHeaderBytes is the largest head that the users' operators allow, and room for the
 	// request line.
-	DefaultHeaderBytes  = 20 << 10
+	DefaultHeaderBytes = 20 << 10
+	// MaxHeaderBytes bounds the head of a request whatever a configuration allows: each connection
+	// has a buffer of that size.
+	MaxHeaderBytes      = 1 << 20
 	DefaultWriteTimeout = 10 * time.Second
 	// DefaultLongestCall is ten times the deadline of the users' clients.
 	DefaultLongestCall = 30 * time.Second
@@ -404,7 +407,6 @@
 	// minFiles is what a process needs beside its clients' connections, and for a few of them.
 	minFiles       = 64
 	minHeaderBytes = 4 << 10
-	maxHeaderBytes = 1 << 20
 )
 
 func (s *Settings) checkLimits() error {
@@ -416,8 +418,8 @@
 		return fmt.Errorf("limits.connections is %d; give 1 or more, or 0 for as many as descriptors and memory allow", l.Connections)
 	case l.BodyMB < 0:
 		return fmt.Errorf("limits.body_mb is %d; give 1 or more, or 0 for a quarter of instance.memory_mb", l.BodyMB)
-	case l.HeaderBytes < minHeaderBytes || l.HeaderBytes > maxHeaderBytes:
-		return fmt.Errorf("limits.header_bytes is %d; give %d to %d", l.HeaderBytes, minHeaderBytes, maxHeaderBytes)
+	case l.HeaderBytes < minHeaderBytes || l.HeaderBytes > MaxHeaderBytes:
+		return fmt.Errorf("limits.header_bytes is %d; give %d to %d", l.HeaderBytes, minHeaderBytes, MaxHeaderBytes)
 	}
 	return nil
 }
--- a/transport/http.go
+++ b/transport/http.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/settings"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -67,7 +68,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	header, readTime, idle := max(s.header, l.Header), max(s.readTime, l.ReadTimeout), max(s.idle, l.IdleTimeout)
+	header, readTime, idle := max(s.header, min(l.Header, settings.MaxHeaderBytes)), max(s.readTime, l.ReadTimeout), max(s.idle, l.IdleTimeout)
 	if header == s.header && readTime == s.readTime && idle == s.idle {
 		return
 	}
@@ -93,7 +94,6 @@
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
-	addr   net.Addr
 }
 
 // startGeneration has new connections served with the limits in force. The caller holds the lock.
@@ -134,8 +134,8 @@
 	return nil
 }
 
-// Addr implements net.Listener.
-func (g *generation) Addr() net.Addr { return g.addr }
+// Addr implements net.Listener. Nobody asks for it: connections know their own addresses.
+func (g *generation) Addr() net.Addr { return &net.TCPAddr{} }
 
 // shutdownTimeout bounds the wait for requests in progress at shutdown.
 const shutdownTimeout = 20 * time.Second
