--- a/transport/limits.go
+++ b/transport/limits.go
@@ -26,10 +26,10 @@
 
 // SetLimits sets the limits of this process. It has to be called before servers are made.
 func SetLimits(l Limits) {
-	limits.Store(&l)
 	if l.Bodies == 0 {
 		l.Bodies = int64(bodyShare * float64(l.Memory))
 	}
+	limits.Store(&l)
 	memory.setTotal(l.Bodies)
 }
 
