proof: Both crowds with long deadlines are held at once

TestLongDeadlinesHoldNoCalls held one crowd after the other, 62 s together; they don't concern each other.

--- a/proof/crowd_test.go
+++ b/proof/crowd_test.go
@@ -173,11 +173,10 @@
 		thaw := s.processes[fmt.Sprint("control-", i)].freeze()
 		defer thaw()
 	}
-	for _, call := range []string{submit, get} {
-		c := connectCrowd(t, crowdCallers, 60, call)
-		if open := c.awaitEnds(); open > 0 {
-			t.Errorf("%d of %d calls are still held", open, len(c.conns))
-		}
+	c := connectCrowd(t, crowdCallers, 60, submit)
+	c.conns = append(c.conns, connectCrowd(t, crowdCallers, 60, get).conns...)
+	if open := c.awaitEnds(); open > 0 {
+		t.Errorf("%d of %d calls are still held", open, len(c.conns))
 	}
 	s.check()
 }
