transport, proof: One way each to close a socket, leave the waiting list, start a process

A job's steps were counted beside its tasks, though each step has one, and the comment on the bounds was stale.

--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -3,7 +3,7 @@
 import "github.com/waxwinghaven/waxwinghaven/refusal"
 
 // Bounds of one job. The widest step observed has 36 tasks and the longest chain 5 steps; the
-// bounds allow about a hundred times that.
+// bounds allow hundreds of times that. Each step has a task at least, so tasks bound the steps too.
 const (
 	MaxPayload = 4000 // bytes
 	MaxSteps   = MaxTasks
--- a/proof/crowd_ports_test.go
+++ b/proof/crowd_ports_test.go
@@ -47,22 +47,9 @@
 	dir := t.TempDir()
 	s := &crowdSystem{t: t, dir: dir, processes: make(map[string]*soakProcess), limits: make(map[string]crowdLimits)}
 	t.Cleanup(s.end)
-	bin, err := binaries()
-	if err != nil {
-		t.Fatal(err)
-	}
-	text := fmt.Sprintf("[instance]\nname = \"own\"\ndata_centre = \"dc\"\nip = %q\nmemory_mb = %d\n[log]\nformat = \"json\"\n[peers]\ncontrol = [\"%s:7821\"]\n"+
+	s.start("own", l, fmt.Sprintf("[instance]\nname = \"own\"\ndata_centre = \"dc\"\nip = %q\nmemory_mb = %d\n[log]\nformat = \"json\"\n[peers]\ncontrol = [\"%s:7821\"]\n"+
 		"[control]\nport = 7821\noperator_port = 7822\ndata_folder = %q\n[entry]\nport = 7823\nhealth_port = 7824\n[agent]\nport = 7825\nlocal_port = 7826\n",
-		crowdOwnIP, l.memoryMB, crowdOwnIP, dir+"/data")
-	p, err := newSoakProcess(bin, dir, "own", text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.descriptors = l.descriptors
-	s.processes["own"], s.limits["own"] = p, l
-	if err := p.start(); err != nil {
-		t.Fatal(err)
-	}
+		crowdOwnIP, l.memoryMB, crowdOwnIP, dir+"/data"))
 	return s
 }
 
--- a/proof/crowd_system_test.go
+++ b/proof/crowd_system_test.go
@@ -78,15 +78,20 @@
 
 func (s *crowdSystem) add(name, ip string, l crowdLimits, roles string) {
 	s.t.Helper()
-	bin, err := binaries()
-	if err != nil {
-		s.t.Fatal(err)
-	}
 	own := fmt.Sprintf("drain = \"2s\"\nmemory_mb = %d\n", l.memoryMB)
 	if name == "entry" {
 		own += "metrics_port = 7803\n"
 	}
-	text := strings.Replace(soakSettings(name, ip, crowdSeeds, roles), "drain = \"2s\"\n", own, 1)
+	s.start(name, l, strings.Replace(soakSettings(name, ip, crowdSeeds, roles), "drain = \"2s\"\n", own, 1))
+}
+
+// start starts a process with limits and the text of its settings.
+func (s *crowdSystem) start(name string, l crowdLimits, text string) {
+	s.t.Helper()
+	bin, err := binaries()
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	p, err := newSoakProcess(bin, s.dir, name, text)
 	if err != nil {
 		s.t.Fatal(err)
--- a/transport/connections.go
+++ b/transport/connections.go
@@ -102,6 +102,11 @@
 	}
 	c.removed = true
 	p.all--
+	p.removeWaiting(c)
+}
+
+// removeWaiting removes a connection from those that wait. The caller holds the lock.
+func (p *connections) removeWaiting(c *conn) {
 	if c.place != nil {
 		p.waiting.Remove(c.place)
 		c.place = nil
@@ -135,10 +140,7 @@
 	if c.removed {
 		return false
 	}
-	if c.place != nil {
-		c.pool.waiting.Remove(c.place)
-		c.place = nil
-	}
+	c.pool.removeWaiting(c)
 	return true
 }
 
@@ -199,11 +201,16 @@
 	return c.Conn.Close()
 }
 
-// abort closes a connection without TLS's farewell, which waits for a client that doesn't read.
+// abort closes a connection that has no whole request.
 func (c *conn) abort(reason closedReason) {
 	c.pool.count(reason)
-	if err := innermost(c.Conn).Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		logrus.Debugf("%s: A connection could not be closed: %v.", c.pool.part, err)
+	closeSocket(c.Conn)
+}
+
+// closeSocket closes a connection without TLS's farewell, which waits for a client that doesn't read.
+func closeSocket(c net.Conn) {
+	if err := innermost(c).Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		logrus.Debugf("A connection could not be closed: %v.", err)
 	}
 }
 
--- a/transport/http.go
+++ b/transport/http.go
@@ -205,11 +205,7 @@
 // of the request, which is the truth for one that may have been sent before.
 func closeUnanswered(q *fasthttp.RequestCtx) {
 	q.SetConnectionClose()
-	if c := innermost(q.Conn()); c != nil {
-		if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-			logrus.Debugf("A connection could not be closed: %v.", err)
-		}
-	}
+	closeSocket(q.Conn())
 }
 
 // badRequest answers what can't be read.
