--- a/review/rig3/ends.go
+++ b/review/rig3/ends.go
@@ -10,9 +10,8 @@
 func endsBeyondAList(r *rig) (breaks []string, err error) {
 	const (
 		workers  = 3
-		cpu, mem = 64_000, 256_000
-		tasks    = 1800 // 600 on each worker
-		taskCPU  = 100
+		tasks    = 3600 // 1,200 on each worker
+		taskCPU  = 50
 		workTime = 9 * time.Second
 		downTime = 1500 * time.Millisecond
 	)
@@ -22,11 +21,11 @@
 	h := &history{}
 	var all []*worker
 	for i := range workers {
-		w, err := startWorker(r, h, i, fmt.Sprintf("i-%d-%s", i+1, newID()[:6]), service, cpu, mem)
+		w, err := startWorker(r, h, i, service, "a", nil)
 		if err != nil {
 			return nil, err
 		}
-		defer w.end("the case has ended")
+		defer w.end(howGone, "the case has ended")
 		all = append(all, w)
 	}
 	time.Sleep(4 * time.Second)
@@ -41,10 +40,10 @@
 		return nil, fmt.Errorf("%w: only %d, %d and %d tasks run", errCouldNotRun, all[0].count(id), all[1].count(id), all[2].count(id))
 	}
 	r.note("all tasks run: %d, %d and %d", all[0].count(id), all[1].count(id), all[2].count(id))
-	time.Sleep(time.Until(begun.Add(workTime - 200*time.Millisecond)))
+	time.Sleep(time.Until(begun.Add(workTime - downTime*2/3)))
 	if r.trouble {
 		r.kill(agentName(0))
-		time.Sleep(time.Until(begun.Add(workTime + downTime)))
+		time.Sleep(downTime)
 		if err := r.restart(agentName(0)); err != nil {
 			return nil, err
 		}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -16,6 +16,10 @@
 // cases plays a case and returns the breaks of its rule.
 var cases = map[string]func(*rig) (breaks []string, err error){
 	"ends-beyond-a-list": endsBeyondAList,
+	"blamed-workers":     blamedWorkers,
+	"pending":            pendingAfterACrash,
+	"two-moves":          twoMoves,
+	"cancels-in-a-wave":  cancelsInAWave,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -48,6 +49,7 @@
 	block   string // the first three parts of the addresses
 	trouble bool
 	began   time.Time
+	workers atomic.Int64 // started so far
 
 	mu     sync.Mutex
 	record io.Writer
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -12,19 +12,26 @@
 	"time"
 )
 
+// Capacity of a worker: thousandths of a core, and megabytes.
+const (
+	workerCPU = 64_000
+	workerMem = 256_000
+)
+
 // startup is how long a task that lasts takes until it is at work.
 const startup = 200 * time.Millisecond
 
 // worker is a stand-in for one life of a worker, as the pages describe it. What a task needs and how
-// long it works stands in its Spec, as a query: "ms=2000&cpu=100&mem=100" or "lasts=1&cpu=13000".
+// long it works stands in its Spec, as a query: "ms=2000&cpu=100&mem=100", with "fails=1" if it always fails, or "lasts=1&cpu=13000".
 type worker struct {
 	r                 *rig
 	id, service, name string // name is the machine's
 	number            int    // of its address
 	cpu, mem          int64
+	kind              string
 	// onStart is called before a start is carried out. If it returns false, the start is not carried out
 	// and not answered. It may be nil.
-	onStart func(task string, run uint32) bool
+	onStart func(*worker) bool
 
 	born     time.Time
 	server   *http.Server
@@ -52,6 +59,7 @@
 type activeRun struct {
 	since    time.Time
 	work     time.Duration // 0 for a task that lasts
+	fails    bool
 	cpu, mem int64
 }
 
@@ -96,12 +104,12 @@
 }
 
 // startWorker starts a worker on the machine of agent i.
-func startWorker(r *rig, h *history, i int, id, service string, cpu, mem int64) (*worker, error) {
-	w := &worker{r: r, id: id, service: service, name: machineName(i), number: firstAgent + i, cpu: cpu, mem: mem, born: time.Now(), history: h,
+func startWorker(r *rig, h *history, i int, service, kind string, onStart func(*worker) bool) (*worker, error) {
+	w := &worker{r: r, id: fmt.Sprintf("i-%010x", r.workers.Add(1)), service: service, name: machineName(i), number: firstAgent + i, cpu: workerCPU, mem: workerMem, kind: kind, onStart: onStart, born: time.Now(), history: h,
 		running: make(map[runKey]*activeRun), highest: make(map[string]uint32), changed: make(chan struct{}), stop: make(chan struct{})}
 	ln, err := net.Listen("tcp4", r.addr(w.number, portApp))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %v", errCouldNotRun, err)
 	}
 	w.listener = ln
 	mux := http.NewServeMux()
@@ -120,33 +128,32 @@
 func machineName(i int) string { return fmt.Sprintf("m-%d", i+1) }
 
 // end ends the worker with all that runs on it. Its address refuses connections.
-func (w *worker) end(why string) {
-	w.mu.Lock()
-	if !w.dark {
-		w.dark = true
-		close(w.stop)
-		w.dropRuns(why)
-	}
-	w.mu.Unlock()
+func (w *worker) end(how, why string) {
+	w.drop(how, why)
 	_ = w.server.Close()
 }
 
 // loseContact ends the worker without a sign: its address accepts connections and answers nothing.
-func (w *worker) loseContact(why string) {
+func (w *worker) loseContact(why string) { w.drop(howGone, why) }
+
+// How runs end with their worker.
+const (
+	howGone  = "gone"
+	howOrder = "order" // of the system to the platform
+)
+
+// drop ends the worker and what runs on it.
+func (w *worker) drop(how, why string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.dark {
-		w.dark = true
-		close(w.stop)
-		w.dropRuns(why)
+	if w.dark {
+		return
 	}
-}
-
-// dropRuns ends what runs with the worker. The caller holds the lock.
-func (w *worker) dropRuns(why string) {
+	w.dark = true
+	close(w.stop)
 	for key := range w.running {
 		w.r.note("worker %s: run %s %d ends with its worker", w.id, key.task, key.run)
-		w.history.add(&w.history.ends, event{at: time.Now(), worker: w.id, key: key, how: "gone"})
+		w.history.add(&w.history.ends, event{at: time.Now(), worker: w.id, key: key, how: how})
 	}
 	w.running = make(map[runKey]*activeRun)
 	w.r.note("worker %s is gone: %s", w.id, why)
@@ -162,7 +169,7 @@
 		w.mu.Lock()
 		w.sequence++
 		body := map[string]any{"Service": w.service, "Address": w.r.addr(w.number, portApp), "Zone": "hall-a", "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
-			"Capacity": map[string]any{"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0}, "Labels": []string{"a", fmt.Sprintf("r1-%d", w.number)}, "ClockMs": w.clock(), "Sequence": w.sequence}
+			"Capacity": map[string]any{"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0}, "Labels": []string{w.kind, fmt.Sprintf("r1-%d", (w.number-firstAgent)/3)}, "ClockMs": w.clock(), "Sequence": w.sequence}
 		w.mu.Unlock()
 		_, _, _ = call(http.MethodPut, "http://"+w.r.addr(w.number, portControl)+"/waxwinghaven/instances/"+w.id, "", body, time.Second, nil)
 		select {
@@ -270,7 +277,7 @@
 
 func (w *worker) handleStart(q *request) (int, *reply) {
 	key := runKey{q.Task, q.Run}
-	if w.onStart != nil && !w.onStart(q.Task, q.Run) {
+	if w.onStart != nil && !w.onStart(w) {
 		return 0, nil
 	}
 	w.mu.Lock()
@@ -300,7 +307,11 @@
 		time.AfterFunc(x.work, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.finish(key, "done")
+			how := "done"
+			if x.fails {
+				how = "failed"
+			}
+			w.finish(key, how)
 		})
 	}
 	return http.StatusOK, &reply{ClockMs: w.clock()}
@@ -309,7 +320,7 @@
 func parseSpec(spec string) *activeRun {
 	v, _ := url.ParseQuery(spec)
 	n := func(key string) int64 { n, _ := strconv.ParseInt(v.Get(key), 10, 64); return n }
-	return &activeRun{since: time.Now(), work: time.Duration(n("ms")) * time.Millisecond, cpu: n("cpu"), mem: n("mem")}
+	return &activeRun{since: time.Now(), work: time.Duration(n("ms")) * time.Millisecond, fails: n("fails") > 0, cpu: n("cpu"), mem: n("mem")}
 }
 
 // finish lists the end of a run. The caller holds the lock.
@@ -395,7 +406,7 @@
 	return int(100 * age / startup)
 }
 
-// count returns the number of runs of a job, or of all jobs if id is empty.
+// count returns the number of runs of the tasks whose names begin so.
 func (w *worker) count(id string) (n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
