--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,7 +18,6 @@
 	"ends-beyond-a-list": endsBeyondAList,
 	"blamed-workers":     blamedWorkers,
 	"pending":            pendingAfterACrash,
-	"two-moves":          twoMoves,
 	"cancels-in-a-wave":  cancelsInAWave,
 }
 
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -38,7 +38,6 @@
 	stopTime     = 100 * time.Millisecond // StopTimeoutMs is 400
 	noticeTime   = 4500 * time.Millisecond
 	visibleTime  = 3 * time.Second
-	migration    = 1500 * time.Millisecond
 	maintenance  = 2 * time.Second
 	endsPerReply = 500
 )
@@ -300,7 +299,6 @@
 	batchPrefix = "/lohu930/"
 	watchPrefix = "/pule252/"
 	service     = "huvo11a"
-	otherPool   = "huvo11b"
 )
 
 // config is a configuration with a queue for tasks that end and one for tasks that last.
@@ -309,10 +307,8 @@
 		return map[string]any{"Name": name, "Host": callerHost, "PathPrefix": prefix, "Type": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": 1000,
 			"Priority": priority, "Service": service, "MaxAttempts": 3, "SlackFactor": 2.0}
 	}
-	pool := func(name string) map[string]any {
-		return map[string]any{"Name": name, "HealthPath": "/healthz", "MaxConnections": 64, "Protocol": "h1", "Tls": false, "RejectsOverload": true, "Standby": false}
-	}
-	return map[string]any{"Version": version, "Routes": []any{route("r-batch", batchPrefix, 2), route("r-watch", watchPrefix, 0)}, "Services": []any{pool(service), pool(otherPool)},
+	pool := map[string]any{"Name": service, "HealthPath": "/healthz", "MaxConnections": 64, "Protocol": "h1", "Tls": false, "RejectsOverload": true, "Standby": false}
+	return map[string]any{"Version": version, "Routes": []any{route("r-batch", batchPrefix, 2), route("r-watch", watchPrefix, 0)}, "Services": []any{pool},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
 }
 
