Judge the length of a queue by jobs that begin neither before the answer nor soon after it

One play of case 10 without the disruption was counted as broken: its first look met the moment in which the jobs began, as the jobs that had not begun were counted before the answer. A look now counts only jobs of which no task has begun a second after the answer.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,6 +19,7 @@
 	"blamed-workers":     blamedWorkers,
 	"pending":            pendingAfterACrash,
 	"cancels-in-a-wave":  cancelsInAWave,
+	"late-list":          lateListOnANewLife,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig3/pending.go
+++ b/review/rig3/pending.go
@@ -54,23 +54,51 @@
 		return nil, err
 	}
 	defer w.end(howGone, "the case has ended")
+	type look struct {
+		asked, answered time.Time
+		pending         int
+	}
+	var looks []look
 	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		asked := time.Now()
+		l := look{asked: time.Now()}
+		if l.pending, err = r.pending(batchPrefix); err != nil {
+			r.note("client: no length of the queue: %v", err)
+			continue
+		}
+		l.answered = time.Now()
+		r.note("client: Pending is %d", l.pending)
+		looks = append(looks, l)
+	}
+	time.Sleep(startSlack)
+	for _, l := range looks {
 		due := 0
 		for id, at := range accepted {
-			if asked.Sub(at) > visibleTime+2*time.Second && !h.begun(id) {
+			if l.asked.Sub(at) > visibleTime+2*time.Second && !h.begunBy(id, l.answered.Add(startSlack)) {
 				due++
 			}
 		}
-		n, err := r.pending(batchPrefix)
-		r.note("client: Pending is %d (%v); accepted more than 5 s before and not begun: %d", n, err, due)
-		if err == nil && 2*n < due {
-			breaks = append(breaks, fmt.Sprintf("MIXED: Pending is %d, of %d jobs accepted more than 5 s before nothing has begun", n, due))
+		if 2*l.pending < due {
+			breaks = append(breaks, fmt.Sprintf("MIXED: Pending is %d %d ms after the worker was added, of %d jobs accepted more than 5 s before no task has begun", l.pending, l.answered.Sub(w.born).Milliseconds(), due))
 		}
 	}
 	return breaks, nil
 }
 
+// startSlack is how long after an answer a job may still begin without being counted as one that hasn't.
+const startSlack = time.Second
+
+// begunBy reports whether a task of a job has begun on any worker by a time.
+func (h *history) begunBy(job string, by time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.starts {
+		if s.key.task[:len(job)] == job && s.at.Before(by) {
+			return true
+		}
+	}
+	return false
+}
+
 // begun reports whether a task of a job has begun on any worker.
 func (h *history) begun(job string) bool {
 	h.mu.Lock()
