--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"sync/atomic"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sys/unix"
@@ -27,8 +28,6 @@
 
 	headerBytes = 8       // record length and checksum
 	maxRecord   = 1 << 30 // bytes; a larger length is treated as damage
-	// MinFreeBytes is the free disk space in bytes below which proposals are refused.
-	MinFreeBytes = 64 << 20
 )
 
 var crcTable = crc32.MakeTable(crc32.Castagnoli)
@@ -40,15 +39,18 @@
 	Entries []Entry    `msgpack:"e,omitempty"`
 }
 
-// Disk is a replica's data folder. It is not safe for concurrent use, except that Full may be
-// called at any time.
+// Disk is a replica's data folder. It is not safe for concurrent use, except that Space and Sizes
+// may be called at any time.
 type Disk struct {
-	dir   string
-	lock  *os.File
-	wal   *os.File
-	gen   uint64
-	size  int64
-	state Stored
+	dir  string
+	lock *os.File
+	wal  *os.File
+	gen  uint64
+	// size is the length of the log file, initialSize its length when it was started after a
+	// snapshot, and snapshotSize the length of the latest snapshot, all in bytes.
+	size, initialSize, snapshotSize atomic.Int64
+	snapshotIndex                   uint64
+	state                           Stored
 	// initialID is the identity that an empty folder gets, 0 for a random one.
 	initialID uint64
 	// write is replaced by tests that simulate a full disk.
@@ -177,6 +179,8 @@
 	if err := msgpack.Unmarshal(payload, &d.state.Snapshot); err != nil {
 		return damaged(path, 0)
 	}
+	d.snapshotIndex = d.state.Snapshot.Index
+	d.snapshotSize.Store(int64(len(b)))
 	return nil
 }
 
@@ -219,7 +223,8 @@
 	if err := f.Sync(); err != nil {
 		return Error.Wrap(err)
 	}
-	d.wal, d.size = f, good
+	d.wal = f
+	d.size.Store(good)
 	return nil
 }
 
@@ -321,7 +326,7 @@
 	if _, err := d.write(d.wal, b); errors.Is(err, unix.ENOSPC) {
 		// A part may have been written. It was not acknowledged, and the next record must not
 		// follow an incomplete one.
-		if terr := d.wal.Truncate(d.size); terr != nil {
+		if terr := d.wal.Truncate(d.size.Load()); terr != nil {
 			return Error.Wrap(terr)
 		}
 		return ErrDiskFull
@@ -331,8 +336,7 @@
 	if err := unix.Fdatasync(int(d.wal.Fd())); err != nil {
 		return Error.Wrap(err)
 	}
-	d.size += int64(len(b))
-	fileSynced(d.wal.Name(), d.size)
+	fileSynced(d.wal.Name(), d.size.Add(int64(len(b))))
 	return nil
 }
 
@@ -351,13 +355,20 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if err := d.writeAtomic(fmt.Sprintf("%s%016x", snapPrefix, s.Index), payload); err != nil {
-		return err
+	if s.Index != d.snapshotIndex { // otherwise an earlier call had space for the snapshot alone
+		if err := d.writeAtomic(fmt.Sprintf("%s%016x", snapPrefix, s.Index), payload); err != nil {
+			return err
+		}
 	}
+	d.snapshotIndex = s.Index
+	d.snapshotSize.Store(int64(headerBytes + len(payload)))
+	// The new log file may need the space of the old snapshot. The new snapshot is valid with the
+	// old log file, too.
+	d.removeOld(snapPrefix)
 	if err := d.startWAL(record{Hard: &hs, Entries: after}); err != nil {
 		return err
 	}
-	d.removeOld()
+	d.removeOld(walPrefix)
 	return nil
 }
 
@@ -376,16 +387,16 @@
 		d.wal.Close()
 	}
 	d.wal, err = os.OpenFile(filepath.Join(d.dir, name), os.O_RDWR|os.O_APPEND, 0o600)
-	d.size = int64(headerBytes + len(payload))
+	d.size.Store(int64(headerBytes + len(payload)))
+	d.initialSize.Store(d.size.Load())
 	return Error.Wrap(err)
 }
 
-func (d *Disk) removeOld() {
-	for _, prefix := range []string{walPrefix, snapPrefix} {
-		names := d.list(prefix)
-		for _, n := range names[:len(names)-1] {
-			os.Remove(n) // a leftover is harmless: only the newest file is read
-		}
+// removeOld removes all files with a prefix but the newest.
+func (d *Disk) removeOld(prefix string) {
+	names := d.list(prefix)
+	for _, n := range names[:len(names)-1] {
+		os.Remove(n) // a leftover is harmless: only the newest file is read
 	}
 }
 
@@ -434,17 +445,27 @@
 	return nil
 }
 
-// Full reports whether the disk has less than MinFreeBytes of free space.
-func (d *Disk) Full() bool {
+// Space returns the free space and the size of the disk in bytes. ok is false if they are unknown.
+func (d *Disk) Space() (free, size int64, ok bool) {
+	if f := spaceOverride.Load(); f != nil {
+		free, size = (*f)(d.dir)
+		return free, size, true
+	}
 	var st unix.Statfs_t
 	if err := unix.Statfs(d.dir, &st); err != nil {
-		return false
+		return 0, 0, false
 	}
-	return st.Bavail*uint64(st.Bsize) < MinFreeBytes
+	return int64(st.Bavail) * int64(st.Bsize), int64(st.Blocks) * int64(st.Bsize), true
+}
+
+// Sizes returns the sizes of the files in the data folder.
+func (d *Disk) Sizes() Sizes {
+	size := d.size.Load()
+	return Sizes{Log: size, LogGrowth: size - d.initialSize.Load(), Snapshot: d.snapshotSize.Load()}
 }
 
 // Size returns the length of the current log file in bytes.
-func (d *Disk) Size() int64 { return d.size }
+func (d *Disk) Size() int64 { return d.size.Load() }
 
 // Close closes the log file and releases the lock on the folder.
 func (d *Disk) Close() error {
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -2,9 +2,13 @@
 
 import "github.com/vmihailenco/msgpack/v5"
 
-// retainedEntries is the number of entries that stay in memory before a snapshot's index, so that
-// a replica slightly behind is sent entries instead of the snapshot.
-const retainedEntries = 1024
+// retainedEntries is the number of entries that stay in memory before a snapshot's index, and
+// retainedBytes limits their size, so that a replica slightly behind is sent entries instead of the
+// snapshot.
+const (
+	retainedEntries = 1024
+	retainedBytes   = 4 << 20
+)
 
 // memLog is the recent part of the log, with the positions up to which it is committed, handed out
 // to be persisted and handed out to be applied.
@@ -149,10 +153,10 @@
 		return
 	}
 	l.snap = s
-	if s.Index < l.base+l.retain {
+	base := l.retainedFrom(s.Index)
+	if base == l.base {
 		return
 	}
-	base := s.Index - l.retain
 	if needed < base && needed >= l.base && entriesBytes(l.entries[needed-l.base:base-l.base]) <= pinnedBytes {
 		base = needed
 	}
@@ -163,6 +167,19 @@
 	l.rebaseConfigs(configAt{base, config})
 }
 
+// retainedFrom returns the index after which entries before index stay in memory.
+func (l *memLog) retainedFrom(index uint64) uint64 {
+	base, size := index, 0
+	for base > l.base && index-base < l.retain {
+		size += l.entries[base-l.base-1].bytes()
+		if size > retainedBytes {
+			break
+		}
+		base--
+	}
+	return base
+}
+
 func (l *memLog) rebaseConfigs(first configAt) {
 	configs := []configAt{first}
 	for _, c := range l.configs {
@@ -176,6 +193,13 @@
 // after returns the entries after an index that is still in memory.
 func (l *memLog) after(index uint64) []Entry { return l.entries[index-l.base:] }
 
+// holds reports whether consecutive entries are all part of the log.
+func (l *memLog) holds(entries []Entry) bool {
+	last := entries[len(entries)-1]
+	term, ok := l.term(last.Index)
+	return ok && term == last.Term
+}
+
 // restore replaces the whole log with a snapshot from the leader.
 func (l *memLog) restore(s Snapshot) {
 	*l = memLog{snap: s, base: s.Index, baseTerm: s.Term, committed: s.Index, applied: s.Index, handedOut: s.Index, retain: l.retain}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand"
 	"sync/atomic"
 	"time"
@@ -50,10 +51,18 @@
 	syncSeconds     = metrics.NewHistogram(`waxwinghaven_log_sync_seconds`)
 	snapshotSeconds = metrics.NewHistogram(`waxwinghaven_snapshot_seconds`)
 	snapshotBytes   = metrics.NewGauge(`waxwinghaven_snapshot_bytes`, nil)
+	logBytes        = metrics.NewGauge(`waxwinghaven_log_bytes`, nil)
+	diskFullGauge   = metrics.NewGauge(`waxwinghaven_disk_full`, nil)
 )
 
-// diskCheckTicks is the interval between checks of the free disk space.
-const diskCheckTicks = 20
+// The free disk space is checked after diskCheckTicks, and after diskCheckBytes were written.
+const (
+	diskCheckTicks = 20
+	diskCheckBytes = 1 << 20
+)
+
+// compactRetryInterval is the pause after an attempt to save a snapshot on a full disk.
+const compactRetryInterval = 2 * time.Second
 
 // maxBatch limits the proposals that share one sync of the disk.
 const maxBatch = 512
@@ -130,6 +139,9 @@
 	writes        chan write
 	written       chan write
 	diskFull      bool
+	diskSize      int64              // in bytes
+	checkedSize   int64              // size of the log file at the last check of the free space, in bytes
+	compactAfter  time.Time          // no snapshot is made before, as the last one did not fit
 	senders       map[uint64]Replica // senders of messages, by ID
 	view          atomic.Pointer[View]
 	startedAt     time.Time
@@ -181,6 +193,7 @@
 			return nil, Error.New("the snapshot cannot be read by this version (%v); start the version that wrote it", err)
 		}
 	}
+	n.checkDisk()
 	n.publishView()
 	return n, nil
 }
@@ -244,7 +257,35 @@
 func (n *Node) onTick() {
 	n.core.Tick()
 	if n.core.now%diskCheckTicks == 0 {
-		n.diskFull = n.opts.Disk.Full()
+		n.checkDisk()
+	}
+}
+
+// checkDisk looks at the free disk space.
+func (n *Node) checkDisk() {
+	sizes := n.opts.Disk.Sizes()
+	n.checkedSize = sizes.Log
+	free, size, ok := n.opts.Disk.Space()
+	if !ok {
+		size = math.MaxInt64 // unknown; a write that fails tells that the disk is full
+	}
+	n.diskSize, n.diskFull = size, ok && sizes.full(free, size)
+	logBytes.Set(float64(sizes.Log))
+	diskFullGauge.Set(boolGauge(n.diskFull))
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// checkDiskAfterWrite looks at the free disk space if much was written since the last look. A burst
+// of large entries must not use up the space that the next snapshot needs.
+func (n *Node) checkDiskAfterWrite() {
+	if n.opts.Disk.Sizes().Log >= n.checkedSize+diskCheckBytes {
+		n.checkDisk()
 	}
 }
 
@@ -355,12 +396,15 @@
 // would not free any, and everything acknowledged is already on disk. Meanwhile it does not act as
 // leader, so the others elect another one.
 func (n *Node) persist(rd Ready) error {
-	return n.retryWhenFull(n.persistOnce(rd), func() error { return n.persistOnce(rd) })
+	return n.retryWhenFull(n.persistOnce(rd), rd.Entries, func() error { return n.persistOnce(rd) })
 }
 
-// retryWhenFull repeats a save that ended with err for as long as the disk is full.
-func (n *Node) retryWhenFull(err error, save func() error) error {
+// retryWhenFull repeats a save of entries that ended with err for as long as the disk is full.
+func (n *Node) retryWhenFull(err error, entries []Entry, save func() error) error {
 	for errors.Is(err, ErrDiskFull) && n.waitForSpace() {
+		if rerr := n.reclaim(entries); rerr != nil {
+			return rerr
+		}
 		err = save()
 	}
 	return err
@@ -399,13 +443,14 @@
 // finishWrite reports a write that has ended to the core. On a full disk it repeats the write, as
 // persist does.
 func (n *Node) finishWrite(w write) error {
-	err := n.retryWhenFull(w.err, func() error { return n.save(w.hard, w.entries) })
+	err := n.retryWhenFull(w.err, w.entries, func() error { return n.save(w.hard, w.entries) })
 	last := w.entries[len(w.entries)-1]
 	if err != nil {
 		n.core.writing = false // it has returned, though not succeeded
 		return err
 	}
 	n.core.Persisted(last.Index, last.Term)
+	n.checkDiskAfterWrite()
 	return nil
 }
 
@@ -434,6 +479,7 @@
 	if err == nil && len(rd.Entries) > 0 {
 		last := rd.Entries[len(rd.Entries)-1]
 		n.core.Persisted(last.Index, last.Term)
+		n.checkDiskAfterWrite()
 	}
 	return err
 }
@@ -523,20 +569,36 @@
 	}
 }
 
-// maybeCompact starts a snapshot once SnapshotEntries were applied since the last one.
+// maybeCompact starts a snapshot if one is due.
 func (n *Node) maybeCompact() {
-	if n.core.applyPaused || n.applied < n.core.log.snap.Index+n.opts.SnapshotEntries || n.diskFull {
+	if n.core.applyPaused || !n.compactionDue() {
 		return
 	}
 	n.core.applyPaused = true
 	s := encodedSnapshot{Snapshot: n.core.SnapshotAt(n.applied)}
 	go func() {
-		defer snapshotSeconds.UpdateDuration(time.Now())
-		s.Data, s.err = n.opts.Machine.Snapshot()
+		n.encode(&s)
 		n.encoded <- s
 	}()
 }
 
+func (n *Node) encode(s *encodedSnapshot) {
+	defer snapshotSeconds.UpdateDuration(time.Now())
+	s.Data, s.err = n.opts.Machine.Snapshot()
+}
+
+// compactionDue reports whether a snapshot is due: after SnapshotEntries, or after so many bytes of
+// the log as the disk allows, or because it frees space on a full disk.
+func (n *Node) compactionDue() bool {
+	snapshot := n.core.log.snap.Index
+	if n.applied <= snapshot || time.Now().Before(n.compactAfter) {
+		return false
+	}
+	sizes := n.opts.Disk.Sizes()
+	return n.applied >= snapshot+n.opts.SnapshotEntries || sizes.LogGrowth >= sizes.logLimit(n.diskSize) ||
+		n.diskFull && sizes.reclaimable(n.diskSize)
+}
+
 // finishSnapshot replaces the applied part of the log with an encoded snapshot. It starts a new log
 // file, so the write under way must have ended.
 func (n *Node) finishSnapshot(s encodedSnapshot) error {
@@ -544,18 +606,50 @@
 	if err := n.awaitWrite(); err != nil {
 		return err
 	}
+	if s.Index <= n.core.log.snap.Index {
+		return nil // a later one was saved while this one waited for disk space
+	}
+	return n.saveSnapshot(s, n.core.log.last())
+}
+
+// saveSnapshot saves a snapshot and a new log file with the entries after it, up to an index.
+func (n *Node) saveSnapshot(s encodedSnapshot, last uint64) error {
 	if s.err != nil {
 		return Error.Wrap(s.err)
 	}
 	snapshotBytes.Set(float64(len(s.Data)))
-	n.core.Compact(s.Snapshot)
-	err := n.opts.Disk.SaveSnapshot(s.Snapshot, n.hardState(), n.core.log.after(s.Index))
+	err := n.opts.Disk.SaveSnapshot(s.Snapshot, n.hardState(), n.core.log.after(s.Index)[:last-s.Index])
 	if errors.Is(err, ErrDiskFull) {
-		// The old log is still present and in use; the next snapshot replaces it.
-		n.diskFull = true
+		// The old log is still present and in use.
+		n.diskFull, n.compactAfter = true, time.Now().Add(compactRetryInterval)
 		return nil
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	n.core.Compact(s.Snapshot)
+	n.checkDisk()
+	return nil
+}
+
+// reclaim saves a snapshot while the write of entries waits for space. Without it the write could
+// wait for good for space that only a snapshot frees. The new log file ends before these entries.
+func (n *Node) reclaim(entries []Entry) error {
+	if n.applied <= n.core.log.snap.Index || time.Now().Before(n.compactAfter) || !n.opts.Disk.Sizes().reclaimable(n.diskSize) {
+		return nil
+	}
+	if len(entries) == 0 || !n.core.log.holds(entries) {
+		return nil // the write continues an older log, and its entries must not follow the present one
+	}
+	var s encodedSnapshot
+	if n.core.applyPaused {
+		s = <-n.encoded
+		n.core.applyPaused = false
+	} else {
+		s.Snapshot = n.core.SnapshotAt(n.applied)
+		n.encode(&s)
+	}
+	return n.saveSnapshot(s, entries[0].Index-1)
 }
 
 // discardEncoding waits for a snapshot that is being encoded and discards it.
--- a/quorum/syncs.go
+++ b/quorum/syncs.go
@@ -35,3 +35,16 @@
 		(*o).Folder(dir)
 	}
 }
+
+// spaceOverride is set only by tests.
+var spaceOverride atomic.Pointer[func(dir string) (free, size int64)]
+
+// OverrideSpace replaces the free space and the size of all disks, in bytes, so that a test can
+// simulate small ones. nil removes the override.
+func OverrideSpace(f func(dir string) (free, size int64)) {
+	if f == nil {
+		spaceOverride.Store(nil)
+		return
+	}
+	spaceOverride.Store(&f)
+}
