runner: Conclude that a run never started only from complete lists

Cause: the agent's next process took what its first list did not name for never started. A list holds 500 ends; the others follow once these are acknowledged. The repeated start of such a run is rejected as old, which says that it has ended or was stopped there; the agent reported it as never started, and the leader placed the task again. The same conclusion was drawn when the agent itself found no room, when the run was to be stopped, in a cordon or a drain, after the stop of an unanswered start, for orphans, and for late runs on a worker's next incarnation.

Change: a list says whether it may be truncated, and each of these conclusions waits until all ends from before the session were listed, or for a complete list after the stop. Ends come in their order, so the first are known to be listed as well once an end of a run of this session is: no wait for good on a busy worker.

--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -211,6 +211,9 @@
 	return a.calls
 }
 
+// fuzzMaxListed is the number of ends that a worker lists at a time. Lists are truncated often.
+const fuzzMaxListed = 2
+
 // restartDelay is the time from a worker's crash until its next incarnation starts.
 const restartDelay = 3500 * time.Millisecond
 
@@ -219,6 +222,7 @@
 	for i := len(s.agents); n > 0; i, n = i+1, n-1 {
 		s.agents = append(s.agents, &agentProcess{host: standin.NewHost(fmt.Sprintf("w%d", i), restartDelay, fullCapacity)})
 		s.agents[i].host.SetGangs(s.gangs)
+		s.agents[i].host.SetMaxListed(fuzzMaxListed)
 		s.agents[i].host.SetAdmission(s.advisor.admits(s.isAdvised))
 		s.startAgent(i)
 	}
--- a/runner/ends.go
+++ b/runner/ends.go
@@ -31,6 +31,9 @@
 		delete(s.runs, key)
 		s.mu.Unlock()
 		end := jobs.End{Task: f.Task, Run: f.Run, Outcome: f.Outcome, Checkpoint: f.Checkpoint}
+		if r != nil && r.hasStarted() {
+			s.setListedAll() // it ended after the session began, and ends are listed in their order
+		}
 		if r != nil {
 			end.WorkMS = r.workMS()
 			orphan := r.isOrphan()
@@ -44,6 +47,23 @@
 	}
 }
 
+// recordListed records that a list was complete, once its ends have been processed.
+func (s *session) recordListed(reply HoldReply) {
+	if !reply.Truncated {
+		s.setListedAll()
+	}
+}
+
+// setListedAll records that the worker has listed all ends from before the session. Until then a
+// run that was neither listed nor started by this session may have ended there.
+func (s *session) setListedAll() {
+	select {
+	case <-s.listedAll:
+	default:
+		close(s.listedAll)
+	}
+}
+
 // checkRepeatedEnd checks an end whose number was seen before. The worker lists each end until
 // it is acknowledged. If the number belonged to another run, the list mixes numbers of
 // different starts of the worker, and this end is lost.
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -41,6 +41,7 @@
 	holdsToDrop    int           // lists to leave unanswered, each until its call times out
 	holds          int           // lists that were requested
 	starts         []StartCall
+	maxListed      int                // ends that a list holds, 0 for all
 	figures        map[string]float64 // figures of the runs, by job
 	paces          []receivedPace
 }
@@ -222,7 +223,11 @@
 	if w.callErr != nil {
 		return HoldReply{}, w.callErr
 	}
-	out := HoldReply{Reply: Reply{ClockMS: w.clock()}, Finished: append([]FinishedRun(nil), w.finished...)}
+	listed := w.finished
+	if w.maxListed > 0 {
+		listed = listed[:min(len(listed), w.maxListed)]
+	}
+	out := HoldReply{Reply: Reply{ClockMS: w.clock()}, Finished: append([]FinishedRun(nil), listed...), Truncated: w.maxListed > 0 && len(listed) == w.maxListed}
 	for key := range w.running {
 		out.Running = append(out.Running, RunningRun{Task: key.task, Run: key.run, Percent: 100, Measured: w.figures[key.task.Job]})
 	}
--- a/runner/fence.go
+++ b/runner/fence.go
@@ -151,6 +151,21 @@
 // one, and commits their ends as the previous incarnation's: a task that has completed here
 // must not be started again.
 func (s *session) resolveLateRuns() bool {
+	for {
+		if !s.stopLateRuns() || !s.commitLateEnds() {
+			return false
+		}
+		if !s.initial.Truncated {
+			return true
+		}
+		if !s.listAgain(s.cursor.Load()) {
+			return false
+		}
+	}
+}
+
+// stopLateRuns stops all runs in initial, and updates it until none is left.
+func (s *session) stopLateRuns() bool {
 	for len(s.initial.Running) > 0 {
 		for _, x := range s.initial.Running {
 			logrus.WithFields(logrus.Fields{"worker": s.worker, "task": x.Task.String(), "run": x.Run}).
@@ -160,18 +175,29 @@
 			}
 		}
 		s.sleep(callPause)
+		if !s.listAgain(0) {
+			return false
+		}
+	}
+	return true
+}
+
+// listAgain updates initial with a list that the worker returns after ends up to cursor have been
+// acknowledged. It returns false if the session ends first.
+func (s *session) listAgain(cursor uint64) bool {
+	for s.ctx.Err() == nil {
 		to := s.target()
-		reply, err := s.r.worker.Hold(HoldCall{Target: to})
+		reply, err := s.r.worker.Hold(HoldCall{Target: to, Cursor: cursor})
 		switch {
-		case s.ctx.Err() != nil:
-			return false
 		case err == nil && reply.Verdict == VerdictDone:
 			s.initial = reply
+			return s.ctx.Err() == nil
 		case err == nil && s.handleRefusal(reply.Verdict, to):
 			return false
 		}
+		s.sleep(callPause)
 	}
-	return s.commitLateEnds()
+	return false
 }
 
 // commitLateEnds commits the ends in initial as the previous incarnation's, even if the
@@ -183,6 +209,9 @@
 	}
 	var batch []endReport
 	for _, f := range s.initial.Finished {
+		if f.Number <= s.highestEnd {
+			continue // committed with an earlier list
+		}
 		logrus.WithFields(logrus.Fields{"worker": s.worker, "before": s.previous, "task": f.Task.String(), "run": f.Run, "how": f.How}).
 			Warn("runner: A run ordered for the previous incarnation has ended on this one.")
 		end := jobs.End{Task: f.Task, Run: f.Run, Outcome: f.Outcome, Checkpoint: f.Checkpoint}
@@ -193,6 +222,9 @@
 		s.mu.Unlock()
 	}
 	s.initial.Finished = nil
+	if len(batch) == 0 {
+		return true
+	}
 	a, ok := s.commit(s.previous, batch)
 	if ok && a.MaxLeaseMS > 0 && s.lastRegistered != s.worker && !s.announced().UniqueID {
 		ok = s.awaitLeaseExpiry(time.Duration(a.MaxLeaseMS) * time.Millisecond)
@@ -217,8 +249,8 @@
 }
 
 // adoptRuns takes over what the incarnation was running when it was fenced. No start of an
-// earlier session can take effect any more, so a run that is not listed was certainly never
-// started.
+// earlier session can take effect any more. A run that was never started is neither running nor
+// among the ends, of which the first list may hold only a part.
 func (s *session) adoptRuns() {
 	if len(s.initial.Running)+len(s.initial.Finished) > 0 {
 		logrus.WithFields(logrus.Fields{"worker": s.worker, "life": s.id, "before": s.previous, "running": len(s.initial.Running), "finished": len(s.initial.Finished),
@@ -229,5 +261,6 @@
 	}
 	s.renew(s.initial.ClockMS)
 	s.processEnds(s.initial)
+	s.recordListed(s.initial)
 	s.initial = HoldReply{}
 }
--- a/runner/orphans.go
+++ b/runner/orphans.go
@@ -77,6 +77,9 @@
 // removeEndedOrphans removes the orphans that a list no longer contains, neither running nor
 // ended: their ends were acknowledged before this session.
 func (s *session) removeEndedOrphans(reply HoldReply) {
+	if reply.Truncated {
+		return // they may be among the ends that are not listed yet
+	}
 	s.mu.Lock()
 	var removed []*run
 	for key, r := range s.runs {
--- a/runner/run.go
+++ b/runner/run.go
@@ -355,9 +355,14 @@
 			s.sleep(callPause)
 			continue
 		}
-		if !r.listed(reply) {
-			r.reportNeverStarted("stopped after an unanswered start")
+		if r.listed(reply) {
+			return
 		}
+		if reply.Truncated {
+			r.backOff()
+			continue
+		}
+		r.reportNeverStarted("stopped after an unanswered start")
 		return
 	}
 }
@@ -377,18 +382,45 @@
 	return false
 }
 
-func (r *run) listed(reply HoldReply) bool {
-	if listsRun(reply, r.key) {
-		return true
+// listed reports whether a list, or an earlier one, contains the run.
+func (r *run) listed(reply HoldReply) bool { return listsRun(reply, r.key) || r.hasEnded() }
+
+func (r *run) hasStarted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.started
+}
+
+func (r *run) hasEnded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
+// awaitListedAll waits until the worker has listed the ends of all runs that earlier sessions
+// started, and reports whether this run is not among them. It returns false if the session ends.
+func (r *run) awaitListedAll() bool {
+	for {
+		if r.hasEnded() {
+			return false
+		}
+		select {
+		case <-r.s.listedAll:
+			return !r.hasEnded()
+		case <-r.wake:
+		case <-r.s.ctx.Done():
+			return false
+		}
 	}
-	r.s.mu.Lock()
-	defer r.s.mu.Unlock()
-	return r.s.ended[r.key]
 }
 
-// reportNeverStarted reports to the control that the run certainly never started.
+// reportNeverStarted reports to the control that the run certainly never started. An earlier session
+// may have started it, and its end may not be listed yet: then there is nothing to report.
 func (r *run) reportNeverStarted(reason string) {
 	s := r.s
+	if !r.awaitListedAll() {
+		return
+	}
 	s.mu.Lock()
 	delete(s.runs, r.key)
 	s.markEnded(r.key)
--- a/runner/session.go
+++ b/runner/session.go
@@ -116,6 +116,7 @@
 	clockMS          int64     // the worker's clock in its last list
 	ackedCursor      uint64    // highest cursor that the worker has answered
 
+	listedAll  chan struct{} // closed once all ends from before the session have been processed
 	highestEnd uint64        // highest end listed by the worker
 	cursor     atomic.Uint64 // highest end known to be committed
 	acked      chan struct{}
@@ -126,7 +127,7 @@
 
 func newSession(ctx context.Context, r *Runner, a Announcement) *session {
 	s := &session{r: r, id: newSessionID(), worker: a.Worker, began: time.Now(), ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(r.without), paces: newPaceQueue(), progress: newProgress(),
-		probeRequests: make(chan struct{}, 1), reserveUsed: make(chan struct{}, 1), acked: make(chan struct{}, 1), ends: make(chan endReport, 1024), update: make(chan struct{}, 1), lease: make(chan struct{})}
+		probeRequests: make(chan struct{}, 1), reserveUsed: make(chan struct{}, 1), acked: make(chan struct{}, 1), ends: make(chan endReport, 1024), update: make(chan struct{}, 1), lease: make(chan struct{}), listedAll: make(chan struct{})}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	return s
 }
@@ -277,6 +278,7 @@
 		s.progress.record(time.Now(), reply.Running, s.pacer.slowedRuns())
 		s.processEnds(reply)
 		s.removeEndedOrphans(reply)
+		s.recordListed(reply)
 		if len(reply.Finished) > 0 {
 			// The worker answers immediately as long as it lists ends. Without this wait the
 			// loop would be busy while the control is unreachable.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -111,8 +111,11 @@
 // HoldReply lists the runs that are running and those that have ended.
 type HoldReply struct {
 	Reply
-	Running  []RunningRun  `json:"running"`
+	Running  []RunningRun  `json:"running"` // all of them
 	Finished []FinishedRun `json:"finished"`
+	// Truncated says that further ends may wait until those in Finished are acknowledged. Nothing
+	// follows then from the absence of a run.
+	Truncated bool `json:"truncated,omitempty"`
 }
 
 // RunningRun is a run that is running.
--- a/standin/host.go
+++ b/standin/host.go
@@ -20,6 +20,7 @@
 	current      *Runs // nil between two incarnations
 	incarnations []*Runs
 	longestLease time.Duration // the longest lease that an incarnation accepts
+	maxListed    int           // ends that an incarnation lists at a time
 	admits       func(runner.StartCall) bool
 	gangs        *Gangs
 }
@@ -28,7 +29,7 @@
 // after restartDelay. milliCPU is the initial capacity of each incarnation in thousandths of a
 // processor, 0 for no limit.
 func NewHost(name string, restartDelay time.Duration, milliCPU int64) *Host {
-	h := &Host{name: name, restartDelay: restartDelay, milliCPU: milliCPU, longestLease: defaultLongestLease}
+	h := &Host{name: name, restartDelay: restartDelay, milliCPU: milliCPU, longestLease: defaultLongestLease, maxListed: defaultMaxListed}
 	h.Replace()
 	return h
 }
@@ -43,6 +44,16 @@
 	}
 }
 
+// SetMaxListed sets how many ends the current incarnation and later ones list at a time.
+func (h *Host) SetMaxListed(ends int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.maxListed = ends
+	if h.current != nil {
+		h.current.SetMaxListed(ends)
+	}
+}
+
 // SetGangs sets the gangs that the runs of the current incarnation and later ones belong to.
 func (h *Host) SetGangs(g *Gangs) {
 	h.mu.Lock()
@@ -73,6 +84,7 @@
 	r.SetLongestLease(h.longestLease)
 	r.setAdmission(h.admits)
 	r.setGangs(h.gangs)
+	r.SetMaxListed(h.maxListed)
 	if h.milliCPU > 0 {
 		r.SetCapacity(h.milliCPU)
 	}
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -45,6 +45,7 @@
 	crashed       bool
 	capacities    []capacity    // oldest first, empty for no limit
 	longestLease  time.Duration // the longest lease that it accepts
+	maxListed     int           // how many ends it lists at a time
 	overcommitted []RunInterval
 	tailsUntil    time.Time     // up to when tails and uses have been simulated
 	longestOver   time.Duration // for which filling work kept a served run over its target
@@ -92,7 +93,17 @@
 
 // NewRuns returns a worker. The name of the incarnation must be unique.
 func NewRuns(worker string) *Runs {
-	return &Runs{worker: worker, started: time.Now(), tailsUntil: time.Now(), running: make(map[runID]*activeRun), fences: make(map[jobs.Ref]uint32), changed: make(chan struct{}), longestLease: defaultLongestLease}
+	return &Runs{worker: worker, started: time.Now(), tailsUntil: time.Now(), running: make(map[runID]*activeRun), fences: make(map[jobs.Ref]uint32), changed: make(chan struct{}), longestLease: defaultLongestLease, maxListed: defaultMaxListed}
+}
+
+// defaultMaxListed is the number of ends that a worker lists at a time by default.
+const defaultMaxListed = 500
+
+// SetMaxListed sets how many ends the worker lists at a time.
+func (w *Runs) SetMaxListed(ends int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.maxListed = ends
 }
 
 // SetLongestLease sets the longest lease that the worker accepts.
@@ -463,7 +474,8 @@
 	}
 	w.expire()
 	w.advance()
-	out := runner.HoldReply{Reply: runner.Reply{ClockMS: w.clock()}, Finished: append([]runner.FinishedRun{}, w.finished...)}
+	listed = min(len(w.finished), w.maxListed)
+	out := runner.HoldReply{Reply: runner.Reply{ClockMS: w.clock()}, Finished: append([]runner.FinishedRun{}, w.finished[:listed]...), Truncated: listed == w.maxListed}
 	for id, run := range w.running {
 		out.Running = append(out.Running, runner.RunningRun{Task: id.task, Run: id.run, Percent: run.percent(), Measured: run.measured()})
 	}
