control: Tell a renewal that knows of no starts from one that does not say

Cause: an agent renews its lease first as its session begins, before any order has arrived, with OrdersIndex 0. The leader took 0 for an agent of an earlier version that does not say which runs have started, so that all runs on the worker counted as started, and committed that with the worker's loss.

Change: a renewal says whether it reports starts. 0 from such an agent says nothing, and does not replace what an earlier session reported. On related paths: an agent reports starts only once all ends from before its session are listed, and a run that never started counts as such until that is committed; in between it was in neither list.

--- a/control/begun.go
+++ b/control/begun.go
@@ -14,16 +14,27 @@
 type begunReport struct {
 	ordersIndex uint64
 	unstarted   []jobs.Stop
+	unknown     bool // the agent's version does not say which runs have started
 }
 
-func newBegunReport(req *LeaseRequest) begunReport {
-	return begunReport{ordersIndex: req.OrdersIndex, unstarted: req.Unstarted}
+// recordBegun records what a renewal says about which runs have started. The first renewal of a
+// session says nothing, and what an earlier session has reported remains true: a session that has
+// just taken over its worker must not make jobs count as pending again. The caller holds the lock.
+func (d *dispatcher) recordBegun(req *LeaseRequest) {
+	b := begunReport{ordersIndex: req.OrdersIndex, unstarted: req.Unstarted}
+	if b.ordersIndex == 0 {
+		if _, reported := d.begun[req.Worker]; reported && req.ReportsStarts {
+			return
+		}
+		b.unknown = !req.ReportsStarts
+	}
+	d.begun[req.Worker] = b
 }
 
-// hasBegun reports whether a run on the worker had started when the report was made. A report of an
-// earlier version does not say, so all runs count.
+// hasBegun reports whether a run on the worker had started when the report was made. All runs count
+// if the agent's version does not say.
 func (b *begunReport) hasBegun(ref jobs.Ref, r *jobs.Placed) bool {
-	if b.ordersIndex == 0 {
+	if b.unknown {
 		return true
 	}
 	return r.Changed <= b.ordersIndex && !slices.Contains(b.unstarted, jobs.Stop{Task: ref, Run: r.Run})
--- a/control/begun_test.go
+++ b/control/begun_test.go
@@ -68,3 +68,58 @@
 		t.Errorf("%d jobs pending after the loss of the worker on which the job had begun", n)
 	}
 }
+
+// Guards against a job that counts as begun for good though its worker was lost before it started
+// anything: the first renewal of the agent's session, made before any order has arrived, says nothing.
+func TestFirstRenewalOfASessionDoesNotSayThatRunsHaveStarted(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	r := c.replicas[c.leader()]
+	if _, err := r.onSubmitJob(standingJob("00000000000000aa", 1)); err != nil {
+		t.Fatal(err)
+	}
+	ref := jobs.Ref{Job: "00000000000000aa"}
+	c.wait("run 1", func() (placed bool) {
+		r.machine.Read(func(s *State) { placed = s.Jobs.Group(ref).Tasks[0].On("w") != nil })
+		return placed
+	})
+	if _, err := r.onLease(LeaseRequest{WorkerRef: WorkerRef{"w", "1"}, ReportsStarts: true}); err != nil {
+		t.Fatal(err)
+	}
+	if n := queueLength(t, r); n != 1 {
+		t.Errorf("%d jobs pending after the first renewal", n)
+	}
+	c.wait("the worker's loss", func() bool { return !isRegistered(r, "w") })
+	if n := queueLength(t, r); n != 1 {
+		t.Errorf("%d jobs pending after the loss of a worker that started nothing", n)
+	}
+}
+
+// Guards against a job that counts as pending again though it has begun, as the agent's next process
+// does not know yet what its worker runs.
+func TestFirstRenewalOfASessionKeepsWhatTheEarlierOneReported(t *testing.T) {
+	c := newCluster(t)
+	c.prepareJobs(4)
+	r := c.replicas[c.leader()]
+	if _, err := r.onSubmitJob(standingJob("00000000000000aa", 1)); err != nil {
+		t.Fatal(err)
+	}
+	ref := jobs.Ref{Job: "00000000000000aa"}
+	index := uint64(0)
+	c.wait("run 1", func() bool {
+		r.machine.Read(func(s *State) {
+			if x := s.Jobs.Group(ref).Tasks[0].On("w"); x != nil {
+				index = x.Changed
+			}
+		})
+		return index > 0
+	})
+	for _, reported := range []uint64{index, 0} {
+		if _, err := r.onLease(LeaseRequest{WorkerRef: WorkerRef{"w", "1"}, OrdersIndex: reported, ReportsStarts: true}); err != nil {
+			t.Fatal(err)
+		}
+		if n := queueLength(t, r); n != 0 {
+			t.Errorf("%d jobs pending after a report up to %d", n, reported)
+		}
+	}
+}
--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -176,10 +176,14 @@
 	Degraded bool `msgpack:"i,omitempty"`
 	// Stuck holds runs that make no progress at full pace.
 	Stuck []jobs.Stop `msgpack:"k,omitempty"`
-	// OrdersIndex is the log index up to which the agent has received the worker's orders, 0 if it
-	// does not say. Unstarted holds the runs among them that are not known to have started.
+	// OrdersIndex is the log index up to which the agent has received the worker's orders, and knows
+	// which of the ordered runs have started. It is 0 if it does not know that of any yet, as in the
+	// first renewal of a session. Unstarted holds the runs among them that are not known to have
+	// started.
 	OrdersIndex uint64      `msgpack:"x,omitempty"`
 	Unstarted   []jobs.Stop `msgpack:"n,omitempty"`
+	// ReportsStarts is set by agents that fill in both fields. Those of earlier versions do not.
+	ReportsStarts bool `msgpack:"b,omitempty"`
 }
 
 // LeaseAnswer grants a term, which counts on the worker's own clock from a reading taken before
--- a/control/workers.go
+++ b/control/workers.go
@@ -105,7 +105,7 @@
 		defer d.wake()
 	}
 	d.clock.set(req.Worker, req.WallMS, now)
-	d.begun[req.Worker] = newBegunReport(req)
+	d.recordBegun(req)
 }
 
 // recordEnd learns from the end of a run. It reads the expected duration before the run itself is
--- a/runner/ends.go
+++ b/runner/ends.go
@@ -57,10 +57,17 @@
 // setListedAll records that the worker has listed all ends from before the session. Until then a
 // run that was neither listed nor started by this session may have ended there.
 func (s *session) setListedAll() {
+	if !s.hasListedAll() {
+		close(s.listedAll)
+	}
+}
+
+func (s *session) hasListedAll() bool {
 	select {
 	case <-s.listedAll:
+		return true
 	default:
-		close(s.listedAll)
+		return false
 	}
 }
 
@@ -150,6 +157,7 @@
 		for _, b := range batch {
 			endSeconds.UpdateDuration(b.at)
 		}
+		s.forgetRejected(batch)
 		if highest > 0 {
 			s.cursor.Store(max(s.cursor.Load(), highest))
 			select {
@@ -161,3 +169,12 @@
 	}
 	return a, false
 }
+
+// forgetRejected forgets the runs that never started once that is committed.
+func (s *session) forgetRejected(committed []endReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range committed {
+		delete(s.rejected, runKey{b.end.Task, b.end.Run})
+	}
+}
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -394,6 +394,7 @@
 	updates       int      // registrations of sessions that had registered before
 	unresponsive  []string // workers reported as unresponsive
 	down          bool     // does not answer
+	endsFail      bool     // does not commit ends
 	cordoned      bool     // the worker's data centre is out of service
 	termMS        int64
 	changed       chan struct{}
@@ -505,6 +506,13 @@
 	c.down = down
 }
 
+// failEnds makes the control refuse ends.
+func (c *fakeControl) failEnds(fail bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endsFail = fail
+}
+
 func (c *fakeControl) ended(key runKey) (jobs.Outcome, int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -568,6 +576,9 @@
 		}
 		c.endedWorkers = append(c.endedWorkers, q.Worker)
 	case *control.RunEnds:
+		if c.endsFail {
+			return refusal.New(refusal.DiskFull, "", "ends are not committed")
+		}
 		resp.(*control.EndsAnswer).MaxLeaseMS = c.maxLeaseMS
 		for _, e := range q.Ends {
 			if e.Outcome == jobs.OutcomeRejected && q.Session != c.session {
--- a/runner/grant.go
+++ b/runner/grant.go
@@ -17,6 +17,7 @@
 	req.Degraded = s.pacer.isDegraded()
 	req.PairsSeen = s.pairsRevision.Load()
 	req.OrdersIndex, req.Unstarted = s.unstarted()
+	req.ReportsStarts = true
 	if s.sendKnown.Load() {
 		req.KnownPairs = s.pacer.known()
 	}
@@ -47,11 +48,18 @@
 }
 
 // unstarted returns the log index up to which orders have been received, and the runs among them that
-// are not known to have started.
+// are not known to have started. The index is 0 as long as the worker may not have listed all runs
+// that ended before the session began.
 func (s *session) unstarted() (index uint64, list []jobs.Stop) {
+	if !s.hasListedAll() {
+		return 0, nil
+	}
 	index = s.ordersIndex.Load() // before the runs are listed
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for key := range s.rejected {
+		list = append(list, jobs.Stop{Task: key.task, Run: key.run})
+	}
 	for key, r := range s.runs {
 		r.mu.Lock()
 		if r.ordered && !r.started && !r.ended {
--- a/runner/grant_test.go
+++ b/runner/grant_test.go
@@ -32,3 +32,40 @@
 		}
 	})
 }
+
+// Guards against a run that counts as started while the report that it never started is not committed.
+func TestRejectedRunCountsAsUnstartedUntilItsEndIsCommitted(t *testing.T) {
+	withBench(t, func(t *testing.T, b *bench) {
+		b.ctl.failEnds(true)
+		b.worker.fail(0, VerdictNoCapacity)
+		b.ctl.give(startOf(runA1))
+		time.Sleep(2 * renewInterval)
+		r := b.ctl.lastRenewal()
+		if len(r.Unstarted) != 1 || r.OrdersIndex == 0 || !r.ReportsStarts {
+			t.Errorf("before the commit: orders up to %d, not started %+v", r.OrdersIndex, r.Unstarted)
+		}
+		b.ctl.failEnds(false)
+		time.Sleep(2 * renewInterval)
+		if r := b.ctl.lastRenewal(); len(r.Unstarted) != 0 {
+			t.Errorf("after the commit: not started %+v", r.Unstarted)
+		}
+	})
+}
+
+// Guards against runs that count as not started though they have ended: the agent's next process does
+// not know all ends yet.
+func TestRenewalsSayNothingUntilAllEndsAreListed(t *testing.T) {
+	withBench(t, func(t *testing.T, b *bench) {
+		keys := b.startedRuns(4 * listedEnds)
+		b.restartAgent(keys, func() { b.ctl.failEnds(true) })
+		time.Sleep(2 * renewInterval)
+		if r := b.ctl.lastRenewal(); r.OrdersIndex != 0 || len(r.Unstarted) != 0 {
+			t.Errorf("with a truncated list: orders up to %d, not started %+v", r.OrdersIndex, r.Unstarted)
+		}
+		b.ctl.failEnds(false)
+		time.Sleep(3 * time.Second)
+		if r := b.ctl.lastRenewal(); r.OrdersIndex == 0 {
+			t.Error("the agent does not say which runs have started once all ends are listed")
+		}
+	})
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -423,6 +423,7 @@
 	}
 	s.mu.Lock()
 	delete(s.runs, r.key)
+	s.rejected[r.key] = true
 	s.markEnded(r.key)
 	s.mu.Unlock()
 	logrus.WithFields(logrus.Fields{"task": r.key.task.String(), "run": r.key.run, "reason": reason}).Info("runner: A run never started.")
--- a/runner/session.go
+++ b/runner/session.go
@@ -68,6 +68,7 @@
 	mu         sync.Mutex
 	ann        Announcement
 	runs       map[runKey]*run
+	rejected   map[runKey]bool // runs that never started, until that is committed
 	ended      map[runKey]bool // recent ends that were listed or reported
 	endedOrder []runKey        // keys of ended, oldest first
 	leaseEnd   int64           // on the worker's clock, ms
@@ -126,7 +127,7 @@
 }
 
 func newSession(ctx context.Context, r *Runner, a Announcement) *session {
-	s := &session{r: r, id: newSessionID(), worker: a.Worker, began: time.Now(), ann: a, runs: make(map[runKey]*run), ended: make(map[runKey]bool), pacer: newPacer(r.without), paces: newPaceQueue(), progress: newProgress(),
+	s := &session{r: r, id: newSessionID(), worker: a.Worker, began: time.Now(), ann: a, runs: make(map[runKey]*run), rejected: make(map[runKey]bool), ended: make(map[runKey]bool), pacer: newPacer(r.without), paces: newPaceQueue(), progress: newProgress(),
 		probeRequests: make(chan struct{}, 1), reserveUsed: make(chan struct{}, 1), acked: make(chan struct{}, 1), ends: make(chan endReport, 1024), update: make(chan struct{}, 1), lease: make(chan struct{}), listedAll: make(chan struct{})}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	return s
