dispatch: One account of the tasks that are away by order

Cause: upkeep, moves off machines and data centres, regrouping and moves of machines each counted for itself what is away. A task on a machine that was ordered down counted as available for all but upkeep until its worker was noticed to be gone, and machines just moved were counted by nobody. Decisions of the same moment did not see each other.

Change: dispatch.Absences says for all of them which tasks are away though they are placed: on machines ordered down or to another pool, from the commit of the order on, and on workers silent for 2 s (a lease of 5 s is longer than callers take to notice). Moves are committed before they are sent. No two such decisions are made between a state and the commit of the first. Steps without a task on the worker to be stopped no longer hold a wave up, and unconfirmed orders wait for earlier ones only.

--- a/control/agentcalls.go
+++ b/control/agentcalls.go
@@ -35,9 +35,6 @@
 	if err := r.checkService(&w.Worker); err != nil {
 		return Registered{}, err
 	}
-	if w.Crash != nil && r.waves.moved(w.Crash.Worker) {
-		w.Crash = nil
-	}
 	r.dispatcher.commitBegun(r.replacedBy(&w))
 	v, err := r.proposeJob(JobCommand{Register: &w})
 	if err != nil {
--- a/control/apply_jobs.go
+++ b/control/apply_jobs.go
@@ -21,6 +21,7 @@
 	Began    []string      `msgpack:"b,omitempty"` // ids of jobs of which a task has started
 	Wave     *StartWave    `msgpack:"w,omitempty"`
 	Marks    []upkeep.Mark `msgpack:"m,omitempty"`
+	Move     *upkeep.Move  `msgpack:"v,omitempty"`
 }
 
 // planResult counts a plan's placements that took effect and those that were stale.
@@ -53,6 +54,8 @@
 		return nil, s.Waves.ApplyStart(c.Wave.Wave, c.Wave.AtMS)
 	case c.Marks != nil:
 		s.Waves.ApplyMarks(c.Marks)
+	case c.Move != nil:
+		s.Waves.ApplyMove(*c.Move)
 	case c.Forget != nil:
 		s.Jobs.ApplyForget(c.Forget)
 	case c.Began != nil:
@@ -118,8 +121,8 @@
 }
 
 // register applies the registration of a worker and the crash of the previous incarnation. The
-// end of a worker that was draining, or that an upkeep wave took down, does not count as a crash
-// of its tasks.
+// end of a worker that was draining, or that an upkeep wave or a move of its machine took down, does
+// not count as a crash of its tasks.
 func (s *State) register(r *Registration, index uint64) (registerResult, error) {
 	if err := s.Jobs.Outdated(&r.Worker, r.Update); err != nil {
 		return registerResult{}, err
@@ -127,7 +130,7 @@
 	crash := r.Crash
 	if crash != nil {
 		old := s.Jobs.Workers[crash.Worker]
-		if (old != nil && old.Draining) || s.Waves.StoppedForUpkeep(crash.Worker) {
+		if (old != nil && old.Draining) || s.Waves.StoppedForUpkeep(crash.Worker) || s.Waves.Moved(crash.Worker) {
 			crash = nil
 		}
 	}
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -183,6 +183,8 @@
 		workersIsolated.Set(0)
 		return
 	}
+	d.r.ordering.Lock()
+	defer d.r.ordering.Unlock()
 	begun := time.Now()
 	var plan jobs.Plan
 	var report dispatch.Report
@@ -247,7 +249,25 @@
 // input returns the input of a dispatch decision.
 func (d *dispatcher) input(s *State) dispatch.Input {
 	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, DataCentres: s.DataCentres, NowMS: d.nowMS(), Costs: d.costs.At(time.Now()), Estimates: d.durationModel.Estimates(),
-		Ticket: d.advice.ticket, Leaving: s.Waves.Leaving(), Reserved: d.reservedCPU(), Disabled: d.r.without}
+		Ticket: d.advice.ticket, Leaving: s.Waves.Leaving(), Absences: d.absences(s), Reserved: d.reservedCPU(), Disabled: d.r.without}
+}
+
+// silentAfter is the time without a renewal of its lease after which a worker's tasks count as
+// unavailable: several renewals, and less than callers take to notice.
+const silentAfter = 2 * time.Second
+
+// absences returns which standing tasks are unavailable although they are placed. The result may be
+// used as long as the caller reads the state.
+func (d *dispatcher) absences(s *State) dispatch.Absences {
+	return dispatch.Absences{Ending: s.Waves.Ending(), Silent: func(worker string) bool {
+		w := s.Jobs.Workers[worker]
+		if w == nil {
+			return true
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.leases.SinceGrant(holderOf(w), time.Now()) > silentAfter
+	}}
 }
 
 // passInput is input for a pass and for what must agree with it on the workers that can take a task.
--- a/control/replica.go
+++ b/control/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -39,6 +40,9 @@
 	// dispatcher places callers' jobs while this replica leads.
 	dispatcher *dispatcher
 	waves      *waves
+	// ordering is held from a decision to end standing tasks until its commit. Two decisions made
+	// from the same state could together end more tasks of a step than its caller allows.
+	ordering   sync.Mutex
 	links      *links
 	setMonitor replicaSetMonitor
 	shared     *sharedBarrier
--- a/control/waves.go
+++ b/control/waves.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -77,36 +76,6 @@
 	term   uint64
 	since  time.Time // when this leadership was noticed
 	fenced bool      // a later leader has given orders
-	// movedWorkers holds the workers whose machines this leader has moved, and when: their runs
-	// ended by order and not by a crash.
-	movedWorkers map[string]time.Time
-}
-
-// movedMemory is how long a moved worker is remembered: far longer than a move takes.
-const movedMemory = time.Minute
-
-// recordMoved records that the worker on a listed machine ends because the machine is moved.
-func (w *waves) recordMoved(list []upkeep.Machine, machine string) {
-	now := time.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.movedWorkers == nil {
-		w.movedWorkers = make(map[string]time.Time)
-	}
-	maps.DeleteFunc(w.movedWorkers, func(_ string, at time.Time) bool { return now.Sub(at) > movedMemory })
-	for _, x := range list {
-		if x.Name == machine && x.Worker != "" {
-			w.movedWorkers[x.Worker] = now
-		}
-	}
-}
-
-// moved reports whether a worker ended because its machine was moved.
-func (w *waves) moved(worker string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	_, ended := w.movedWorkers[worker]
-	return ended
 }
 
 // SetMachines sets the platform's interface for machines. A new leader gives no orders for the
@@ -165,12 +134,12 @@
 		logrus.Warnf("control: The platform did not list its machines: %v.", err)
 		return
 	}
-	d := w.decide(list)
+	d, err := w.decideAndCommit(list)
+	if err != nil {
+		logrus.Warnf("control: Could not commit a wave's progress: %v.", err)
+		return
+	}
 	if len(d.Marks) > 0 {
-		if _, err := w.r.proposeJob(JobCommand{Marks: d.Marks}); err != nil {
-			logrus.Warnf("control: Could not commit a wave's progress: %v.", err)
-			return
-		}
 		for _, m := range d.Marks {
 			logrus.WithFields(logrus.Fields{"wave": m.Wave, "machine": m.Machine, "phase": m.Phase.String(), "worker": m.Worker}).Info("control: A wave goes on.")
 		}
@@ -209,13 +178,34 @@
 	return list, nil
 }
 
+// decideAndCommit makes a decision and commits its marks.
+func (w *waves) decideAndCommit(list []upkeep.Machine) (d upkeep.Decision, err error) {
+	w.r.ordering.Lock()
+	defer w.r.ordering.Unlock()
+	d = w.decide(list)
+	if len(d.Marks) > 0 {
+		_, err = w.r.proposeJob(JobCommand{Marks: d.Marks})
+	}
+	return d, err
+}
+
 // decide makes the decision from the current state, without side effects.
 func (w *waves) decide(list []upkeep.Machine) (d upkeep.Decision) {
 	now := w.r.dispatcher.nowMS()
 	w.r.machine.Read(func(s *State) {
 		d = upkeep.Next(upkeep.Input{State: s.Waves, Machines: list, NowMS: now, Upkeep: w.upkeepTime(),
-			Empty:   func(worker string) bool { return len(s.Jobs.RunsOn(worker)) == 0 },
-			MayStop: func(workers ...string) bool { return dispatch.MayStop(s.Jobs, workers, now) }})
+			Empty: func(worker string) bool { return len(s.Jobs.RunsOn(worker)) == 0 },
+			MayStop: func(worker string, down []string) bool {
+				a := w.r.dispatcher.absences(s)
+				a.Ending = make(map[string]bool)
+				for other := range s.Waves.Moving {
+					a.Ending[other] = true
+				}
+				for _, other := range down {
+					a.Ending[other] = true
+				}
+				return dispatch.MayStop(s.Jobs, worker, now, a)
+			}})
 	})
 	return d
 }
@@ -353,31 +343,52 @@
 	if err != nil {
 		return refusal.New(refusal.Unreachable, "check the platform's interface for machines", "the machines can't be listed: %v", err)
 	}
-	if !w.mayEnd(list, m.Machine) {
-		return refusal.New(refusal.Conflict, "wait until its standing tasks are at work elsewhere", "machine %s runs standing tasks that their caller can't spare now", m.Machine)
-	}
 	if err := w.r.confirmedLeader(); err != nil {
 		return err
 	}
-	w.recordMoved(list, m.Machine)
+	worker := workerOn(list, m.Machine)
+	if err := w.commitMove(m, worker); err != nil {
+		return err
+	}
 	v, err := w.machines.Move(ctx, MachineOrder{Machine: m.Machine, Pool: m.Pool, Holder: w.r.self.Name, Token: token})
 	if err != nil {
 		return refusal.New(refusal.UnknownOutcome, "send the same again", "the platform did not answer: %v", err)
 	}
 	logrus.WithFields(logrus.Fields{"machine": m.Machine, "pool": m.Pool, "token": token, "verdict": v.String()}).Info("control: The platform answered a move order.")
+	if v != MachineDone && worker != "" {
+		refused := upkeep.Move{Worker: worker, AtMS: w.r.dispatcher.nowMS(), Refused: true}
+		if _, err := w.r.proposeJob(JobCommand{Move: &refused}); err != nil {
+			logrus.WithField("machine", m.Machine).Warnf("control: Could not commit that a move was refused: %v.", err)
+		}
+	}
 	return moveRefusal(m, v)
 }
 
-// mayEnd reports whether the worker on a listed machine may be ended now.
-func (w *waves) mayEnd(list []upkeep.Machine, machine string) (may bool) {
-	now := w.r.dispatcher.nowMS()
-	may = true
+// workerOn returns the worker on a listed machine, "" for none.
+func workerOn(list []upkeep.Machine, machine string) string {
 	for _, x := range list {
-		if x.Name == machine && x.Worker != "" {
-			w.r.machine.Read(func(s *State) { may = dispatch.MayStop(s.Jobs, append(s.Waves.Ordered(), x.Worker), now) })
+		if x.Name == machine {
+			return x.Worker
 		}
 	}
-	return may
+	return ""
+}
+
+// commitMove commits that the worker on a machine ends because of a move, unless its standing tasks
+// can't be spared now.
+func (w *waves) commitMove(m MachineMove, worker string) error {
+	if worker == "" {
+		return nil
+	}
+	w.r.ordering.Lock()
+	defer w.r.ordering.Unlock()
+	now, may := w.r.dispatcher.nowMS(), false
+	w.r.machine.Read(func(s *State) { may = dispatch.MayStop(s.Jobs, worker, now, w.r.dispatcher.absences(s)) })
+	if !may {
+		return refusal.New(refusal.Conflict, "wait until its standing tasks are at work elsewhere", "machine %s runs standing tasks that their caller can't spare now", m.Machine)
+	}
+	_, err := w.r.proposeJob(JobCommand{Move: &upkeep.Move{Worker: worker, AtMS: now}})
+	return err
 }
 
 // moveRefusal returns the refusal for a verdict on a move, nil if it was carried out.
--- a/control/waves_test.go
+++ b/control/waves_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
+	"github.com/waxwinghaven/waxwinghaven/resource"
 	"github.com/waxwinghaven/waxwinghaven/upkeep"
 )
 
@@ -235,3 +236,39 @@
 	register(jobs.Worker{ID: "w#3", Session: "3"})
 	want("w#3")
 }
+
+// Guards against a second move of a machine that ends a standing task while those of the first machine
+// are away, though its worker is still registered.
+func TestMoveCountsTheTasksOfMachinesThatWereJustMoved(t *testing.T) {
+	p := &platformMachines{downs: make(map[string]int), list: []upkeep.Machine{
+		{Name: "m0", Pool: "vault", Up: true, Worker: "w"}, {Name: "m1", Pool: "vault", Up: true, Worker: "w1"}}}
+	c := newClusterWith(t, "20ms", func(r *Replica) { r.SetMachines(p, 10*time.Millisecond) })
+	c.prepareJobs(4)
+	second := Registration{Worker: jobs.Worker{ID: "w1", Agent: "a1", Session: "1", Service: "vault", Capacity: resource.Vector{MilliCPU: 4000}}}
+	if err := c.untilAnswered(func(l int) error { _, err := c.replicas[l].onRegister(second); return err }); err != nil {
+		t.Fatal(err)
+	}
+	renew := func() {
+		if l := c.leader(); l >= 0 {
+			for worker, session := range map[string]string{"w": "1", "w1": "1"} {
+				c.replicas[l].onLease(LeaseRequest{WorkerRef: WorkerRef{worker, session}, WallMS: time.Now().UnixMilli(), ReportsStarts: true})
+			}
+		}
+	}
+	job := standingJob("00000000000000aa", 3)
+	job.Spec.Steps[0].Count, job.Spec.Steps[0].MaxUnavailable = 2, 1
+	if err := c.untilAnswered(func(l int) error { renew(); _, err := c.replicas[l].onSubmitJob(job); return err }); err != nil {
+		t.Fatal(err)
+	}
+	move := func(machine string) error {
+		return c.untilAnswered(func(l int) error {
+			renew()
+			_, err := c.replicas[l].MoveMachine(MachineMove{Machine: machine, Pool: "other"})
+			return err
+		})
+	}
+	c.wait("the first move is accepted", func() bool { time.Sleep(50 * time.Millisecond); return move("m0") == nil })
+	if err := move("m1"); !refusal.Is(err, refusal.Conflict) {
+		t.Errorf("a second move while the tasks of the first machine are away: %v", err)
+	}
+}
--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -12,45 +11,75 @@
 // late.
 const settleTime = 4 * time.Second
 
-// MayStop reports whether the system may stop workers that are all down at the same time: no step
-// then has more unavailable standing tasks than its caller allows. Tasks that are unavailable for
-// any reason count, since a restart and a crash that are each tolerable could together exceed the
-// limit.
-func MayStop(s *jobs.State, workers []string, nowMS int64) bool {
-	ending := make(map[jobs.GroupKey]int)
-	for _, worker := range workers {
-		for _, ref := range s.RunsOn(worker) {
-			if limitsUnavailable(s.Group(ref).Step()) {
-				ending[ref.Group()]++
-			}
-		}
+// Absences tells which runs do not count as available although the state has them placed. All that
+// ends standing tasks by an order relies on it: upkeep, moves of machines and of tasks. Orders that
+// are each tolerable could together exceed what a step's caller allows. The zero value knows none.
+type Absences struct {
+	// Ending workers are on machines that were ordered to go down or to another pool, and will end
+	// at any moment or have ended.
+	Ending map[string]bool
+	// Silent reports whether a worker has not renewed its lease for so long that its tasks may not
+	// be running. Nil means never.
+	Silent func(worker string) bool
+}
+
+// without returns the absences as if a worker were not ending.
+func (a Absences) without(worker string) Absences {
+	if !a.Ending[worker] {
+		return a
 	}
-	for key, n := range ending {
-		g := s.Group(jobs.Ref{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step})
-		if g.Job().Phase.Over() {
-			continue
-		}
-		if unavailable(g, nowMS, workers...)+n > g.Step().MaxUnavailable {
-			return false
+	ending := make(map[string]bool, len(a.Ending))
+	for w := range a.Ending {
+		if w != worker {
+			ending[w] = true
 		}
 	}
-	return true
+	a.Ending = ending
+	return a
 }
 
-// limitsUnavailable reports whether a step's caller limits how many tasks may be unavailable.
-func limitsUnavailable(st *jobs.Step) bool { return st.Standing && st.MaxUnavailable > 0 }
+// unavailable reports whether a task with the given run, nil for none, is unavailable.
+func (a Absences) unavailable(r *jobs.Placed, nowMS int64) bool {
+	if r == nil || r.Stopping || nowMS-r.AtMS < settleTime.Milliseconds() {
+		return true
+	}
+	return a.Ending[r.Worker] || (a.Silent != nil && a.Silent(r.Worker))
+}
 
-// unavailable counts the tasks of a group that are not running, except those on the given workers.
-func unavailable(g *jobs.Group, nowMS int64, except ...string) int {
-	n := 0
+// count returns the number of unavailable tasks of a group.
+func (a Absences) count(g *jobs.Group, nowMS int64) (n int) {
 	for i := range g.Tasks {
-		r := g.Tasks[i].Placed
-		if r != nil && slices.Contains(except, r.Worker) {
-			continue
-		}
-		if r == nil || r.Stopping || nowMS-r.AtMS < settleTime.Milliseconds() {
+		if a.unavailable(g.Tasks[i].Placed, nowMS) {
 			n++
 		}
 	}
 	return n
 }
+
+// MayStop reports whether the system may stop a worker: no step then has more unavailable standing
+// tasks than its caller allows, whatever they are unavailable for. A restart and a crash that are
+// each tolerable could together exceed the limit.
+func MayStop(s *jobs.State, worker string, nowMS int64, a Absences) bool {
+	a = a.without(worker)
+	seen := make(map[jobs.GroupKey]bool)
+	for _, ref := range s.RunsOn(worker) {
+		g := s.Group(ref)
+		if !limitsUnavailable(g.Step()) || g.Job().Phase.Over() || seen[ref.Group()] {
+			continue
+		}
+		seen[ref.Group()] = true
+		n := 0
+		for i := range g.Tasks {
+			if r := g.Tasks[i].Placed; (r != nil && r.Worker == worker) || a.unavailable(r, nowMS) {
+				n++
+			}
+		}
+		if n > g.Step().MaxUnavailable {
+			return false
+		}
+	}
+	return true
+}
+
+// limitsUnavailable reports whether a step's caller limits how many tasks may be unavailable.
+func limitsUnavailable(st *jobs.Step) bool { return st.Standing && st.MaxUnavailable > 0 }
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -80,8 +80,19 @@
 	g := p.in.Jobs.Group(ref)
 	return func(s *jobs.Step) bool {
 		if limitsUnavailable(s) {
-			return unavailable(g, p.in.NowMS)+p.moved[ref.Group()] < s.MaxUnavailable
+			return p.otherAbsences(g, ref, worker)+p.moved[ref.Group()] < s.MaxUnavailable
 		}
 		return s.Standing || (s.Checkpointing && p.in.Leaving[worker])
 	}
 }
+
+// otherAbsences counts the unavailable tasks of a group beside one that runs on a worker, and that one
+// if it is unavailable for another reason than that its worker is ending.
+func (p *planner) otherAbsences(g *jobs.Group, ref jobs.Ref, worker string) int {
+	n := p.in.Absences.count(g, p.in.NowMS)
+	r := g.Tasks[ref.Index].Placed
+	if p.in.Absences.unavailable(r, p.in.NowMS) && !p.in.Absences.without(worker).unavailable(r, p.in.NowMS) {
+		n--
+	}
+	return n
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -59,6 +59,8 @@
 	Avoided map[string]bool
 	// Leaving workers get no new tasks either: their machines are about to go down.
 	Leaving map[string]bool
+	// Absences tells which standing tasks are unavailable although they are placed.
+	Absences Absences
 	// DataCentres tells which data centres are out of service, nil for none.
 	DataCentres *datacentre.State
 	// Reserved is the CPU reserved, by service, for standing tasks of jobs that are being
--- a/dispatch/regroup.go
+++ b/dispatch/regroup.go
@@ -50,7 +50,7 @@
 		for _, g := range j.Groups {
 			if st := g.Step(); st.Standing && st.TargetMS > 0 {
 				served += len(g.Tasks)
-				missing += unavailable(g, p.in.NowMS)
+				missing += p.in.Absences.count(g, p.in.NowMS)
 			}
 		}
 	}
@@ -92,7 +92,7 @@
 	if p.in.NowMS-r.AtMS < settleTime.Milliseconds() {
 		return false
 	}
-	missing := unavailable(g, p.in.NowMS) + p.moved[ref.Group()]
+	missing := p.in.Absences.count(g, p.in.NowMS) + p.moved[ref.Group()]
 	return missing == 0 || (limitsUnavailable(st) && missing < st.MaxUnavailable)
 }
 
--- a/upkeep/next.go
+++ b/upkeep/next.go
@@ -1,9 +1,6 @@
 package upkeep
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Machine is a machine as the platform lists it.
 type Machine struct {
@@ -24,11 +21,11 @@
 	NowMS    int64
 	// Upkeep is how long a machine is down for its upkeep.
 	Upkeep time.Duration
-	// Empty reports whether nothing runs on a worker. MayStop reports whether workers may be down
-	// together: they may not while this would make more standing tasks of a step unavailable
+	// Empty reports whether nothing runs on a worker. MayStop reports whether a worker may be down
+	// beside others: it may not while this would make more standing tasks of a step unavailable
 	// than its caller allows.
 	Empty   func(worker string) bool
-	MayStop func(workers ...string) bool
+	MayStop func(worker string, down []string) bool
 }
 
 // Decision is what to commit, and the orders to send to the platform after the commit.
@@ -101,7 +98,7 @@
 			d.down = append(d.down, p.Worker)
 			mark(Ordered, "")
 			d.Orders = append(d.Orders, Order{r.Wave.Number, p.Machine})
-		case p.Phase == Ordered && in.mayStop(p.Worker):
+		case p.Phase == Ordered && in.mayStop(p.Worker, in.State.orderedBefore(r, i)):
 			// It is unknown whether an earlier order was carried out. Orders are
 			// idempotent and can be sent again.
 			d.Orders = append(d.Orders, Order{r.Wave.Number, p.Machine})
@@ -116,8 +113,8 @@
 }
 
 // mayStop reports whether the order to stop a worker may be sent again.
-func (in *Input) mayStop(worker string) bool {
-	return worker == "" || in.Empty(worker) || in.MayStop(worker)
+func (in *Input) mayStop(worker string, down []string) bool {
+	return worker == "" || in.Empty(worker) || in.MayStop(worker, down)
 }
 
 // readyToStop reports whether a machine that is being emptied can go down beside those that are
@@ -126,7 +123,7 @@
 	if p.Worker == "" || in.Empty(p.Worker) {
 		return true
 	}
-	return in.timeInPhase(p) >= in.drainTime(r, p.SinceMS) && in.MayStop(append(slices.Clone(down), p.Worker)...)
+	return in.timeInPhase(p) >= in.drainTime(r, p.SinceMS) && in.MayStop(p.Worker, down)
 }
 
 // drainTime returns how long a machine may take to become empty without delaying the wave: its share
--- a/upkeep/state.go
+++ b/upkeep/state.go
@@ -12,6 +12,9 @@
 // State holds all waves, by number.
 type State struct {
 	Waves map[uint64]*WaveProgress `msgpack:"w"`
+	// Moving holds the workers whose machines were ordered to another pool, and when, in milliseconds
+	// since 1970.
+	Moving map[string]int64 `msgpack:"v,omitempty"`
 }
 
 // NewState returns a state without waves.
@@ -142,6 +145,65 @@
 	return out
 }
 
+// orderedBefore returns the workers on machines that were ordered to go down and are not noted as
+// back, but for those of machines whose order is unconfirmed and that follow the i-th of a wave. Two
+// machines whose workers have restarted since their orders would otherwise wait for each other.
+func (s *State) orderedBefore(r *WaveProgress, i int) (out []string) {
+	for _, n := range s.numbers() {
+		for k := range s.Waves[n].Machines {
+			p := &s.Waves[n].Machines[k]
+			before := n < r.Wave.Number || (n == r.Wave.Number && k < i)
+			if p.Worker != "" && (p.Phase == Down || (p.Phase == Ordered && before)) {
+				out = append(out, p.Worker)
+			}
+		}
+	}
+	return out
+}
+
+// Move is an order to put the machine of a worker into another pool, or, if Refused is set, the
+// platform's refusal of it.
+type Move struct {
+	Worker  string `msgpack:"w"`
+	AtMS    int64  `msgpack:"a"`
+	Refused bool   `msgpack:"r,omitempty"`
+}
+
+// moveMemoryMS is how long a moved worker is remembered, in milliseconds: far longer than a move
+// takes and than it takes to notice its end.
+const moveMemoryMS = 60_000
+
+// ApplyMove records an order to move a machine, before it is sent.
+func (s *State) ApplyMove(m Move) {
+	maps.DeleteFunc(s.Moving, func(_ string, atMS int64) bool { return m.AtMS-atMS > moveMemoryMS })
+	if m.Refused {
+		delete(s.Moving, m.Worker)
+		return
+	}
+	if s.Moving == nil {
+		s.Moving = make(map[string]int64)
+	}
+	s.Moving[m.Worker] = m.AtMS
+}
+
+// Moved reports whether a worker ends or has ended because its machine was moved.
+func (s *State) Moved(worker string) bool {
+	_, moved := s.Moving[worker]
+	return moved
+}
+
+// Ending returns the workers that end or have ended by an order about their machine.
+func (s *State) Ending() map[string]bool {
+	out := make(map[string]bool)
+	for _, worker := range s.Ordered() {
+		out[worker] = true
+	}
+	for worker := range s.Moving {
+		out[worker] = true
+	}
+	return out
+}
+
 // StoppedForUpkeep reports whether a worker was stopped, or is about to be stopped, for an upkeep.
 func (s *State) StoppedForUpkeep(worker string) bool {
 	for _, r := range s.Waves {
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -52,7 +52,8 @@
 func (f *fleet) input() Input {
 	return Input{State: f.state, Machines: f.listed, NowMS: f.nowMS, Upkeep: 2 * time.Second,
 		Empty: func(w string) bool { return !f.busy[w] },
-		MayStop: func(workers ...string) bool {
+		MayStop: func(worker string, down []string) bool {
+			workers := append(slices.Clone(down), worker)
 			return !slices.ContainsFunc(workers, func(w string) bool { return f.pinned[w] }) && (f.together == 0 || len(workers) <= f.together)
 		}}
 }
@@ -298,3 +299,38 @@
 		}
 	}
 }
+
+// Guards against a wave that stands still: two machines were ordered down, the answers were lost, and
+// both have a new worker with a task of the same step, so that each waits for the other.
+func TestUnconfirmedOrdersDoNotWaitForEachOther(t *testing.T) {
+	f := newFleet(t, 2)
+	f.start(Wave{Number: 1, Machines: f.names(), DurationMS: 10_000, MaxConcurrent: 2})
+	for range 20 {
+		f.tick(500, false, false)
+	}
+	for i := range f.listed {
+		f.listed[i].Worker += "-next"
+		f.busy[f.listed[i].Worker] = true
+	}
+	f.together = 1
+	f.tick(500, false, false)
+	if d := f.tick(500, false, false); len(d.Orders) != 1 || d.Orders[0].Machine != "m0" {
+		t.Errorf("orders %+v, want one for m0", d.Orders)
+	}
+}
+
+// Guards against a moved worker that is forgotten before its end is noticed, or remembered though the
+// platform refused its move.
+func TestMovesAreRememberedUntilTheyAreRefusedOrLongOver(t *testing.T) {
+	s := NewState()
+	s.ApplyMove(Move{Worker: "w0", AtMS: 1000})
+	s.ApplyMove(Move{Worker: "w1", AtMS: 2000})
+	s.ApplyMove(Move{Worker: "w1", AtMS: 3000, Refused: true})
+	if !s.Moved("w0") || s.Moved("w1") || !s.Ending()["w0"] || s.Ending()["w1"] {
+		t.Errorf("moving: %v", s.Moving)
+	}
+	s.ApplyMove(Move{Worker: "w2", AtMS: 1000 + moveMemoryMS + 1})
+	if s.Moved("w0") || !s.Moved("w2") {
+		t.Errorf("moving after a minute: %v", s.Moving)
+	}
+}
