dispatch: Place a task on blamed workers if it can run nowhere else

Cause: a worker whose runs fail gets nothing for up to 10 s at a time, whatever the job's own fault, and the bound on how many are left out counts the whole service, not the workers that a task can run on.

Change: a task whose every possible worker, by label and size, is avoided for failed runs alone is placed there after 1.5 s. Workers that reject starts or do not answer stay out.

Evidence: TestTaskThatFitsOnlyBlamedWorkersWaitsShortly is red without the way out (scratch copy). TestWorkerThatDoesNotAnswerIsNotOnlyBlamed guards the mend. control's health_test takes the second result and checks it, too.

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -273,7 +273,7 @@
 // passInput is input for a pass and for what must agree with it on the workers that can take a task.
 func (d *dispatcher) passInput(s *State, now time.Time) dispatch.Input {
 	in := d.input(s)
-	in.Avoided = d.avoidedWorkers(now, s.Jobs.Workers)
+	in.Avoided, in.Blamed = d.avoidedWorkers(now, s.Jobs.Workers)
 	in.Stalled, in.Stuck = d.recent(&d.stalledAt, now), d.recent(&d.stuckAt, now)
 	in.Slowness = d.slowness
 	in.WaitTime = func(g *jobs.Group) time.Duration {
--- a/control/health_test.go
+++ b/control/health_test.go
@@ -36,8 +36,12 @@
 				}
 			}
 			got := make(map[string]int)
-			for id := range d.avoidedWorkers(now, workers) {
+			avoided, blamed := d.avoidedWorkers(now, workers)
+			for id := range avoided {
 				got[workers[id].Service]++
+				if !blamed[id] {
+					t.Errorf("%s is avoided for its failed runs and not blamed", id)
+				}
 			}
 			if got["small"] != c.want["small"] || got["large"] != c.want["large"] {
 				t.Errorf("avoided %v, want %v", got, c.want)
@@ -45,3 +49,20 @@
 		})
 	}
 }
+
+// Guards against a worker that is given tasks which can go nowhere else though it does not answer.
+func TestWorkerThatDoesNotAnswerIsNotOnlyBlamed(t *testing.T) {
+	now := time.Unix(0, 0)
+	d := &dispatcher{r: &Replica{}, health: dispatch.NewHealth(), avoided: map[string]time.Time{"w0": now.Add(time.Second)}}
+	workers := make(map[string]*jobs.Worker)
+	for i := range 5 {
+		id := fmt.Sprint("w", i)
+		workers[id] = &jobs.Worker{ID: id, Service: "vault"}
+	}
+	for range 3 {
+		d.health.RecordEnd("w0", jobs.OutcomeFailed, 0, 0, now)
+	}
+	if avoided, blamed := d.avoidedWorkers(now, workers); !avoided["w0"] || blamed["w0"] {
+		t.Errorf("avoided %v, blamed %v", avoided, blamed)
+	}
+}
--- a/control/workers.go
+++ b/control/workers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -34,23 +35,26 @@
 	return d.health.Slowness(worker)
 }
 
-// avoidedWorkers returns the workers that get nothing new: those that rejected a start recently,
-// and those whose runs fail.
-func (d *dispatcher) avoidedWorkers(now time.Time, workers map[string]*jobs.Worker) map[string]bool {
+// avoidedWorkers returns the workers that get nothing new: those that rejected a start recently or
+// do not answer, and those whose runs fail. blamed are the ones that are avoided for the last reason
+// alone.
+func (d *dispatcher) avoidedWorkers(now time.Time, workers map[string]*jobs.Worker) (out, blamed map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[string]bool)
+	out = make(map[string]bool)
 	if !d.r.without.Health {
 		out = d.health.Avoided(workers, now)
 	}
+	blamed = maps.Clone(out)
 	for id, until := range d.avoided {
 		if now.After(until) {
 			delete(d.avoided, id)
 			continue
 		}
 		out[id] = true
+		delete(blamed, id)
 	}
-	return out
+	return out, blamed
 }
 
 // unresponsiveTTL is how long a report that a worker does not answer stays valid: two reports.
--- a/dispatch/advised.go
+++ b/dispatch/advised.go
@@ -103,8 +103,8 @@
 	st := r.group.Step()
 	onWorker, running := p.onWorker(r.group), r.group.Job().Active() > 0
 	costs := make(map[string]float64)
-	for _, c := range p.workers[r.queue.Service] {
-		if (st.Label != "" && !c.worker.HasLabel(st.Label)) || !st.Held().Fits(c.worker.Capacity) {
+	for _, c := range p.workersFor(r) {
+		if !c.everTakes(st) {
 			continue
 		}
 		costs[c.worker.ID] = p.cost(c, st, nil)
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -73,3 +73,39 @@
 		t.Error("workers that aren't slow have a slowness")
 	}
 }
+
+// Guards against a task that waits beside idle workers: all that it can run on are blamed for runs that
+// failed, though the runs were at fault. Workers that reject starts or do not answer get nothing, and
+// nothing goes to a blamed worker if another could run it.
+func TestTaskThatFitsOnlyBlamedWorkersWaitsShortly(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		label  string
+		blamed bool
+		waited time.Duration
+		placed bool
+	}{
+		{"at once", "r0", true, 0, false},
+		{"after a wait", "r0", true, blamedWait, true},
+		{"on a worker that does not answer", "r0", false, time.Minute, false},
+		{"with others that are full", "a", true, time.Minute, false},
+	} {
+		s := newHarness(t, 2)
+		full := serving(1, 10_000, "full")
+		full.Label = "r1"
+		s.submit(1, "/titles/", 0, full)
+		s.pass()
+		st := serving(1, 1000, "watch")
+		st.Label = x.label
+		job := s.submit(2, "/titles/", 0, st)
+		s.in.Avoided = map[string]bool{"w0": true}
+		if x.blamed {
+			s.in.Blamed = s.in.Avoided
+		}
+		s.in.WaitTime = func(*jobs.Group) time.Duration { return x.waited }
+		s.pass()
+		if placed := s.Jobs[job].Group(0, 0).Tasks[0].Placed != nil; placed != x.placed {
+			t.Errorf("%s: placed %v, want %v", x.name, placed, x.placed)
+		}
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -57,6 +57,9 @@
 	// Avoided workers get no new tasks: they rejected some recently, or fail far more often than
 	// their peers.
 	Avoided map[string]bool
+	// Blamed are the avoided workers that respond, and are avoided only because their runs fail. The
+	// runs may be at fault, so a task that can go nowhere else does not wait for them for long.
+	Blamed map[string]bool
 	// Leaving workers get no new tasks either: their machines are about to go down.
 	Leaving map[string]bool
 	// Absences tells which standing tasks are unavailable although they are placed.
@@ -129,6 +132,7 @@
 type planner struct {
 	in           Input
 	workers      map[string][]*candidate // by service
+	blamed       map[string][]*candidate // the blamed ones, which are not among workers, by service
 	underused    map[string]bool         // services with utilization below lowUtilization
 	plan         jobs.Plan
 	placed       int
@@ -179,6 +183,11 @@
 	marks
 }
 
+func newCandidate(w *jobs.Worker, u jobs.Use) candidate {
+	return candidate{worker: w, free: w.Capacity.Sub(u.Held), filling: u.Filling,
+		serving: u.Serving, servingCPU: u.ServingCPU, fillers: u.Fillers, standingCPU: u.StandingCPU}
+}
+
 // marks are what suspects mean for other tasks on a worker.
 type marks struct {
 	// suspects counts the suspects started on the worker recently or in this pass.
@@ -241,7 +250,7 @@
 // collectCandidates lists the workers that accept tasks, with the marks of the suspects that started
 // on them recently.
 func (p *planner) collectCandidates() {
-	p.workers = make(map[string][]*candidate)
+	p.workers, p.blamed = make(map[string][]*candidate), make(map[string][]*candidate)
 	p.underused = make(map[string]bool)
 	capacity, used := make(map[string]int64), make(map[string]int64)
 	ids := make([]string, 0, len(p.in.Jobs.Workers))
@@ -252,14 +261,17 @@
 	slices.Sort(ids)
 	for i, id := range ids {
 		w := p.in.Jobs.Workers[id]
+		u := p.in.Jobs.Use(id)
+		if p.in.Blamed[id] && !p.in.closed(w) {
+			blamed := newCandidate(w, u)
+			p.blamed[w.Service] = append(p.blamed[w.Service], &blamed)
+		}
 		if !p.in.Accepts(w) {
 			continue
 		}
-		u := p.in.Jobs.Use(id)
 		capacity[w.Service] += w.Capacity.MilliCPU
 		used[w.Service] += u.Held.MilliCPU
-		candidates[i] = candidate{worker: w, free: w.Capacity.Sub(u.Held), filling: u.Filling,
-			serving: u.Serving, servingCPU: u.ServingCPU, fillers: u.Fillers, standingCPU: u.StandingCPU}
+		candidates[i] = newCandidate(w, u)
 		p.workers[w.Service] = append(p.workers[w.Service], &candidates[i])
 	}
 	for service, total := range capacity {
@@ -269,6 +281,29 @@
 	p.markSuspects()
 }
 
+// blamedWait is how long a task waits for a worker that is not blamed, if all that it could ever run
+// on are. Standing tasks count as neglected after three seconds, and each attempt on a worker that
+// does fail costs a task with limited attempts one of them.
+const blamedWait = 1500 * time.Millisecond
+
+// workersFor returns the workers that may be given the tasks of a request.
+func (p *planner) workersFor(r request) []*candidate {
+	all, blamed := p.workers[r.queue.Service], p.blamed[r.queue.Service]
+	if r.waited < blamedWait || len(blamed) == 0 {
+		return all
+	}
+	st := r.group.Step()
+	if slices.ContainsFunc(all, func(c *candidate) bool { return c.everTakes(st) }) {
+		return all
+	}
+	return blamed
+}
+
+// everTakes reports whether a worker could run a task of a step if nothing else ran there.
+func (c *candidate) everTakes(st *jobs.Step) bool {
+	return (st.Label == "" || c.worker.HasLabel(st.Label)) && st.Held().Fits(c.worker.Capacity)
+}
+
 func (p *planner) place(r request) {
 	running := r.group.Job().Active() > 0
 	f := p.assignByRack(r, running)
@@ -433,7 +468,7 @@
 	}
 	var best *candidate
 	bestCost := 0.0
-	for _, c := range p.workers[r.queue.Service] {
+	for _, c := range p.workersFor(r) {
 		if !test(c) || !p.takes(c, r, onWorker, running) {
 			continue
 		}
--- a/dispatch/racks.go
+++ b/dispatch/racks.go
@@ -33,7 +33,7 @@
 // are none.
 func (p *planner) candidateRacks(r request) []string {
 	var occupied, all []string
-	for _, c := range p.workers[r.queue.Service] {
+	for _, c := range p.workersFor(r) {
 		if !slices.Contains(all, c.worker.Rack) {
 			all = append(all, c.worker.Rack)
 		}
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -38,7 +38,7 @@
 
 func (k *ranking) build(running bool) {
 	k.built, k.running = true, running
-	all := k.p.workers[k.r.queue.Service]
+	all := k.p.workersFor(k.r)
 	k.best = make(ranks, 0, len(all))
 	for place, c := range all {
 		if c.isolated || (k.test != nil && !k.test(c)) || !k.p.takes(c, k.r, k.onWorker, running) {
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -64,9 +64,11 @@
 	if w == nil {
 		return nil
 	}
-	for _, c := range p.workers[w.Service] {
-		if c.worker == w {
-			return c
+	for _, list := range [][]*candidate{p.workers[w.Service], p.blamed[w.Service]} {
+		for _, c := range list {
+			if c.worker == w {
+				return c
+			}
 		}
 	}
 	return nil
@@ -141,7 +143,7 @@
 func (p *planner) placeIsolated(r request, k int) {
 	onWorker := p.onWorker(r.group)
 	shortest, found := time.Duration(0), false
-	for _, c := range p.workers[r.queue.Service] {
+	for _, c := range p.workersFor(r) {
 		if c.isolated || !p.takes(c, r, onWorker, true) {
 			continue
 		}
