dispatch: Standing runs that are not at work count as away

Cause: the leader took a run for available 4 s after its placement. Agents read how far each run is and did not tell it.

Change: each renewal names the standing runs that the worker lists as not at work. These, and runs that are reported as not started, are away in the account that all orders ask.

--- a/control/begun_test.go
+++ b/control/begun_test.go
@@ -123,3 +123,22 @@
 		}
 	}
 }
+
+// Guards against a leader that takes a standing run for one at work though its agent reports otherwise.
+func TestRunsReportedAsIdleAreAbsent(t *testing.T) {
+	d := &dispatcher{begun: make(map[string]begunReport), notAtWork: make(map[string][]jobs.Stop)}
+	ref, run := jobs.Ref{Job: "00000000000000aa"}, &jobs.Placed{Worker: "w", Run: 1}
+	report := []jobs.Stop{{Task: ref, Run: 1}}
+	if d.isIdle(ref, run) {
+		t.Error("a run is idle without a report")
+	}
+	d.notAtWork["w"] = report
+	if !d.isIdle(ref, run) || d.isIdle(ref, &jobs.Placed{Worker: "w", Run: 2}) {
+		t.Error("the run that is not at work, and no other, must be idle")
+	}
+	d.notAtWork["w"] = nil
+	d.recordBegun(&LeaseRequest{WorkerRef: WorkerRef{Worker: "w"}, OrdersIndex: 5, Unstarted: report, ReportsStarts: true})
+	if !d.isIdle(ref, run) {
+		t.Error("a run that has not started must be idle")
+	}
+}
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -68,6 +68,7 @@
 	lessonWriter  *learned.LessonWriter
 	health        *dispatch.Health
 	begun         map[string]begunReport // by worker
+	notAtWork     map[string][]jobs.Stop // standing runs that are not at work, by worker, as last reported
 	begunSince    time.Time              // when begun was empty
 	waits         *waitStarts
 	advice        *adviceRequester
@@ -109,6 +110,7 @@
 	d.stuckAt = make(map[jobs.Stop]time.Time)
 	d.advice.table = advice.NewTable()
 	d.begun, d.begunSince = make(map[string]begunReport), time.Now()
+	d.notAtWork = make(map[string][]jobs.Stop)
 	d.messages, d.uncertain = newMessageOrder(term, time.Now()), make(map[string]bool)
 	d.refused.reset()
 }
@@ -267,7 +269,17 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		return d.leases.SinceGrant(holderOf(w), time.Now()) > silentAfter
-	}}
+	}, Idle: d.isIdle}
+}
+
+// isIdle reports whether a standing run is not at work, by what its worker's agent reported last: it
+// has not started, or the worker lists it as not at work.
+func (d *dispatcher) isIdle(ref jobs.Ref, r *jobs.Placed) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	run := jobs.Stop{Task: ref, Run: r.Run}
+	b, reported := d.begun[r.Worker]
+	return slices.Contains(d.notAtWork[r.Worker], run) || (reported && slices.Contains(b.unstarted, run))
 }
 
 // passInput is input for a pass and for what must agree with it on the workers that can take a task.
@@ -358,6 +370,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		maps.DeleteFunc(d.begun, func(worker string, _ begunReport) bool { return s.Jobs.Workers[worker] == nil })
+		maps.DeleteFunc(d.notAtWork, func(worker string, _ []jobs.Stop) bool { return s.Jobs.Workers[worker] == nil })
 		d.advice.table.Forget(func(step jobs.GroupKey) bool {
 			j := s.Jobs.Jobs[step.Job]
 			return j != nil && !j.Phase.Over()
--- a/control/workers.go
+++ b/control/workers.go
@@ -110,6 +110,7 @@
 	}
 	d.clock.set(req.Worker, req.WallMS, now)
 	d.recordBegun(req)
+	d.notAtWork[req.Worker] = req.NotAtWork
 }
 
 // recordEnd learns from the end of a run. It reads the expected duration before the run itself is
--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -21,6 +21,8 @@
 	// Silent reports whether a worker has not renewed its lease for so long that its tasks may not
 	// be running. Nil means never.
 	Silent func(worker string) bool
+	// Idle reports whether a standing run is known not to be at work. Nil means that none is.
+	Idle func(ref jobs.Ref, r *jobs.Placed) bool
 }
 
 // without returns the absences as if a worker were not ending.
@@ -38,18 +40,22 @@
 	return a
 }
 
-// unavailable reports whether a task with the given run, nil for none, is unavailable.
-func (a Absences) unavailable(r *jobs.Placed, nowMS int64) bool {
+// unavailable reports whether the i-th task of a group is unavailable.
+func (a Absences) unavailable(g *jobs.Group, i int, nowMS int64) bool {
+	r := g.Tasks[i].Placed
 	if r == nil || r.Stopping || nowMS-r.AtMS < settleTime.Milliseconds() {
 		return true
 	}
-	return a.Ending[r.Worker] || (a.Silent != nil && a.Silent(r.Worker))
+	if a.Ending[r.Worker] || (a.Silent != nil && a.Silent(r.Worker)) {
+		return true
+	}
+	return a.Idle != nil && a.Idle(jobs.Ref{Job: g.Job().ID, Occurrence: g.Occurrence(), Step: g.StepIndex(), Index: i}, r)
 }
 
 // count returns the number of unavailable tasks of a group.
 func (a Absences) count(g *jobs.Group, nowMS int64) (n int) {
 	for i := range g.Tasks {
-		if a.unavailable(g.Tasks[i].Placed, nowMS) {
+		if a.unavailable(g, i, nowMS) {
 			n++
 		}
 	}
@@ -70,7 +76,7 @@
 		seen[ref.Group()] = true
 		n := 0
 		for i := range g.Tasks {
-			if r := g.Tasks[i].Placed; (r != nil && r.Worker == worker) || a.unavailable(r, nowMS) {
+			if r := g.Tasks[i].Placed; (r != nil && r.Worker == worker) || a.unavailable(g, i, nowMS) {
 				n++
 			}
 		}
--- a/dispatch/availability_test.go
+++ b/dispatch/availability_test.go
@@ -168,3 +168,21 @@
 		t.Error("a worker without tasks of the step may not be stopped")
 	}
 }
+
+// Guards against a worker that is stopped, or a task that is moved, while a task of the same step is
+// placed and has not got to work.
+func TestTasksThatAreNotAtWorkCountAsUnavailable(t *testing.T) {
+	s := newHarness(t, 4)
+	spread(t, s)
+	idle := Absences{Idle: func(_ jobs.Ref, r *jobs.Placed) bool { return r.Worker == "w0" }}
+	if MayStop(s.State, "w1", s.in.NowMS, idle) {
+		t.Error("a worker may be stopped while a task's sister is not at work")
+	}
+	if !MayStop(s.State, "w0", s.in.NowMS, idle) {
+		t.Error("the worker of the only task that is not at work may not be stopped")
+	}
+	s.in.Absences, s.in.Leaving = idle, map[string]bool{"w1": true}
+	if n := len(Plan(s.in).Stops); n != 0 {
+		t.Errorf("%d tasks were moved while their sister is not at work", n)
+	}
+}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -90,8 +90,7 @@
 // if it is unavailable for another reason than that its worker is ending.
 func (p *planner) otherAbsences(g *jobs.Group, ref jobs.Ref, worker string) int {
 	n := p.in.Absences.count(g, p.in.NowMS)
-	r := g.Tasks[ref.Index].Placed
-	if p.in.Absences.unavailable(r, p.in.NowMS) && !p.in.Absences.without(worker).unavailable(r, p.in.NowMS) {
+	if p.in.Absences.unavailable(g, ref.Index, p.in.NowMS) && !p.in.Absences.without(worker).unavailable(g, ref.Index, p.in.NowMS) {
 		n--
 	}
 	return n
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -400,7 +400,7 @@
 		o := Order{Task: ref, Run: r.Run, Stop: r.Stopping, Held: st.Held()}
 		if !o.Stop {
 			o.Payload, o.Checkpoint, o.Ticket, o.TargetMS, o.Fills = j.Spec.Payload, t.Checkpoint, r.Ticket, st.TargetMS, st.Fills
-			o.Image, o.MilliCPU = st.Image, st.Need.MilliCPU
+			o.Image, o.MilliCPU, o.Standing = st.Image, st.Need.MilliCPU, st.Standing
 			o.AtMS, o.SinceMS, o.AfterStep = r.AtMS, r.SinceMS, len(st.DependsOn) > 0
 		}
 		out = append(out, o)
--- a/jobs/types.go
+++ b/jobs/types.go
@@ -336,6 +336,8 @@
 	Fills    bool   `msgpack:"f,omitempty"`
 	Image    string `msgpack:"m,omitempty"`
 	MilliCPU int64  `msgpack:"u,omitempty"`
+	// Standing is set for a run that goes on until it is stopped.
+	Standing bool `msgpack:"g,omitempty"`
 	// Held is the part of the worker's capacity that the run takes.
 	Held resource.Vector `msgpack:"h,omitempty"`
 	// AtMS and SinceMS are when the run was placed and since when its task had waited for it, see
--- a/runner/fakes_test.go
+++ b/runner/fakes_test.go
@@ -42,6 +42,7 @@
 	holds          int           // lists that were requested
 	starts         []StartCall
 	maxListed      int                // ends that a list holds, 0 for all
+	idle           map[runKey]bool    // runs that are not at work
 	figures        map[string]float64 // figures of the runs, by job
 	paces          []receivedPace
 }
@@ -229,7 +230,11 @@
 	}
 	out := HoldReply{Reply: Reply{ClockMS: w.clock()}, Finished: append([]FinishedRun(nil), listed...), Truncated: w.maxListed > 0 && len(listed) == w.maxListed}
 	for key := range w.running {
-		out.Running = append(out.Running, RunningRun{Task: key.task, Run: key.run, Percent: 100, Measured: w.figures[key.task.Job]})
+		x := RunningRun{Task: key.task, Run: key.run, Percent: 100, Measured: w.figures[key.task.Job]}
+		if w.idle[key] {
+			x.Percent = 40
+		}
+		out.Running = append(out.Running, x)
 	}
 	return out, nil
 }
--- a/runner/grant.go
+++ b/runner/grant.go
@@ -18,6 +18,7 @@
 	req.PairsSeen = s.pairsRevision.Load()
 	req.OrdersIndex, req.Unstarted = s.unstarted()
 	req.ReportsStarts = true
+	req.NotAtWork = s.idleRuns()
 	if s.sendKnown.Load() {
 		req.KnownPairs = s.pacer.known()
 	}
@@ -69,3 +70,21 @@
 	}
 	return index, list
 }
+
+// recordAtWork records which standing runs of a list are not at work.
+func (s *session) recordAtWork(running []RunningRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notAtWork = nil
+	for _, x := range running {
+		if r := s.runs[runKey{x.Task, x.Run}]; r != nil && x.Percent < fullPace && r.current().Standing {
+			s.notAtWork = append(s.notAtWork, jobs.Stop{Task: x.Task, Run: x.Run})
+		}
+	}
+}
+
+func (s *session) idleRuns() []jobs.Stop {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.notAtWork
+}
--- a/runner/grant_test.go
+++ b/runner/grant_test.go
@@ -69,3 +69,28 @@
 		}
 	})
 }
+
+// Guards against a standing task that counts as available though it has never got to work.
+func TestRenewalsNameStandingRunsThatAreNotAtWork(t *testing.T) {
+	withBench(t, func(t *testing.T, b *bench) {
+		other := runKey{jobs.Ref{Job: "00000000000000bb"}, 1}
+		b.worker.mu.Lock()
+		b.worker.idle = map[runKey]bool{runA1: true, other: true}
+		b.worker.mu.Unlock()
+		standing := startOf(runA1)
+		standing.Standing = true
+		b.ctl.give(standing)
+		b.ctl.give(startOf(other))
+		time.Sleep(3 * renewInterval)
+		if got := b.ctl.lastRenewal().NotAtWork; len(got) != 1 || got[0] != (jobs.Stop{Task: runA1.task, Run: runA1.run}) {
+			t.Errorf("not at work: %+v", got)
+		}
+		b.worker.mu.Lock()
+		b.worker.idle = nil
+		b.worker.mu.Unlock()
+		time.Sleep(3 * renewInterval)
+		if got := b.ctl.lastRenewal().NotAtWork; len(got) != 0 {
+			t.Errorf("not at work, though all are: %+v", got)
+		}
+	})
+}
--- a/runner/session.go
+++ b/runner/session.go
@@ -75,6 +75,7 @@
 	pacer      *pacer
 	paces      *paceQueue
 	progress   *progress
+	notAtWork  []jobs.Stop // standing runs that the last list showed as not at work
 	leaving    bool
 	// cordoned says whether the data centre is out of service, as last heard from the control.
 	// cordonAsOf is when the request was sent that a majority's last confirmation answered,
@@ -277,6 +278,7 @@
 		s.stopOverdue(reply)
 		s.pace(reply.Running)
 		s.progress.record(time.Now(), reply.Running, s.pacer.slowedRuns())
+		s.recordAtWork(reply.Running)
 		s.processEnds(reply)
 		s.removeEndedOrphans(reply)
 		s.recordListed(reply)
