--- a/control/begun_test.go
+++ b/control/begun_test.go
@@ -17,17 +17,17 @@
 	return a.Pending
 }
 
-// Guards against a queue's length that leaves out a job which is placed and has not begun, by what its
-// worker's agent reports, and against one that counts a job again whose worker was lost after it began.
-func TestQueueLengthFollowsTheAgentsReports(t *testing.T) {
-	c := newCluster(t)
+// placeOne submits a standing job of one task to a new cluster and waits until it is placed on worker
+// "w". placedAt returns the log index of its run, 0 for none.
+func placeOne(t *testing.T) (c *cluster, r *Replica, ref jobs.Ref, placedAt func() uint64) {
+	c = newCluster(t)
 	c.prepareJobs(4)
-	r := c.replicas[c.leader()]
+	r = c.replicas[c.leader()]
 	if _, err := r.onSubmitJob(standingJob("00000000000000aa", 1)); err != nil {
 		t.Fatal(err)
 	}
-	ref := jobs.Ref{Job: "00000000000000aa"}
-	placedAt := func() (index uint64) {
+	ref = jobs.Ref{Job: "00000000000000aa"}
+	placedAt = func() (index uint64) {
 		r.machine.Read(func(s *State) {
 			if x := s.Jobs.Group(ref).Tasks[0].On("w"); x != nil {
 				index = x.Changed
@@ -36,6 +36,13 @@
 		return index
 	}
 	c.wait("run 1", func() bool { return placedAt() > 0 })
+	return c, r, ref, placedAt
+}
+
+// Guards against a queue's length that leaves out a job which is placed and has not begun, by what its
+// worker's agent reports, and against one that counts a job again whose worker was lost after it began.
+func TestQueueLengthFollowsTheAgentsReports(t *testing.T) {
+	c, r, ref, placedAt := placeOne(t)
 	if n := queueLength(t, r); n != 0 {
 		t.Errorf("%d jobs pending at a new leader, before the first reports", n)
 	}
@@ -72,17 +79,7 @@
 // Guards against a job that counts as begun for good though its worker was lost before it started
 // anything: the first renewal of the agent's session, made before any order has arrived, says nothing.
 func TestFirstRenewalOfASessionDoesNotSayThatRunsHaveStarted(t *testing.T) {
-	c := newCluster(t)
-	c.prepareJobs(4)
-	r := c.replicas[c.leader()]
-	if _, err := r.onSubmitJob(standingJob("00000000000000aa", 1)); err != nil {
-		t.Fatal(err)
-	}
-	ref := jobs.Ref{Job: "00000000000000aa"}
-	c.wait("run 1", func() (placed bool) {
-		r.machine.Read(func(s *State) { placed = s.Jobs.Group(ref).Tasks[0].On("w") != nil })
-		return placed
-	})
+	c, r, _, _ := placeOne(t)
 	if _, err := r.onLease(LeaseRequest{WorkerRef: WorkerRef{"w", "1"}, ReportsStarts: true}); err != nil {
 		t.Fatal(err)
 	}
@@ -98,23 +95,8 @@
 // Guards against a job that counts as pending again though it has begun, as the agent's next process
 // does not know yet what its worker runs.
 func TestFirstRenewalOfASessionKeepsWhatTheEarlierOneReported(t *testing.T) {
-	c := newCluster(t)
-	c.prepareJobs(4)
-	r := c.replicas[c.leader()]
-	if _, err := r.onSubmitJob(standingJob("00000000000000aa", 1)); err != nil {
-		t.Fatal(err)
-	}
-	ref := jobs.Ref{Job: "00000000000000aa"}
-	index := uint64(0)
-	c.wait("run 1", func() bool {
-		r.machine.Read(func(s *State) {
-			if x := s.Jobs.Group(ref).Tasks[0].On("w"); x != nil {
-				index = x.Changed
-			}
-		})
-		return index > 0
-	})
-	for _, reported := range []uint64{index, 0} {
+	_, r, _, placedAt := placeOne(t)
+	for _, reported := range []uint64{placedAt(), 0} {
 		if _, err := r.onLease(LeaseRequest{WorkerRef: WorkerRef{"w", "1"}, OrdersIndex: reported, ReportsStarts: true}); err != nil {
 			t.Fatal(err)
 		}
