--- a/proof/simulation_events_test.go
+++ b/proof/simulation_events_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -23,7 +24,7 @@
 	s.sentVersion += uint64(1 + s.rng.Intn(3))
 	v := s.sentVersion
 	s.mu.Unlock()
-	c := queues.Config{Version: v, Source: []byte(fmt.Sprint(v)), Services: []queues.Service{{Name: "vault"}},
+	c := queues.Config{Version: v, Source: bytes.Repeat([]byte(fmt.Sprintf("%8d", v)), s.configSize()/8), Services: []queues.Service{{Name: "vault"}},
 		Queues: []queues.Queue{{Name: "q", Host: "a.example", Prefix: plainPrefix, Service: "vault", TimeoutMS: 3000, TargetMS: 60_000, Slack: 50, MaxAttempts: 3}}}
 	if s.advice {
 		low := c.Queues[0]
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -43,7 +44,9 @@
 	net    *memnet.Network
 	synced *syncedFiles
 	dir    string
-	ctx    context.Context
+	// smallDisks says that the replicas have small disks and the configuration is large.
+	smallDisks bool
+	ctx        context.Context
 
 	noDelays  bool    // workers carry out all calls without delay
 	ownAgents int     // number of agents that ask the leader for orders; the others ask followers
@@ -150,9 +153,52 @@
 	return "concurrent_sync = true\n[control.contention]\nwaitlist = true\n"
 }
 
+// A simulation with small disks has large configurations, and snapshots are due for the size of the log
+// alone.
+const (
+	smallDiskBytes   = 4 << 20
+	largeConfigBytes = 512 << 10
+	smallConfigBytes = 8
+)
+
+// limitDisks simulates small disks in one seed of three.
+func (s *simulation) limitDisks(seed int64) {
+	if seed%3 != 0 {
+		return
+	}
+	s.smallDisks = true
+	quorum.OverrideSpace(func(dir string) (free, size int64) {
+		used := int64(0)
+		files, _ := filepath.Glob(filepath.Join(dir, "*"))
+		for _, f := range files {
+			if st, err := os.Stat(f); err == nil {
+				used += st.Size()
+			}
+		}
+		return max(0, smallDiskBytes-used), smallDiskBytes
+	})
+	s.t.Cleanup(func() { quorum.OverrideSpace(nil) })
+}
+
+// configSize returns the size of a configuration's source in bytes.
+func (s *simulation) configSize() int {
+	if s.smallDisks {
+		return largeConfigBytes
+	}
+	return smallConfigBytes
+}
+
+// snapshotEntries returns the number of entries after which a snapshot is due.
+func (s *simulation) snapshotEntries() int {
+	if s.smallDisks {
+		return 1 << 30
+	}
+	return 200
+}
+
 func (s *simulation) startReplica(i int) {
-	set := s.settingsOf(replicaIP(i), fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"50ms\"\nlease = \"5s\"\nsnapshot_entries = 200\nform_from_seeds = %v\nown_agents = %d\n%s",
-		s.dataFolder(i), !s.formed, s.ownAgents, s.optional))
+	set := s.settingsOf(replicaIP(i), fmt.Sprintf("[control]\nport = 7101\noperator_port = 7102\ndata_folder = %q\ntick = \"50ms\"\nlease = \"5s\"\nsnapshot_entries = %d\nform_from_seeds = %v\nown_agents = %d\n%s",
+		s.dataFolder(i), s.snapshotEntries(), !s.formed, s.ownAgents, s.optional))
 	r, err := control.New(set)
 	if err != nil {
 		s.t.Errorf("replica %d does not start: %v", i, err)
@@ -276,6 +322,7 @@
 	s := &simulation{t: t, noDelays: noDelays, ownAgents: int(seed % 2 * fuzzWorkers), optional: optionalParts(seed), rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), synced: newSyncedFiles(t), dir: t.TempDir(), ctx: ctx, started: time.Now(), jobs: make(map[string]*submitted), dataCentres: make(map[string]*fuzzDataCentre), advisor: newAdvisor(), gangs: standin.NewGangs()}
 	transport.SetNetwork(s.net)
 	quorum.ObserveSyncs(s.synced)
+	s.limitDisks(seed)
 	for i := range s.replicas {
 		s.startReplica(i)
 	}
