--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -39,11 +39,12 @@
 // simulation is a complete system in one process and in virtual time: replicas with their disks,
 // an entry, agents' runners and workers. Its faults are drawn from a seed.
 type simulation struct {
-	t      *testing.T
-	rng    *rand.Rand // used by the main loop only
-	net    *memnet.Network
-	synced *syncedFiles
-	dir    string
+	t        *testing.T
+	rng      *rand.Rand // used by the main loop only
+	net      *memnet.Network
+	synced   *syncedFiles
+	dir      string
+	machines *simulatedMachines
 	// smallDisks says that the replicas have small disks and the configuration is large.
 	smallDisks bool
 	ctx        context.Context
@@ -205,6 +206,7 @@
 		return
 	}
 	r.SetAdvisor(s.advisor)
+	r.SetMachines(s.machines, machineLease)
 	p := s.start(r.Run)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -320,6 +322,7 @@
 
 func newSimulation(t *testing.T, ctx context.Context, seed int64, workers int, noDelays bool) *simulation {
 	s := &simulation{t: t, noDelays: noDelays, ownAgents: int(seed % 2 * fuzzWorkers), optional: optionalParts(seed), rng: rand.New(rand.NewSource(seed)), net: memnet.New(memnet.Link{}), synced: newSyncedFiles(t), dir: t.TempDir(), ctx: ctx, started: time.Now(), jobs: make(map[string]*submitted), dataCentres: make(map[string]*fuzzDataCentre), advisor: newAdvisor(), gangs: standin.NewGangs()}
+	s.machines = &simulatedMachines{s: s, done: make(map[string]bool), ended: make(map[string]bool)}
 	transport.SetNetwork(s.net)
 	quorum.ObserveSyncs(s.synced)
 	s.limitDisks(seed)
