proof: A worker that crashes at one of its first starts

No simulation had a job that only one worker can run, nor one that is lost before it starts anything.

--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -91,8 +92,10 @@
 	process
 	runner   *runner.Runner
 	host     *standin.Host
-	calls    *lateWorker // delays the agent's calls, nil for no delays
-	worker   string      // the incarnation that it last announced
+	calls    *lateWorker   // delays the agent's calls, nil for no delays
+	reached  runner.Worker // the worker as the agent reaches it, nil for the host with or without delays
+	label    string        // of the worker's kind, "" for "a"
+	worker   string        // the incarnation that it last announced
 	sequence uint64
 	outages  []span // when it was down or isolated
 	isolated bool
@@ -250,6 +253,9 @@
 
 // callsTo returns the worker as the agent reaches it: with delays unless they are disabled.
 func (s *simulation) callsTo(a *agentProcess) runner.Worker {
+	if a.reached != nil {
+		return a.reached
+	}
 	if s.noDelays {
 		return a.host
 	}
@@ -302,7 +308,7 @@
 		a.worker, a.sequence = r.Name(), 0
 	}
 	a.sequence++
-	a.runner.Announce(runner.Announcement{Worker: a.worker, Service: "vault", DataCentre: dataCentreOf(i), Labels: []string{"a"}, Rack: s.rackOf(i),
+	a.runner.Announce(runner.Announcement{Worker: a.worker, Service: "vault", DataCentre: dataCentreOf(i), Labels: []string{cmp.Or(a.label, "a")}, Rack: s.rackOf(i),
 		Capacity: resource.Vector{MilliCPU: r.Capacity(), MemoryMB: 4000}, Sequence: a.sequence})
 }
 
