control: Two tests that hung on the processor's time play in virtual time

TestOperatorsLearnWhyAJobIsRefusedOrLate and TestMoveIsRefusedWhileItsStandingTasksRun were listed as red at a load of 25 to 30: on starved processors the time between two of their calls changed what was refused, or the leader changed. The checks are the same; the clock now stands still while anything is at work, and connections are in memory. TestMoveCountsTheTasksOfMachinesThatWereJustMoved plays in the same way.

--- a/control/operator_demand_test.go
+++ b/control/operator_demand_test.go
@@ -80,6 +80,10 @@
 // against answers that don't agree with what the caller was told, that tell of a job nothing is
 // known about, and that come from a replica which doesn't lead.
 func TestOperatorsLearnWhyAJobIsRefusedOrLate(t *testing.T) {
+	inVirtualTime(t, explainRefusedAndLateJobs)
+}
+
+func explainRefusedAndLateJobs(t *testing.T) {
 	c := newDemandCluster(t)
 	c.prepareJobs(4)
 	leader := c.leader()
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -8,11 +8,13 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/waxwinghaven/waxwinghaven/market"
 	"github.com/waxwinghaven/waxwinghaven/membership"
+	"github.com/waxwinghaven/waxwinghaven/memnet"
 	"github.com/waxwinghaven/waxwinghaven/quorum"
 	"github.com/waxwinghaven/waxwinghaven/refusal"
 	"github.com/waxwinghaven/waxwinghaven/settings"
@@ -36,6 +38,19 @@
 
 var nextNet = os.Getpid() % 200
 
+// inVirtualTime runs a test with connections in memory and a clock that stands still while anything is
+// at work, so that the time between two calls does not depend on the machine.
+func inVirtualTime(t *testing.T, f func(*testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		transport.SetNetwork(memnet.New(memnet.Link{}))
+		t.Cleanup(func() {
+			time.Sleep(time.Minute) // idle connections are closed by then, and their goroutines end
+			transport.SetNetwork(nil)
+		})
+		f(t)
+	})
+}
+
 func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	return newClusterAt(t, "20ms")
--- a/control/waves_test.go
+++ b/control/waves_test.go
@@ -93,6 +93,10 @@
 // beyond the allowed number. The move must be refused until the tasks are gone, and always for an
 // unknown machine.
 func TestMoveIsRefusedWhileItsStandingTasksRun(t *testing.T) {
+	inVirtualTime(t, moveBesideStandingTasks)
+}
+
+func moveBesideStandingTasks(t *testing.T) {
 	p := &platformMachines{downs: make(map[string]int), list: []upkeep.Machine{{Name: "m0", Pool: "vault", Up: true, Worker: "w"}}}
 	c := newClusterWith(t, "20ms", func(r *Replica) { r.SetMachines(p, 10*time.Millisecond) })
 	c.prepareJobs(4)
@@ -240,6 +244,10 @@
 // Guards against a second move of a machine that ends a standing task while those of the first machine
 // are away, though its worker is still registered.
 func TestMoveCountsTheTasksOfMachinesThatWereJustMoved(t *testing.T) {
+	inVirtualTime(t, moveTwoMachines)
+}
+
+func moveTwoMachines(t *testing.T) {
 	p := &platformMachines{downs: make(map[string]int), list: []upkeep.Machine{
 		{Name: "m0", Pool: "vault", Up: true, Worker: "w"}, {Name: "m1", Pool: "vault", Up: true, Worker: "w1"}}}
 	c := newClusterWith(t, "20ms", func(r *Replica) { r.SetMachines(p, 10*time.Millisecond) })
