quorum: Followers with full disks take a new leader's first entry

What callers saw: with all followers' disks full, a new leader commits nothing, not even its first entry, and so answers no reads; after a restart on full disks the same, since the free space is looked at at the start.

Cause: a follower on a full disk dropped all appends with entries. The leader's first entry and changes of the set are small, and without the first nothing that was committed can be read.

Change: only commands are dropped. Evidence: TestNewLeaderAnswersReadsOnFullDisks is red with the old condition.

--- a/quorum/node.go
+++ b/quorum/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -279,7 +280,7 @@
 func (n *Node) step(d delivery) {
 	n.senders[d.from.ID] = d.from
 	for _, m := range d.messages {
-		if n.diskFull && len(m.Entries) > 0 {
+		if n.diskFull && hasCommand(m.Entries) {
 			continue // no space to persist it; the leader resends it
 		}
 		n.core.Step(m)
@@ -289,6 +290,12 @@
 	}
 }
 
+// hasCommand reports whether any entry is a command. Others are small, and a new leader that can't
+// commit its first entry can't answer reads either.
+func hasCommand(entries []Entry) bool {
+	return slices.ContainsFunc(entries, func(e Entry) bool { return e.Kind == EntryCommand })
+}
+
 func (n *Node) propose(p proposal) {
 	if n.diskFull {
 		p.done <- outcome{err: ErrDiskFull}
--- a/quorum/space_test.go
+++ b/quorum/space_test.go
@@ -201,3 +201,27 @@
 		t.Errorf("term %d, %v", term, ok)
 	}
 }
+
+// Guards against replicas that answer no reads after a change of leader, as the followers' disks are
+// full and the new leader's first entry is dropped.
+func TestNewLeaderAnswersReadsOnFullDisks(t *testing.T) {
+	occupied := smallDisks(t, 32<<20)
+	_, nodes := startNodesOf(t, 3, 1<<30, func(int) StateMachine { return &register{} })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	proposeEventually(t, nodes[0], []byte("x"))
+	occupied.Store(32 << 20)
+	time.Sleep(time.Second)
+	if err := nodes[0].Transfer(ctx, nodes[1].core.id); err != nil {
+		t.Fatal(err)
+	}
+	for nodes[1].View().Role != Leader && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if err := nodes[1].Barrier(ctx); err != nil {
+		t.Errorf("a read at the new leader: %v", err)
+	}
+	if _, err := nodes[1].Propose(ctx, []byte("y")); !errors.Is(err, ErrDiskFull) {
+		t.Errorf("a change on a full disk: %v", err)
+	}
+}
