upkeep: A move that changed nothing counts for a minute only

A move that nobody answered, or that the platform found done already, left its worker counted as ending until the next move of any machine: a wave that needs a task of the same step would have waited for good.

--- a/control/absences.go
+++ b/control/absences.go
@@ -15,7 +15,7 @@
 // absences returns which standing tasks are unavailable although they are placed. The result may be
 // used as long as the caller reads the state.
 func (d *dispatcher) absences(s *State) dispatch.Absences {
-	return dispatch.Absences{Ending: s.Waves.Ending(), Silent: func(worker string) bool {
+	return dispatch.Absences{Ending: s.Waves.Ending(d.nowMS()), Silent: func(worker string) bool {
 		w := s.Jobs.Workers[worker]
 		if w == nil {
 			return true
--- a/control/waves.go
+++ b/control/waves.go
@@ -197,10 +197,7 @@
 			Empty: func(worker string) bool { return len(s.Jobs.RunsOn(worker)) == 0 },
 			MayStop: func(worker string, down []string) bool {
 				a := w.r.dispatcher.absences(s)
-				a.Ending = make(map[string]bool)
-				for other := range s.Waves.Moving {
-					a.Ending[other] = true
-				}
+				a.Ending = s.Waves.MovingAt(now)
 				for _, other := range down {
 					a.Ending[other] = true
 				}
--- a/upkeep/state.go
+++ b/upkeep/state.go
@@ -193,13 +193,22 @@
 }
 
 // Ending returns the workers that end or have ended by an order about their machine.
-func (s *State) Ending() map[string]bool {
-	out := make(map[string]bool)
+func (s *State) Ending(nowMS int64) map[string]bool {
+	out := s.MovingAt(nowMS)
 	for _, worker := range s.Ordered() {
 		out[worker] = true
 	}
-	for worker := range s.Moving {
-		out[worker] = true
+	return out
+}
+
+// MovingAt returns the workers that end or have ended because of a move of their machine. An order that
+// was not answered, or changed nothing, counts for moveMemoryMS only.
+func (s *State) MovingAt(nowMS int64) map[string]bool {
+	out := make(map[string]bool)
+	for worker, atMS := range s.Moving {
+		if nowMS-atMS <= moveMemoryMS {
+			out[worker] = true
+		}
 	}
 	return out
 }
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -326,9 +326,12 @@
 	s.ApplyMove(Move{Worker: "w0", AtMS: 1000})
 	s.ApplyMove(Move{Worker: "w1", AtMS: 2000})
 	s.ApplyMove(Move{Worker: "w1", AtMS: 3000, Refused: true})
-	if !s.Moved("w0") || s.Moved("w1") || !s.Ending()["w0"] || s.Ending()["w1"] {
+	if !s.Moved("w0") || s.Moved("w1") || !s.Ending(3000)["w0"] || s.Ending(3000)["w1"] {
 		t.Errorf("moving: %v", s.Moving)
 	}
+	if s.Ending(1000 + moveMemoryMS + 1)["w0"] {
+		t.Error("a worker whose move changed nothing is ending for good")
+	}
 	s.ApplyMove(Move{Worker: "w2", AtMS: 1000 + moveMemoryMS + 1})
 	if s.Moved("w0") || !s.Moved("w2") {
 		t.Errorf("moving after a minute: %v", s.Moving)
