--- a/control/messages_jobs.go
+++ b/control/messages_jobs.go
@@ -184,7 +184,8 @@
 	Unstarted   []jobs.Stop `msgpack:"n,omitempty"`
 	// NotAtWork holds the standing runs that the worker listed last as not at work yet, or no more.
 	NotAtWork []jobs.Stop `msgpack:"a,omitempty"`
-	// ReportsStarts is set by agents that fill in both fields. Those of earlier versions do not.
+	// ReportsStarts is set by agents that fill in OrdersIndex and Unstarted. Earlier versions do not set
+	// it.
 	ReportsStarts bool `msgpack:"b,omitempty"`
 }
 
