control, runner, proof: What the change wrote twice

The absences were computed for each admission, which does not use them, and for a wave's decision only to be replaced in part: passes and orders ask for them now, with the workers that end. The agent asks hasStarted where it spelt that out. No behaviour, bound or assertion changes.

--- a/control/absences.go
+++ b/control/absences.go
@@ -12,10 +12,10 @@
 // unavailable: several renewals, and less than callers take to notice.
 const silentAfter = 2 * time.Second
 
-// absences returns which standing tasks are unavailable although they are placed. The result may be
-// used as long as the caller reads the state.
-func (d *dispatcher) absences(s *State) dispatch.Absences {
-	return dispatch.Absences{Ending: s.Waves.Ending(d.nowMS()), Silent: func(worker string) bool {
+// absences returns which standing tasks are unavailable although they are placed, beside those of the
+// ending workers. The result may be used as long as the caller reads the state.
+func (d *dispatcher) absences(s *State, ending map[string]bool) dispatch.Absences {
+	return dispatch.Absences{Ending: ending, Silent: func(worker string) bool {
 		w := s.Jobs.Workers[worker]
 		if w == nil {
 			return true
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -251,12 +251,13 @@
 // input returns the input of a dispatch decision.
 func (d *dispatcher) input(s *State) dispatch.Input {
 	return dispatch.Input{Jobs: s.Jobs, Config: &s.Queues.Config, DataCentres: s.DataCentres, NowMS: d.nowMS(), Costs: d.costs.At(time.Now()), Estimates: d.durationModel.Estimates(),
-		Ticket: d.advice.ticket, Leaving: s.Waves.Leaving(), Absences: d.absences(s), Reserved: d.reservedCPU(), Disabled: d.r.without}
+		Ticket: d.advice.ticket, Leaving: s.Waves.Leaving(), Reserved: d.reservedCPU(), Disabled: d.r.without}
 }
 
 // passInput is input for a pass and for what must agree with it on the workers that can take a task.
 func (d *dispatcher) passInput(s *State, now time.Time) dispatch.Input {
 	in := d.input(s)
+	in.Absences = d.absences(s, s.Waves.Ending(in.NowMS))
 	in.Avoided, in.Blamed = d.avoidedWorkers(now, s.Jobs.Workers)
 	in.Stalled, in.Stuck = d.recent(&d.stalledAt, now), d.recent(&d.stuckAt, now)
 	in.Slowness = d.slowness
--- a/control/moves.go
+++ b/control/moves.go
@@ -83,7 +83,9 @@
 	w.r.ordering.Lock()
 	defer w.r.ordering.Unlock()
 	now, may := w.r.dispatcher.nowMS(), false
-	w.r.machine.Read(func(s *State) { may = dispatch.MayStop(s.Jobs, worker, now, w.r.dispatcher.absences(s)) })
+	w.r.machine.Read(func(s *State) {
+		may = dispatch.MayStop(s.Jobs, worker, now, w.r.dispatcher.absences(s, s.Waves.Ending(now)))
+	})
 	if !may {
 		return refusal.New(refusal.Conflict, "wait until its standing tasks are at work elsewhere", "machine %s runs standing tasks that their caller can't spare now", m.Machine)
 	}
--- a/control/waves.go
+++ b/control/waves.go
@@ -196,12 +196,11 @@
 		d = upkeep.Next(upkeep.Input{State: s.Waves, Machines: list, NowMS: now, Upkeep: w.upkeepTime(),
 			Empty: func(worker string) bool { return len(s.Jobs.RunsOn(worker)) == 0 },
 			MayStop: func(worker string, down []string) bool {
-				a := w.r.dispatcher.absences(s)
-				a.Ending = s.Waves.MovingAt(now)
+				ending := s.Waves.MovingAt(now)
 				for _, other := range down {
-					a.Ending[other] = true
+					ending[other] = true
 				}
-				return dispatch.MayStop(s.Jobs, worker, now, a)
+				return dispatch.MayStop(s.Jobs, worker, now, w.r.dispatcher.absences(s, ending))
 			}})
 	})
 	return d
--- a/dispatch/availability_test.go
+++ b/dispatch/availability_test.go
@@ -133,13 +133,7 @@
 		if ending {
 			s.in.Absences.Ending = map[string]bool{"w1": true}
 		}
-		moved := 0
-		for _, st := range Plan(s.in).Stops {
-			if st.Task.Job == s.jobAt(3) {
-				moved++
-			}
-		}
-		if (moved == 0) != ending {
+		if moved := s.stopped(s.jobAt(3)); (moved == 0) != ending {
 			t.Errorf("the worker of another task ends: %v; %d tasks were moved", ending, moved)
 		}
 	}
--- a/dispatch/regroup_test.go
+++ b/dispatch/regroup_test.go
@@ -75,13 +75,7 @@
 		}
 		s.index++
 		s.ApplyPlan(jobs.Plan{Placements: []jobs.Placement{pl}, AtMS: 1000}, rules, s.index)
-		moved := 0
-		for _, st := range Plan(s.in).Stops {
-			if st.Task.Job == s.jobAt(3) {
-				moved++
-			}
-		}
-		if (moved == 0) != waits {
+		if moved := s.stopped(s.jobAt(3)); (moved == 0) != waits {
 			t.Errorf("another task of the step waits: %v; %d tasks were moved", waits, moved)
 		}
 	}
--- a/proof/pending_test.go
+++ b/proof/pending_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -41,12 +39,7 @@
 // Guards against jobs that are not counted as pending though none of their tasks has begun: the only
 // worker that can run them crashes at one of its first starts, beside restarts of its agent.
 func TestSimulatedQueueCountsJobsThatHaveNotBegun(t *testing.T) {
-	isolateTest(t)
-	for seed := range int64(*simulationSeeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runFirstOrders(t, seed) })
-		})
-	}
+	forEachSeed(t, runFirstOrders)
 }
 
 func runFirstOrders(t *testing.T, seed int64) {
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -346,6 +346,16 @@
 	return s
 }
 
+// forEachSeed plays a simulation in virtual time for each seed.
+func forEachSeed(t *testing.T, play func(t *testing.T, seed int64)) {
+	isolateTest(t)
+	for seed := range int64(*simulationSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(t, seed) })
+		})
+	}
+}
+
 // goCall makes a caller's or operator's call in the background.
 func (s *simulation) goCall(f func()) {
 	s.calls.Add(1)
@@ -402,12 +412,7 @@
 // (which workers do not enforce themselves) or in a data centre out of service, nothing
 // acknowledged is lost, and no order overrides a later one.
 func TestSimulatedSystemUnderRandomFaults(t *testing.T) {
-	isolateTest(t)
-	for seed := range int64(*simulationSeeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runSimulation(t, seed, (*simulation).check) })
-		})
-	}
+	forEachSeed(t, func(t *testing.T, seed int64) { runSimulation(t, seed, (*simulation).check) })
 }
 
 // Guards against jobs that fail because other jobs' tasks crashed the workers under them.
--- a/proof/successors_test.go
+++ b/proof/successors_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
@@ -19,12 +17,7 @@
 // Guards against a start that went unanswered and is carried out on a later incarnation of a worker
 // that keeps its id, while those in between were replaced before their first heartbeat.
 func TestSimulatedWorkersThatRestartBeforeTheirFirstHeartbeat(t *testing.T) {
-	isolateTest(t)
-	for seed := range int64(*simulationSeeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runSuccessors(t, seed) })
-		})
-	}
+	forEachSeed(t, runSuccessors)
 }
 
 func runSuccessors(t *testing.T, seed int64) {
--- a/proof/upkeep_test.go
+++ b/proof/upkeep_test.go
@@ -1,14 +1,11 @@
 package proof
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
-	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/control"
@@ -103,12 +100,7 @@
 // Guards against standing tasks that are ended beyond what their step allows: waves of upkeep, moves of
 // machines and moves of tasks come together, beside cancelled jobs whose room tasks move to.
 func TestSimulatedOrdersSpareStandingTasks(t *testing.T) {
-	isolateTest(t)
-	for seed := range int64(*simulationSeeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runOrders(t, seed) })
-		})
-	}
+	forEachSeed(t, runOrders)
 }
 
 func runOrders(t *testing.T, seed int64) {
@@ -215,61 +207,47 @@
 	}
 }
 
-// sparedRun is a run of a standing task, with whether an order ended it.
-type sparedRun struct {
-	task     string
-	from, to int64 // Unix time in ms; to is 0 while it runs
-	ordered  bool
-}
-
 // checkSpared reports an end by an order at which another task of the step was away.
 func (s *simulation) checkSpared(job string) error {
-	runs := s.sparedRuns(job)
-	for _, r := range runs {
-		if !r.ordered {
-			continue
-		}
-		for i := range sparedTasks {
-			other := jobs.Ref{Job: job, Index: i}.String()
-			if other != r.task && away(runs, other, r.to) {
-				return fmt.Errorf("an order ended %s at %d while %s was away", r.task, r.to, other)
+	runs := s.runsOf(job)
+	for i := range sparedTasks {
+		task := jobs.Ref{Job: job, Index: i}.String()
+		for _, r := range runs[task] {
+			if !s.endedByOrder(r) {
+				continue
+			}
+			for k := range sparedTasks {
+				other := jobs.Ref{Job: job, Index: k}.String()
+				if other != task && s.away(runs[other], r.EndMS) {
+					return fmt.Errorf("an order ended %s at %d while %s was away", task, r.EndMS, other)
+				}
 			}
 		}
 	}
 	return nil
 }
 
-// away reports whether a task was ended by an order and has not run since, or has not run for
-// noticeTime.
-func away(runs []sparedRun, task string, at int64) bool {
-	last := sparedRun{}
+// away reports whether a task with these runs was ended by an order and has not run since, or has not
+// run for noticeTime.
+func (s *simulation) away(runs []recordedRun, at int64) bool {
+	last := recordedRun{}
 	for _, r := range runs {
-		if r.task != task || r.from > at {
+		if r.StartMS > at {
 			continue
 		}
-		if r.to == 0 || r.to > at {
+		if r.EndMS == 0 || r.EndMS > at {
 			return false
 		}
-		if r.to >= last.to {
+		if r.EndMS >= last.EndMS {
 			last = r
 		}
 	}
-	return last.ordered || at-last.to > noticeTime.Milliseconds()
+	return s.endedByOrder(last) || at-last.EndMS > noticeTime.Milliseconds()
 }
 
-func (s *simulation) sparedRuns(job string) (runs []sparedRun) {
+// endedByOrder reports whether a stop, or an order about its machine, ended a run.
+func (s *simulation) endedByOrder(r recordedRun) bool {
 	s.machines.mu.Lock()
 	defer s.machines.mu.Unlock()
-	for _, host := range s.hosts() {
-		for _, r := range host.Incarnations() {
-			for _, x := range r.Record() {
-				if len(x.Task) > len(job) && x.Task[:len(job)] == job {
-					ordered := x.How == jobs.OutcomeStopped.String() || (x.How == standin.HowCrashed && s.machines.ended[r.Name()])
-					runs = append(runs, sparedRun{x.Task, x.StartMS, x.EndMS, ordered})
-				}
-			}
-		}
-	}
-	slices.SortFunc(runs, func(a, b sparedRun) int { return cmp.Compare(a.from, b.from) })
-	return runs
+	return r.How == jobs.OutcomeStopped.String() || (r.How == standin.HowCrashed && s.machines.ended[r.worker])
 }
--- a/proof/wide_test.go
+++ b/proof/wide_test.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/waxwinghaven/waxwinghaven/jobs"
@@ -44,12 +43,7 @@
 // a suspected gang, and of queues with an advisor. Each wait is checked once all faults are over,
 // not only that all jobs end.
 func TestSimulatedGangsAndAdvisedQueuesDoNotStandStill(t *testing.T) {
-	isolateTest(t)
-	for seed := range int64(*simulationSeeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runWideSimulation(t, seed) })
-		})
-	}
+	forEachSeed(t, runWideSimulation)
 }
 
 func runWideSimulation(t *testing.T, seed int64) {
--- a/runner/ends.go
+++ b/runner/ends.go
@@ -31,10 +31,10 @@
 		delete(s.runs, key)
 		s.mu.Unlock()
 		end := jobs.End{Task: f.Task, Run: f.Run, Outcome: f.Outcome, Checkpoint: f.Checkpoint}
-		if r != nil && r.hasStarted() {
-			s.setListedAll() // it ended after the session began, and ends are listed in their order
-		}
 		if r != nil {
+			if r.hasStarted() {
+				s.setListedAll() // it ended after the session began, and ends are listed in their order
+			}
 			end.WorkMS = r.workMS()
 			orphan := r.isOrphan()
 			r.setEnded()
--- a/runner/resolve.go
+++ b/runner/resolve.go
@@ -42,10 +42,7 @@
 		return false
 	}
 	logrus.WithFields(logrus.Fields{"task": r.key.task.String(), "run": r.key.run}).Info("runner: Stopped a run.")
-	r.mu.Lock()
-	started := r.started
-	r.mu.Unlock()
-	if started {
+	if r.hasStarted() {
 		return true // the worker will list its end
 	}
 	r.resolveUncertainStart()
